--- /dev/null
+++ b/benchlink/link.go
@@ -0,0 +1,372 @@
+package benchlink
+
+import (
+	"bufio"
+	"encoding/base64"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"hollylever/choice"
+)
+
+var outcomes = map[uint64]choice.Outcome{10: choice.OK, 20: choice.Errored, 30: choice.Full, 40: choice.TimedOut,
+	50: choice.Unreached, 60: choice.Reset, 70: choice.CalledOff, 80: choice.Unsent, 90: choice.Missing}
+var scopes = map[string]choice.Scope{"INCREMENTAL": choice.Incremental, "FULL": choice.Whole,
+	"SAVED": choice.Saved, "FAILED": choice.Failed}
+var healths = map[string]choice.Health{"ready": choice.Ready, "draining": choice.Draining, "gone": choice.Gone}
+
+// slot ties a retrieval's small index to its id. It is free again once the retrieval has ended and no trip is out.
+type slot struct {
+	id    uint64
+	out   int
+	ended bool
+}
+
+// instance is one balancer: the module and its index tables. Instances share nothing but the reply's buffer.
+type instance struct {
+	name      string
+	module    *choice.Balancer
+	reply     *writer
+	hosts     map[string]int
+	addresses []string
+	ids       map[uint64]int
+	slots     []slot
+	free      []int
+	workloads map[string]int
+	tenants   map[string]int
+	kinds     map[string]int
+	zones     map[string]int
+}
+
+func (n *instance) take(id uint64) int {
+	i := len(n.slots)
+	if last := len(n.free) - 1; last >= 0 {
+		i, n.free = n.free[last], n.free[:last]
+	} else {
+		n.slots = append(n.slots, slot{})
+	}
+	n.slots[i] = slot{id: id}
+	n.ids[id] = i
+	return i
+}
+
+func (n *instance) settle(i int) {
+	s := &n.slots[i]
+	if at, held := n.ids[s.id]; held && at == i && s.ended && s.out == 0 {
+		delete(n.ids, s.id)
+		n.free = append(n.free, i)
+	}
+}
+
+// Send and the methods after it are the module's Host.
+func (n *instance) Send(retrieval, server int, until int64) {
+	n.slots[retrieval].out++
+	n.reply.start("issue", n.name)
+	n.reply.whole("id", n.slots[retrieval].id)
+	n.reply.text("host", n.addresses[server])
+	if until > 0 {
+		n.reply.span("until", until)
+	}
+	n.reply.end()
+}
+
+func (n *instance) Dismiss(retrieval int, comeBack int64) {
+	n.reply.start("push_back", n.name)
+	n.reply.whole("id", n.slots[retrieval].id)
+	if comeBack > 0 {
+		n.reply.span("coolDown", comeBack)
+	}
+	n.reply.end()
+	n.slots[retrieval].ended = true
+	n.settle(retrieval)
+}
+
+func (n *instance) GiveUp(retrieval int) {
+	n.reply.start("finish_error", n.name)
+	n.reply.whole("id", n.slots[retrieval].id)
+	n.reply.end()
+	n.slots[retrieval].ended = true
+	n.settle(retrieval)
+}
+
+func (n *instance) CallOff(retrieval, trip int) {
+	n.reply.start("revoke", n.name)
+	n.reply.whole("id", n.slots[retrieval].id)
+	n.reply.whole("leg", uint64(trip))
+	n.reply.end()
+}
+
+func (n *instance) Wake(tag int, after int64) {
+	n.reply.start("schedule", n.name)
+	n.reply.whole("tag", uint64(tag))
+	n.reply.span("offset", after)
+	n.reply.end()
+}
+
+func (n *instance) Subscribe() {
+	n.reply.start("stream_changes", n.name)
+	n.reply.text("on", "1")
+	n.reply.end()
+}
+
+// flatten turns the settings into a plain map: dotted names to values, a list's length under the list's own name.
+func flatten(into map[string]any, name string, value gjson.Result) {
+	switch {
+	case value.IsObject():
+		value.ForEach(func(key, inner gjson.Result) bool {
+			if name != "" {
+				flatten(into, name+"."+key.String(), inner)
+			} else {
+				flatten(into, key.String(), inner)
+			}
+			return true
+		})
+	case value.IsArray():
+		list := value.Array()
+		into[name] = float64(len(list))
+		for i, inner := range list {
+			flatten(into, name+"."+strconv.Itoa(i), inner)
+		}
+	default:
+		into[name] = value.Value()
+	}
+}
+
+func names(settings map[string]any, list, inner string) map[string]int {
+	places := map[string]int{}
+	count, _ := settings[list].(float64)
+	for i := range int(count) {
+		name, _ := settings[list+"."+strconv.Itoa(i)+inner].(string)
+		places[name] = i
+	}
+	return places
+}
+
+// Run plays batches until the input ends between two of them.
+func Run(input io.Reader, output io.Writer) error {
+	in := &reader{in: bufio.NewReaderSize(input, 1<<20)}
+	reply := &writer{}
+	instances := map[string]*instance{}
+	for {
+		if err := in.next(); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		if in.name == "" {
+			continue
+		}
+		if in.name != "sync" {
+			in.complain(in.name, "a batch starts with 'sync'")
+		}
+		now := in.span("wall", true)
+		round, _ := in.whole("round", true)
+		reply.out = reply.out[:0]
+		for in.bad == nil {
+			if err := in.next(); errors.Is(err, io.EOF) {
+				in.line++
+				in.complain("commit", "the input ends within a batch")
+				break
+			} else if err != nil {
+				return err
+			}
+			if in.name == "commit" {
+				break
+			}
+			event(in, reply, instances, now)
+		}
+		if in.bad != nil {
+			return in.bad
+		}
+		reply.out = append(reply.out, "ack"...)
+		reply.whole("round", round)
+		reply.end()
+		if _, err := output.Write(reply.out); err != nil {
+			return err
+		}
+	}
+}
+
+// event reads one line and calls the module.
+func event(in *reader, reply *writer, instances map[string]*instance, now int64) {
+	switch in.name {
+	case "init", "members", "ask", "wake", "down", "check_result", "first_byte", "neighbour_says", "completed", "aborted":
+	default:
+		in.complain(in.name, "unknown event")
+		return
+	}
+	balancer := in.text("balancer")
+	if in.name == "init" {
+		begin(in, reply, instances, string(balancer), now)
+		return
+	}
+	n := instances[string(balancer)]
+	if in.bad == nil && n == nil {
+		in.complain("balancer", "not begun: "+strconv.Quote(string(balancer)))
+	}
+	if in.bad != nil {
+		return
+	}
+	switch in.name {
+	case "down":
+		delete(instances, n.name)
+	case "members":
+		members(in, n, now)
+	case "ask":
+		ask(in, n, now)
+	case "wake":
+		if tag, _ := in.whole("tag", true); in.bad == nil {
+			n.module.Woke(now, int(tag))
+		}
+	case "check_result":
+		server, how, took := host(in, n), outcome(in), in.span("took", true)
+		if in.bad == nil {
+			n.module.Probed(now, server, how, took)
+		}
+	case "first_byte":
+		id, _ := in.whole("id", true)
+		leg, _ := in.whole("leg", true)
+		host(in, n)
+		if i, known := n.ids[id]; known && in.bad == nil {
+			n.module.Started(now, i, int(leg))
+		}
+	case "completed":
+		completed(in, n, now)
+	case "aborted":
+		id, _ := in.whole("id", true)
+		if i, known := n.ids[id]; known && in.bad == nil {
+			n.slots[i].ended = true
+			n.module.Aborted(now, i)
+			n.settle(i)
+		}
+	case "neighbour_says":
+		from, _ := in.whole("from", true)
+		blob := in.text("blob")
+		if string(blob) == "-" {
+			blob = nil
+		}
+		data, err := base64.StdEncoding.DecodeString(string(blob))
+		if err != nil {
+			in.complain("blob", "not base64: "+strconv.Quote(string(blob)))
+		}
+		if in.bad == nil {
+			n.module.Told(now, int(from), data)
+		}
+	}
+}
+
+func begin(in *reader, reply *writer, instances map[string]*instance, name string, now int64) {
+	seed, _ := in.whole("randomSeed", true)
+	env := in.text("env")
+	if in.bad == nil && (!gjson.ValidBytes(env) || !gjson.ParseBytes(env).IsObject()) {
+		in.complain("env", "not a JSON object")
+	}
+	if in.bad != nil {
+		return
+	}
+	settings := map[string]any{}
+	flatten(settings, "", gjson.ParseBytes(env))
+	n := &instance{name: name, reply: reply, hosts: map[string]int{}, ids: map[uint64]int{},
+		workloads: names(settings, "workloads", ".name"), tenants: names(settings, "tenants", ".name"),
+		kinds: names(settings, "hostTypes", ""), zones: names(settings, "zones", "")}
+	instances[name] = n
+	n.module = choice.New(now, seed, settings, n)
+}
+
+func place(in *reader, field string, table map[string]int, need bool) int {
+	value := in.find(field)
+	if i, known := table[string(value)]; known {
+		return i
+	}
+	if need || (value != nil && string(value) != "0" && len(value) > 0) {
+		if value == nil {
+			in.complain(field, "missing in '"+in.name+"'")
+		} else {
+			in.complain(field, "unknown name: "+strconv.Quote(string(value)))
+		}
+	}
+	return -1
+}
+
+func host(in *reader, n *instance) int { return place(in, "host", n.hosts, true) }
+
+func outcome(in *reader) choice.Outcome {
+	code, _ := in.whole("how", true)
+	how, known := outcomes[code]
+	if !known {
+		in.complain("how", "unknown outcome")
+	}
+	return how
+}
+
+func members(in *reader, n *instance, now int64) {
+	scope, known := scopes[string(in.text("scope"))]
+	if !known {
+		in.complain("scope", "unknown name: "+strconv.Quote(string(in.find("scope"))))
+	}
+	in.whole("rev", scope != choice.Failed)
+	lines, _ := in.whole("lines", scope != choice.Failed)
+	if in.bad != nil {
+		return
+	}
+	n.module.Listing(now, scope)
+	for range lines {
+		if in.next() != nil || in.name != "row" {
+			in.complain("lines", "fewer rows than it says")
+			return
+		}
+		address := string(in.text("host"))
+		health, known := healths[string(in.text("health"))]
+		if !known {
+			in.complain("health", "unknown name: "+strconv.Quote(string(in.find("health"))))
+		}
+		kind := place(in, "machine", n.kinds, false)
+		zone := place(in, "regionPart", n.zones, false)
+		cell, _ := in.whole("stripe", false)
+		started := in.span("bootTime", false)
+		if in.bad != nil {
+			return
+		}
+		server, known := n.hosts[address]
+		if !known {
+			server = len(n.addresses)
+			n.hosts[address] = server
+			n.addresses = append(n.addresses, address)
+		}
+		n.module.Row(now, server, address, health, started, kind, zone, int(cell))
+	}
+	n.module.Listed(now)
+}
+
+func ask(in *reader, n *instance, now int64) {
+	id, _ := in.whole("id", true)
+	patience := in.span("patienceLeft", true)
+	workload := place(in, "category", n.workloads, true)
+	tenant := place(in, "owner", n.tenants, false)
+	key, keyGiven := in.whole("pathKey", false)
+	write, again, predicted := in.yes("update"), in.yes("repeat"), in.span("predicted", false)
+	if in.bad == nil {
+		i := n.take(id)
+		n.module.Asked(now, i, patience, workload, tenant, key, keyGiven, write, again, predicted)
+		n.settle(i)
+	}
+}
+
+func completed(in *reader, n *instance, now int64) {
+	id, _ := in.whole("id", true)
+	leg, _ := in.whole("leg", true)
+	server, how := host(in, n), outcome(in)
+	info, _ := in.whole("info", false)
+	took, noMore := in.span("took", true), in.yes("noMore")
+	i, known := n.ids[id]
+	if in.bad != nil || !known {
+		return
+	}
+	n.slots[i].out--
+	n.slots[i].ended = n.slots[i].ended || noMore
+	n.module.Ended(now, i, int(leg), server, int(info), how, took, noMore)
+	n.settle(i)
+}
