--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,7 +56,6 @@
 	hold, heldUntil  int64
 	missed           int  // aside: the cache that lacked the key, -1 if none did
 	fetching, queued bool // aside: it asks the origin for its key, or waits for the one that does
-	next             int  // the next that waits for the same fetch
 	trips            []trip
 	out              int
 	place            int // in Balancer.live
@@ -118,14 +117,13 @@
 func (c *chance) below(n int) int { hi, _ := bits.Mul64(c.next(), uint64(n)); return int(hi) }
 
 type workload struct {
-	effect           Effect
-	group            string
-	remembers        int64 // how long repeats of a stamped retrieval are dropped
-	expected         int64
-	stretch          float64
-	tardy            float64
-	took             took
-	expectedTimeOnly bool
+	effect    Effect
+	group     string
+	remembers int64 // how long repeats of a stamped retrieval are dropped
+	expected  int64
+	stretch   float64
+	tardy     float64
+	took      took
 }
 
 type tenant struct {
@@ -162,7 +160,6 @@
 	mostTrips  int
 	copies     bool
 	mayCallOff bool
-	grace      int64
 	startPart  float64
 	warmUp     int64
 	multiple   float64
@@ -295,7 +292,7 @@
 		key = b.chance.next() // No key: its candidates are as good as any.
 	}
 	*r = retrieval{workload: workload, tenant: tenant, key: key, write: write, live: true, asked: now,
-		stop: now + patience, due: now + patience, width: firstWidth, missed: -1, next: -1, trips: r.trips[:0],
+		stop: now + patience, due: now + patience, width: firstWidth, missed: -1, trips: r.trips[:0],
 		place: len(b.live)}
 	if w.tardy == 0 {
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
@@ -491,7 +488,7 @@
 		return
 	}
 	dismiss := b.mayDismiss(r)
-	b.drop(now, i)
+	b.drop(now, i, -1)
 	if dismiss {
 		b.host.Dismiss(i, b.comeBack/4)
 	} else {
@@ -499,8 +496,9 @@
 	}
 }
 
-// drop forgets a retrieval that has its final answer, and lets those that waited for its fetch go on.
-func (b *Balancer) drop(now int64, i int) {
+// drop forgets a retrieval that has its final answer, and lets those that waited for its fetch go on:
+// to the cache that holds the key now, or one of them to the origin.
+func (b *Balancer) drop(now int64, i, stored int) {
 	r := &b.retrievals[i]
 	r.live = false
 	last := b.live[len(b.live)-1]
@@ -511,27 +509,24 @@
 			b.host.CallOff(i, t)
 		}
 	}
-	if r.fetching {
-		delete(b.fetches, r.key)
+	if !r.fetching {
+		return
 	}
-}
-
-// waiters goes on with those that waited for a fetch: the first of them may have to fetch itself.
-func (b *Balancer) waiters(now int64, first, stored int) {
-	for w := first; w >= 0; {
-		r := &b.retrievals[w]
-		after := r.next
-		if r.live && r.queued {
-			r.queued = false
-			r.next = -1
-			if stored >= 0 && len(r.trips) < b.mostTrips && b.maySend(now, r, stored) {
-				r.missed = -1
-				b.send(now, w, stored)
-			} else {
-				b.fetch(now, w)
-			}
+	key := r.key
+	delete(b.fetches, key)
+	for n := len(b.live) - 1; n >= 0; n-- {
+		if n >= len(b.live) {
+			continue
+		}
+		w := b.live[n]
+		if r := &b.retrievals[w]; !r.queued || r.key != key {
+			continue
+		} else if r.queued = false; stored >= 0 && b.maySend(now, r, stored) {
+			r.missed = -1
+			b.send(now, w, stored)
+		} else {
+			b.fetch(now, w)
 		}
-		w = after
 	}
 }
 
@@ -540,8 +535,6 @@
 	r := &b.retrievals[i]
 	if leader, out := b.fetches[r.key]; out && leader != i {
 		r.queued = true
-		r.next = b.retrievals[leader].next
-		b.retrievals[leader].next = i
 		return
 	}
 	b.fetches[r.key] = i
@@ -575,22 +568,16 @@
 	}
 	b.learn(now, r, s, how, tookTime)
 	if noMore || !r.live {
-		if r.live {
-			first, stored := r.next, r.missed
-			fetching := r.fetching
-			b.drop(now, i)
-			if fetching {
-				if how != OK {
-					stored = -1
-				}
-				b.waiters(now, first, stored)
-			}
+		if r.live && how == OK {
+			b.drop(now, i, r.missed)
+		} else if r.live {
+			b.drop(now, i, -1)
 		}
 		return
 	}
 	if now >= r.stop {
 		if r.out == 0 {
-			b.lead(now, i)
+			b.finish(now, i)
 		}
 		return
 	}
@@ -612,7 +599,7 @@
 			return
 		}
 		if h.credit < 1 && how != Unreached && how != Unsent || s == b.origin {
-			b.lead(now, i)
+			b.finish(now, i)
 			return
 		}
 		h.credit--
@@ -620,22 +607,12 @@
 	}
 }
 
-// lead ends a retrieval; if it led a fetch, the next that waits takes over.
-func (b *Balancer) lead(now int64, i int) {
-	first := b.retrievals[i].next
-	fetching := b.retrievals[i].fetching
-	b.finish(now, i)
-	if fetching {
-		b.waiters(now, first, -1)
-	}
-}
-
 // wait holds a retrieval at full width; the hold doubles and ends before the hard stop.
 func (b *Balancer) wait(now int64, i int) {
 	r := &b.retrievals[i]
 	r.hold = max(firstHold, 2*r.hold)
 	if now+r.hold >= r.due || len(r.trips) >= b.mostTrips {
-		b.lead(now, i)
+		b.finish(now, i)
 		return
 	}
 	r.heldUntil = now + r.hold
@@ -710,13 +687,8 @@
 
 // Aborted: the client has gone.
 func (b *Balancer) Aborted(now int64, i int) {
-	r := &b.retrievals[i]
-	if r.live {
-		first, fetching := r.next, r.fetching
-		b.drop(now, i)
-		if fetching {
-			b.waiters(now, first, -1)
-		}
+	if b.retrievals[i].live {
+		b.drop(now, i, -1)
 	}
 }
 
@@ -730,9 +702,8 @@
 		b.host.Subscribe()
 	default:
 		i := tag - tagHeld
-		if i < len(b.retrievals) && b.retrievals[i].live && b.retrievals[i].heldUntil == now ||
-			i < len(b.retrievals) && b.retrievals[i].live && b.retrievals[i].heldUntil > 0 && b.retrievals[i].heldUntil < now {
-			b.retrievals[i].heldUntil = 0
+		if r := &b.retrievals[i]; r.live && r.heldUntil > 0 && r.heldUntil <= now {
+			r.heldUntil = 0
 			b.route(now, i)
 		}
 	}
@@ -757,8 +728,8 @@
 		i := b.live[n]
 		r := &b.retrievals[i]
 		if r.out == 0 {
-			if now >= r.due {
-				b.lead(now, i)
+			if now+2*sweepEvery >= r.due { // Nothing is out: the answer may not wait for the next sweep.
+				b.finish(now, i)
 			}
 			continue
 		}
