--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,7 +21,7 @@
 	memory     = 3 * second      // how long a server's answers count
 	firstGood  = 2.0             // what a server's chance of success is taken to be before it is known
 	firstBad   = 0.1
-	perAnswer  = 0.1 // credit that an answer earns
+	perAnswer  = 0.2 // credit that an answer earns
 	mostCredit = 10.0
 	coldPart   = 0.4 // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
@@ -320,11 +320,13 @@
 			s = b.pick(now, r)
 		}
 	}
-	if s < 0 || !b.maySend(now, r, s) {
+	if s < 0 && len(r.trips) > 0 {
+		b.wait(now, i) // No server has credit for a further trip: hold as at full width.
+	} else if s < 0 || !b.maySend(now, r, s) {
 		b.finish(now, i)
-		return
+	} else {
+		b.send(now, i, s)
 	}
-	b.send(now, i, s)
 }
 
 func (b *Balancer) send(now int64, i, s int) {
@@ -332,6 +334,9 @@
 	if b.cold(now, s) {
 		h.room--
 	}
+	if len(r.trips) > 0 && s != b.origin {
+		h.credit--
+	}
 	r.trips = append(r.trips, trip{server: s, sent: now})
 	r.out++
 	h.out++
@@ -378,7 +383,8 @@
 		s := b.best[j].server
 		b.best[j] = b.best[n-1]
 		h := &b.servers[s]
-		if b.cold(now, s) && b.coldRoom(now, s) < 1 || !b.mayRepeatAt(now, r, s) || tried(r, s) {
+		if b.cold(now, s) && b.coldRoom(now, s) < 1 || !b.mayRepeatAt(now, r, s) || tried(r, s) ||
+			len(r.trips) > 0 && h.credit < 1 {
 			continue
 		}
 		if b.doubted(now, s) {
@@ -598,12 +604,11 @@
 		if r.out > 0 {
 			return
 		}
-		if h.credit < 1 && how != Unreached && how != Unsent || s == b.origin {
+		if s == b.origin {
 			b.finish(now, i)
-			return
+		} else {
+			b.route(now, i)
 		}
-		h.credit--
-		b.route(now, i)
 	}
 }
 
@@ -743,15 +748,13 @@
 			continue
 		}
 		h.overdue++
-		if now < r.due && h.credit >= 1 && len(r.trips) < b.mostTrips && b.workloads[r.workload].effect != OneShot {
+		if now < r.due && len(r.trips) < b.mostTrips && b.workloads[r.workload].effect != OneShot {
 			// Guards against hung servers: what may run again does not wait for one that is silent.
 			if b.copies {
-				h.credit--
 				if s := b.pick(now, r); s >= 0 && b.maySend(now, r, s) {
 					b.send(now, i, s)
 				}
 			} else if b.mayCallOff {
-				h.credit--
 				b.host.CallOff(i, len(r.trips)-1)
 			}
 		}
