--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,6 +23,7 @@
 	firstBad   = 0.1
 	perAnswer  = 0.2 // credit that an answer earns
 	mostCredit = 10.0
+	busyCounts = 2.0 // a busy answer counts as so many in flight until as long again has passed
 	coldPart   = 0.4 // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
 
@@ -69,6 +70,7 @@
 	listed           bool
 	out              int
 	good, bad        sum
+	refused          sum   // busy answers of late: they count as in flight
 	heard            int64 // when it last answered anything
 	overdue          int   // trips in flight that are overdue while it is silent
 	credit           float64
@@ -150,6 +152,7 @@
 	workloads  []workload
 	tenants    []tenant
 	originTook took
+	allTook    took
 	out        int // trips in flight at ready caches
 	good, bad  sum // of all caches, as a server's
 	warmed     sum // answers of warm caches
@@ -377,7 +380,7 @@
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
 	limit := overMean*float64(b.out)/float64(max(1, len(b.ready))) + 1
-	least, last := -1, -1
+	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
 		j := b.chance.below(n)
 		s := b.best[j].server
@@ -393,11 +396,12 @@
 			}
 			continue
 		}
-		if float64(h.out) <= limit {
+		load := float64(h.out) + busyCounts*h.refused.read(now, b.usual(now))
+		if load <= limit {
 			return s
 		}
-		if least < 0 || h.out < b.servers[least].out {
-			least = s
+		if least < 0 || load < lightest {
+			least, lightest = s, load
 		}
 	}
 	if least < 0 && r.width >= len(b.ready) {
@@ -640,12 +644,14 @@
 		b.good.add(now, memory, 1)
 		if how == OK {
 			w.took.add(now, 4*memory, float64(tookTime))
+			b.allTook.add(now, 4*memory, float64(tookTime))
 		}
 		if !b.cold(now, s) {
 			b.warmed.add(now, memory, 1)
 		}
 	case Full:
 		h.heard = now
+		h.refused.add(now, b.usual(now), 1)
 		amiss = 1
 	case Errored, TimedOut, Unreached, Reset, CalledOff:
 		if how == Errored {
@@ -761,6 +767,14 @@
 	}
 }
 
+// usual is the time a cache takes of late.
+func (b *Balancer) usual(now int64) int64 {
+	if n := b.allTook.n.read(now, 4*memory); n >= 3 {
+		return int64(2 * b.allTook.t.read(now, 4*memory) / n)
+	}
+	return second / 2
+}
+
 // limit is the age at which a trip is overdue.
 func (b *Balancer) limit(now int64, l *took, expected int64) int64 {
 	n := l.n.read(now, 4*memory)
