--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,8 +23,9 @@
 	firstBad   = 0.1
 	perAnswer  = 0.2 // credit that an answer earns
 	mostCredit = 10.0
-	busyCounts = 2.0 // a busy answer counts as so many in flight until as long again has passed
-	coldPart   = 0.4 // of the cold budget: machines differ, and so do balancers' shares of the traffic
+	busyCounts = 2.0  // a busy answer counts as so many in flight until as long again has passed
+	strain     = 0.15 // more misses than this part of the reads strain the origin
+	coldPart   = 0.4  // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
 
 const (
@@ -137,38 +138,39 @@
 
 // Balancer is the module's state for one balancer.
 type Balancer struct {
-	host       Host
-	values     map[string]any
-	chance     chance
-	servers    []server
-	ready      []int // caches that the list calls ready
-	origin     int   // aside: the origin's index, -1 if none is listed
-	aside      bool
-	scope      Scope
-	failures   int
-	retrievals []retrieval
-	live       []int
-	fetches    map[uint64]int // aside: key to the retrieval that asks the origin for it
-	workloads  []workload
-	tenants    []tenant
-	originTook took
-	allTook    took
-	out        int // trips in flight at ready caches
-	good, bad  sum // of all caches, as a server's
-	warmed     sum // answers of warm caches
-	warm       int
-	fine, poor sum     // trips that ended in time, and late or not at all
-	admit      float64 // the part of what is beyond a share that is let in
-	best       []ranked
-	mostTrips  int
-	copies     bool
-	mayCallOff bool
-	startPart  float64
-	warmUp     int64
-	multiple   float64
-	tipAfter   int64
-	balancers  float64
-	comeBack   int64
+	host          Host
+	values        map[string]any
+	chance        chance
+	servers       []server
+	ready         []int // caches that the list calls ready
+	origin        int   // aside: the origin's index, -1 if none is listed
+	aside         bool
+	scope         Scope
+	failures      int
+	retrievals    []retrieval
+	live          []int
+	fetches       map[uint64]int // aside: key to the retrieval that asks the origin for it
+	workloads     []workload
+	tenants       []tenant
+	originTook    took
+	allTook       took
+	out           int // trips in flight at ready caches
+	good, bad     sum // of all caches, as a server's
+	warmed        sum // answers of warm caches
+	warm          int
+	reads, misses sum     // answers of caches to reads, and those that needed the origin or failed
+	fine, poor    sum     // trips that ended in time, and late or not at all
+	admit         float64 // the part of what is beyond a share that is let in
+	best          []ranked
+	mostTrips     int
+	copies        bool
+	mayCallOff    bool
+	startPart     float64
+	warmUp        int64
+	multiple      float64
+	tipAfter      int64
+	balancers     float64
+	comeBack      int64
 }
 
 type ranked struct {
@@ -579,6 +581,12 @@
 	default:
 		r.trips[t].ran = perhaps
 	}
+	if !r.write && s != b.origin && (how == OK || how == Missing || how == Errored) {
+		b.reads.add(now, memory, 1)
+		if how != OK || note > 1 {
+			b.misses.add(now, memory, 1)
+		}
+	}
 	b.learn(now, r, s, how, tookTime)
 	if noMore || !r.live {
 		if r.live && how == OK {
@@ -779,7 +787,9 @@
 }
 
 // strained tells whether the origin cannot keep up: then each key keeps to the order of its ranking.
-func (b *Balancer) strained(now int64) bool { return true }
+func (b *Balancer) strained(now int64) bool {
+	return b.misses.read(now, memory) > strain*(b.reads.read(now, memory)+1)
+}
 
 // limit is the age at which a trip is overdue.
 func (b *Balancer) limit(now int64, l *took, expected int64) int64 {
