--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	mostCredit = 10.0
 	busyCounts = 2.0  // a busy answer counts as so many in flight until as long again has passed
 	strain     = 0.15 // more misses than this part of the reads strain the origin
+	crowd      = 0.7  // of the expected time may be spent by the trips in flight
 	coldPart   = 0.4  // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
 
@@ -158,6 +159,7 @@
 	good, bad     sum // of all caches, as a server's
 	warmed        sum // answers of warm caches
 	warm          int
+	began         int64
 	reads, misses sum     // answers of caches to reads, and those that needed the origin or failed
 	fine, poor    sum     // trips that ended in time, and late or not at all
 	admit         float64 // the part of what is beyond a share that is let in
@@ -185,7 +187,7 @@
 
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
-	b := &Balancer{host: host, values: values, origin: -1, fetches: map[uint64]int{}, admit: 1}
+	b := &Balancer{host: host, values: values, origin: -1, fetches: map[uint64]int{}, admit: 1, began: now}
 	b.chance = chance{seed ^ 0x9e3779b97f4a7c15, 1}
 	for range 8 {
 		b.chance.next()
@@ -303,7 +305,7 @@
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
 	}
 	b.live = append(b.live, i)
-	if b.beyondShare(now, tenant) && b.chance.part() > b.admit {
+	if b.beyondShare(now, tenant) && b.chance.part() > b.admit || b.crowded(now, w) {
 		b.finish(now, i)
 		return
 	}
@@ -683,6 +685,13 @@
 	b.poor.add(now, second, amiss)
 }
 
+// crowded tells, by Little's law, that a new trip would wait for most of its expected time.
+// Guards against queues that turn all answers late: once full they stay full of work nobody wants.
+func (b *Balancer) crowded(now int64, w *workload) bool {
+	rate := (b.good.read(now, memory) + 1) / (1 - math.Exp(-float64(now-b.began+1)/float64(memory)))
+	return float64(b.out) > float64(len(b.ready))+crowd*rate*float64(w.expected)/float64(memory)
+}
+
 // beyondShare tells whether a tenant is over its share of what comes in here.
 func (b *Balancer) beyondShare(now int64, t int) bool {
 	if t < 0 {
