--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,9 +17,10 @@
 	firstWidth = 3               // candidates of a key
 	widening   = 7               // a busy answer widens so many times
 	firstHold  = 33 * int64(1e6) // the first hold at full width; it doubles
-	overMean   = 1.5             // in flight over so many times the mean (and one) is passed over
-	memory     = 3 * second      // how long a server's answers count
-	firstGood  = 2.0             // what a server's chance of success is taken to be before it is known
+	overMean   = 1.2             // in flight over so many times the mean, and overBy, is passed over
+	overBy     = 0.5
+	memory     = 3 * second // how long a server's answers count
+	firstGood  = 2.0        // what a server's chance of success is taken to be before it is known
 	firstBad   = 0.1
 	perAnswer  = 0.2 // credit that an answer earns
 	mostCredit = 10.0
@@ -72,6 +73,7 @@
 	listed           bool
 	out              int
 	good, bad        sum
+	held             held
 	refused          sum   // busy answers of late: they count as in flight
 	heard            int64 // when it last answered anything
 	overdue          int   // trips in flight that are overdue while it is silent
@@ -96,6 +98,20 @@
 
 func (s *sum) add(now, life int64, x float64) { s.value = s.read(now, life) + x }
 
+// held is the count in flight, averaged over time.
+type held struct {
+	mean float64
+	at   int64
+}
+
+func (h *held) read(now int64, out int) float64 {
+	if now > h.at {
+		h.mean = float64(out) + (h.mean-float64(out))*math.Exp(-float64(now-h.at)/float64(memory))
+		h.at = now
+	}
+	return h.mean
+}
+
 // took keeps the mean and the spread of answer times.
 type took struct{ n, t, tt sum }
 
@@ -156,6 +172,7 @@
 	originTook    took
 	allTook       took
 	out           int // trips in flight at ready caches
+	held          held
 	good, bad     sum // of all caches, as a server's
 	warmed        sum // answers of warm caches
 	warm          int
@@ -345,6 +362,8 @@
 		h.credit--
 	}
 	r.trips = append(r.trips, trip{server: s, sent: now})
+	h.held.read(now, h.out)
+	b.held.read(now, b.out)
 	r.out++
 	h.out++
 	if h.health == Ready && s != b.origin {
@@ -383,7 +402,7 @@
 
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
-	limit := overMean*float64(b.out)/float64(max(1, len(b.ready))) + 1
+	limit := (overMean * (float64(b.out) + b.held.read(now, b.out)) / float64(max(1, len(b.ready)))) + overBy
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
 		j := 0
@@ -403,7 +422,7 @@
 			}
 			continue
 		}
-		load := float64(h.out) + busyCounts*h.refused.read(now, b.usual(now))
+		load := float64(h.out) + h.held.read(now, h.out) + busyCounts*h.refused.read(now, b.usual(now))
 		if load <= limit {
 			return s
 		}
@@ -570,6 +589,8 @@
 // Ended tells how a trip ended.
 func (b *Balancer) Ended(now int64, i, t, s, note int, how Outcome, tookTime int64, noMore bool) {
 	r, h := &b.retrievals[i], &b.servers[s]
+	h.held.read(now, h.out)
+	b.held.read(now, b.out)
 	r.out--
 	h.out--
 	if h.health == Ready && s != b.origin {
