--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,8 +17,8 @@
 	firstWidth = 3               // candidates of a key
 	widening   = 7               // a busy answer widens so many times
 	firstHold  = 33 * int64(1e6) // the first hold at full width; it doubles
-	overMean   = 1.2             // in flight over so many times the mean, and overBy, is passed over
-	overBy     = 0.5
+	overMean   = 1.1             // in flight over so many times the mean, and overBy, is passed over
+	overBy     = 0.3
 	memory     = 3 * second // how long a server's answers count
 	firstGood  = 2.0        // what a server's chance of success is taken to be before it is known
 	firstBad   = 0.1
