--- a/choice/choice.go
+++ b/choice/choice.go
@@ -170,9 +170,9 @@
 	workloads     []workload
 	tenants       []tenant
 	originTook    took
-	allTook       took
 	out           int // trips in flight at ready caches
 	held          held
+	refused       sum
 	good, bad     sum // of all caches, as a server's
 	warmed        sum // answers of warm caches
 	warm          int
@@ -422,7 +422,7 @@
 			}
 			continue
 		}
-		load := float64(h.out) + h.held.read(now, h.out) + busyCounts*h.refused.read(now, b.usual(now))
+		load := float64(h.out) + h.held.read(now, h.out) + busyCounts*h.refused.read(now, memory)
 		if load <= limit {
 			return s
 		}
@@ -678,14 +678,16 @@
 		b.good.add(now, memory, 1)
 		if how == OK {
 			w.took.add(now, 4*memory, float64(tookTime))
-			b.allTook.add(now, 4*memory, float64(tookTime))
 		}
 		if !b.cold(now, s) {
 			b.warmed.add(now, memory, 1)
 		}
 	case Full:
 		h.heard = now
-		h.refused.add(now, b.usual(now), 1)
+		if s != b.origin {
+			h.refused.add(now, memory, 1)
+			b.refused.add(now, memory, 1)
+		}
 		amiss = 1
 	case Errored, TimedOut, Unreached, Reset, CalledOff:
 		if how == Errored {
@@ -808,14 +810,6 @@
 	}
 }
 
-// usual is the time a cache takes of late.
-func (b *Balancer) usual(now int64) int64 {
-	if n := b.allTook.n.read(now, 4*memory); n >= 3 {
-		return int64(2 * b.allTook.t.read(now, 4*memory) / n)
-	}
-	return second / 2
-}
-
 // strained tells whether the origin cannot keep up: then each key keeps to the order of its ranking.
 func (b *Balancer) strained(now int64) bool {
 	return b.misses.read(now, memory) > strain*(b.reads.read(now, memory)+1)
