--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,7 +27,8 @@
 	busyCounts = 2.0  // a busy answer counts as so many in flight until as long again has passed
 	strain     = 0.15 // more misses than this part of the reads strain the origin
 	crowd      = 0.7  // of the expected time may be spent by the trips in flight
-	coldPart   = 0.4  // of the cold budget: machines differ, and so do balancers' shares of the traffic
+	firstRoom  = 8.0
+	coldPart   = 0.4 // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
 
 const (
@@ -177,6 +178,7 @@
 	warmed        sum // answers of warm caches
 	warm          int
 	began         int64
+	room          float64 // aside: how many reads may be out at the origin
 	reads, misses sum     // answers of caches to reads, and those that needed the origin or failed
 	fine, poor    sum     // trips that ended in time, and late or not at all
 	admit         float64 // the part of what is beyond a share that is let in
@@ -204,7 +206,7 @@
 
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
-	b := &Balancer{host: host, values: values, origin: -1, fetches: map[uint64]int{}, admit: 1, began: now}
+	b := &Balancer{host: host, values: values, origin: -1, fetches: map[uint64]int{}, admit: 1, began: now, room: firstRoom}
 	b.chance = chance{seed ^ 0x9e3779b97f4a7c15, 1}
 	for range 8 {
 		b.chance.next()
@@ -344,8 +346,9 @@
 			s = b.pick(now, r)
 		}
 	}
-	if s < 0 && len(r.trips) > 0 {
-		b.wait(now, i) // No server has credit for a further trip: hold as at full width.
+	if s == b.origin && s >= 0 && !r.write && float64(b.servers[s].out) >= b.room ||
+		s < 0 && len(r.trips) > 0 {
+		b.wait(now, i) // Nobody has room or credit for a further trip: hold as at full width.
 	} else if s < 0 || !b.maySend(now, r, s) {
 		b.finish(now, i)
 	} else {
@@ -609,6 +612,14 @@
 		if how != OK || note > 1 {
 			b.misses.add(now, memory, 1)
 		}
+	} else if s == b.origin && !r.write {
+		// Guards against reads that crowd writes out of a short origin: their part gives way and comes back.
+		if how == OK {
+			b.room += 1 / b.room
+		} else {
+			b.room = max(1, b.room*0.8)
+			b.misses.add(now, memory, 1)
+		}
 	}
 	b.learn(now, r, s, how, tookTime)
 	if noMore || !r.live {
