--- a/choice/choice.go
+++ b/choice/choice.go
@@ -348,6 +348,9 @@
 	}
 	if s == b.origin && s >= 0 && !r.write && float64(b.servers[s].out) >= b.room ||
 		s < 0 && len(r.trips) > 0 {
+		if s >= 0 {
+			b.misses.add(now, memory, 1)
+		}
 		b.wait(now, i) // Nobody has room or credit for a further trip: hold as at full width.
 	} else if s < 0 || !b.maySend(now, r, s) {
 		b.finish(now, i)
@@ -614,7 +617,7 @@
 		}
 	} else if s == b.origin && !r.write {
 		// Guards against reads that crowd writes out of a short origin: their part gives way and comes back.
-		if how == OK {
+		if how == OK && tookTime < b.workloads[r.workload].expected/2 {
 			b.room += 1 / b.room
 		} else {
 			b.room = max(1, b.room*0.8)
