--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,7 @@
 	strain     = 0.15 // more misses than this part of the reads strain the origin
 	crowd      = 0.7  // of the expected time may be spent by the trips in flight
 	firstRoom  = 8.0
+	strainedBy = 2.5 // then the pass-over has so much more margin
 	coldPart   = 0.4 // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
 
@@ -409,10 +410,14 @@
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
 	limit := (overMean * (float64(b.out) + b.held.read(now, b.out)) / float64(max(1, len(b.ready)))) + overBy
+	ordered := r.width == firstWidth && b.strained(now)
+	if ordered {
+		limit *= strainedBy
+	}
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
 		j := 0
-		if !b.strained(now) || r.width > firstWidth {
+		if !ordered {
 			j = b.chance.below(n)
 		}
 		s := b.best[j].server
