--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,7 +28,7 @@
 	strain     = 0.15 // more misses than this part of the reads strain the origin
 	crowd      = 0.7  // of the expected time may be spent by the trips in flight
 	firstRoom  = 8.0
-	strainedBy = 2.5 // then the pass-over has so much more margin
+	drownBy    = 5.0 // the margin grows by so many times the part of reads that it fails or answers late
 	coldPart   = 0.4 // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
 
@@ -157,42 +157,43 @@
 
 // Balancer is the module's state for one balancer.
 type Balancer struct {
-	host          Host
-	values        map[string]any
-	chance        chance
-	servers       []server
-	ready         []int // caches that the list calls ready
-	origin        int   // aside: the origin's index, -1 if none is listed
-	aside         bool
-	scope         Scope
-	failures      int
-	retrievals    []retrieval
-	live          []int
-	fetches       map[uint64]int // aside: key to the retrieval that asks the origin for it
-	workloads     []workload
-	tenants       []tenant
-	originTook    took
-	out           int // trips in flight at ready caches
-	held          held
-	refused       sum
-	good, bad     sum // of all caches, as a server's
-	warmed        sum // answers of warm caches
-	warm          int
-	began         int64
-	room          float64 // aside: how many reads may be out at the origin
-	reads, misses sum     // answers of caches to reads, and those that needed the origin or failed
-	fine, poor    sum     // trips that ended in time, and late or not at all
-	admit         float64 // the part of what is beyond a share that is let in
-	best          []ranked
-	mostTrips     int
-	copies        bool
-	mayCallOff    bool
-	startPart     float64
-	warmUp        int64
-	multiple      float64
-	tipAfter      int64
-	balancers     float64
-	comeBack      int64
+	host       Host
+	values     map[string]any
+	chance     chance
+	servers    []server
+	ready      []int // caches that the list calls ready
+	origin     int   // aside: the origin's index, -1 if none is listed
+	aside      bool
+	scope      Scope
+	failures   int
+	retrievals []retrieval
+	live       []int
+	fetches    map[uint64]int // aside: key to the retrieval that asks the origin for it
+	workloads  []workload
+	tenants    []tenant
+	originTook took
+	out        int // trips in flight at ready caches
+	held       held
+	refused    sum
+	good, bad  sum // of all caches, as a server's
+	warmed     sum // answers of warm caches
+	warm       int
+	began      int64
+	room       float64 // aside: how many reads may be out at the origin
+	// Answers of caches to reads; those that needed the origin or failed; of these, those late or failed.
+	reads, misses, drowned sum
+	fine, poor             sum     // trips that ended in time, and late or not at all
+	admit                  float64 // the part of what is beyond a share that is let in
+	best                   []ranked
+	mostTrips              int
+	copies                 bool
+	mayCallOff             bool
+	startPart              float64
+	warmUp                 int64
+	multiple               float64
+	tipAfter               int64
+	balancers              float64
+	comeBack               int64
 }
 
 type ranked struct {
@@ -412,7 +413,7 @@
 	limit := (overMean * (float64(b.out) + b.held.read(now, b.out)) / float64(max(1, len(b.ready)))) + overBy
 	ordered := r.width == firstWidth && b.strained(now)
 	if ordered {
-		limit *= strainedBy
+		limit *= 1 + drownBy*b.drowned.read(now, memory)/(b.reads.read(now, memory)+1)
 	}
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
@@ -619,6 +620,9 @@
 		b.reads.add(now, memory, 1)
 		if how != OK || note > 1 {
 			b.misses.add(now, memory, 1)
+			if how == Errored {
+				b.drowned.add(now, memory, 1)
+			}
 		}
 	} else if s == b.origin && !r.write {
 		// Guards against reads that crowd writes out of a short origin: their part gives way and comes back.
