--- a/choice/choice.go
+++ b/choice/choice.go
@@ -428,6 +428,9 @@
 			len(r.trips) > 0 && h.credit < 1 {
 			continue
 		}
+		if float64(h.out) > 1+crowd*b.rate(now, &h.good)*float64(b.workloads[r.workload].expected) {
+			continue // Guards against slow servers: what it holds would take it most of the expected time.
+		}
 		if b.doubted(now, s) {
 			if last < 0 || h.out < b.servers[last].out {
 				last = s
@@ -734,8 +737,12 @@
 // crowded tells, by Little's law, that a new trip would wait for most of its expected time.
 // Guards against queues that turn all answers late: once full they stay full of work nobody wants.
 func (b *Balancer) crowded(now int64, w *workload) bool {
-	rate := (b.good.read(now, memory) + 1) / (1 - math.Exp(-float64(now-b.began+1)/float64(memory)))
-	return float64(b.out) > float64(len(b.ready))+crowd*rate*float64(w.expected)/float64(memory)
+	return float64(b.out) > float64(len(b.ready))+crowd*b.rate(now, &b.good)*float64(w.expected)
+}
+
+// rate is a sum's events a nanosecond, allowing for a start not long ago.
+func (b *Balancer) rate(now int64, s *sum) float64 {
+	return s.read(now, memory) / (1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))) / float64(memory)
 }
 
 // beyondShare tells whether a tenant is over its share of what comes in here.
