--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,7 @@
 	mostCredit = 10.0
 	busyCounts = 2.0  // a busy answer counts as so many in flight until as long again has passed
 	strain     = 0.15 // more misses than this part of the reads strain the origin
-	crowd      = 0.7  // of the expected time may be spent by the trips in flight
+	crowd      = 0.3  // of the expected time may be spent by the trips in flight
 	firstRoom  = 8.0
 	drownBy    = 5.0 // the margin grows by so many times the part of reads that it fails or answers late
 	coldPart   = 0.4 // of the cold budget: machines differ, and so do balancers' shares of the traffic
@@ -428,9 +428,6 @@
 			len(r.trips) > 0 && h.credit < 1 {
 			continue
 		}
-		if float64(h.out) > 1+crowd*b.rate(now, &h.good)*float64(b.workloads[r.workload].expected) {
-			continue // Guards against slow servers: what it holds would take it most of the expected time.
-		}
 		if b.doubted(now, s) {
 			if last < 0 || h.out < b.servers[last].out {
 				last = s
