--- a/choice/choice.go
+++ b/choice/choice.go
@@ -734,7 +734,11 @@
 // crowded tells, by Little's law, that a new trip would wait for most of its expected time.
 // Guards against queues that turn all answers late: once full they stay full of work nobody wants.
 func (b *Balancer) crowded(now int64, w *workload) bool {
-	return float64(b.out) > float64(len(b.ready))+crowd*b.rate(now, &b.good)*float64(w.expected)
+	part := crowd
+	if w.effect != Harmless {
+		part *= 3 // What may not run again is not crowded out by what may.
+	}
+	return float64(b.out) > float64(len(b.ready))+part*b.rate(now, &b.good)*float64(w.expected)
 }
 
 // rate is a sum's events a nanosecond, allowing for a start not long ago.
