--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,8 +28,9 @@
 	strain     = 0.15 // more misses than this part of the reads strain the origin
 	crowd      = 0.3  // of the expected time may be spent by the trips in flight
 	firstRoom  = 8.0
-	drownBy    = 5.0 // the margin grows by so many times the part of reads that it fails or answers late
-	coldPart   = 0.4 // of the cold budget: machines differ, and so do balancers' shares of the traffic
+	drownBy    = 5.0   // the margin grows by so many times the part of reads that it fails or answers late
+	valueOver  = 100.0 // the mean value is over so many retrievals
+	coldPart   = 0.4   // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
 
 const (
@@ -139,13 +140,13 @@
 func (c *chance) below(n int) int { hi, _ := bits.Mul64(c.next(), uint64(n)); return int(hi) }
 
 type workload struct {
-	effect    Effect
-	group     string
-	remembers int64 // how long repeats of a stamped retrieval are dropped
-	expected  int64
-	stretch   float64
-	tardy     float64
-	took      took
+	effect       Effect
+	group        string
+	remembers    int64 // how long repeats of a stamped retrieval are dropped
+	expected     int64
+	stretch      float64
+	tardy, value float64
+	took         took
 }
 
 type tenant struct {
@@ -179,6 +180,7 @@
 	warmed     sum // answers of warm caches
 	warm       int
 	began      int64
+	meanValue  float64
 	room       float64 // aside: how many reads may be out at the origin
 	// Answers of caches to reads; those that needed the origin or failed; of these, those late or failed.
 	reads, misses, drowned sum
@@ -225,14 +227,15 @@
 	for i := range int(b.number("workloads")) {
 		at := "workloads." + strconv.Itoa(i) + "."
 		w := workload{group: b.text(at + "group"), remembers: b.span(at + "dedupWindow"), expected: b.span(at + "expectedTime"),
-			stretch: b.number(at + "aimStretch"), tardy: b.number(at + "tardyValue")}
+			stretch: b.number(at + "aimStretch"), tardy: b.number(at + "tardyValue"),
+			value: b.number(at + "value")}
 		switch b.text(at + "effect") {
 		case "guarded":
 			w.effect = Stamped
 		case "single_shot":
 			w.effect = OneShot
 		}
-		b.workloads = append(b.workloads, w)
+		b.workloads, b.meanValue = append(b.workloads, w), w.value
 	}
 	for i := range int(b.number("tenants")) {
 		b.tenants = append(b.tenants, tenant{quota: b.number("tenants." + strconv.Itoa(i) + ".quotaRps"), at: now})
@@ -326,6 +329,7 @@
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
 	}
 	b.live = append(b.live, i)
+	b.meanValue += (w.value - b.meanValue) / valueOver
 	if b.beyondShare(now, tenant) && b.chance.part() > b.admit || b.crowded(now, w) {
 		b.finish(now, i)
 		return
@@ -734,10 +738,7 @@
 // crowded tells, by Little's law, that a new trip would wait for most of its expected time.
 // Guards against queues that turn all answers late: once full they stay full of work nobody wants.
 func (b *Balancer) crowded(now int64, w *workload) bool {
-	part := crowd
-	if w.effect != Harmless {
-		part *= 3 // What may not run again is not crowded out by what may.
-	}
+	part := crowd * min(3, max(1, w.value/b.meanValue)) // What is worth most is let in longest.
 	return float64(b.out) > float64(len(b.ready))+part*b.rate(now, &b.good)*float64(w.expected)
 }
 
