--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,6 +30,7 @@
 	firstRoom  = 8.0
 	drownBy    = 5.0   // the margin grows by so many times the part of reads that it fails or answers late
 	valueOver  = 100.0 // the mean value is over so many retrievals
+	doubt      = 0.6   // of the chance that all have: below it a server is passed by
 	coldPart   = 0.4   // of the cold budget: machines differ, and so do balancers' shares of the traffic
 )
 
@@ -464,17 +465,21 @@
 // doubted draws from the posterior of a server's chance of success and compares it with what all have.
 func (b *Balancer) doubted(now int64, s int) bool {
 	h := &b.servers[s]
-	bad := h.bad.read(now, memory) + float64(h.overdue)
-	if bad < 0.5 {
+	if h.bad.read(now, memory)+float64(h.overdue) < 0.5 {
 		return false
 	}
-	good := h.good.read(now, memory) + firstGood
-	bad += firstBad
-	n := good + bad
+	mean, spread := b.posterior(now, s)
 	normal := b.chance.part() + b.chance.part() + b.chance.part() + b.chance.part() - 2 // variance 1/3
-	drawn := good/n + normal*math.Sqrt(3*good*bad/(n*n*(n+1)))
+	return mean+normal*math.Sqrt(3)*spread < doubt
+}
+
+// posterior is the mean and spread of a server's chance of success, as a part of the chance that all have.
+func (b *Balancer) posterior(now int64, s int) (float64, float64) {
+	h := &b.servers[s]
+	good, bad := h.good.read(now, memory)+firstGood, h.bad.read(now, memory)+float64(h.overdue)+firstBad
 	all, amiss := b.good.read(now, memory)+firstGood, b.bad.read(now, memory)+firstBad
-	return drawn < 0.6*all/(all+amiss)
+	n := good + bad
+	return good / n * (all + amiss) / all, math.Sqrt(good*bad/(n*n*(n+1))) * (all + amiss) / all
 }
 
 func (b *Balancer) cold(now int64, s int) bool {
@@ -829,7 +834,7 @@
 			continue
 		}
 		h.overdue++
-		if now < r.due && len(r.trips) < b.mostTrips && b.workloads[r.workload].effect != OneShot {
+		if mean, _ := b.posterior(now, last.server); mean < doubt && now < r.due && len(r.trips) < b.mostTrips && b.workloads[r.workload].effect != OneShot {
 			// Guards against hung servers: what may run again does not wait for one that is silent.
 			if b.copies {
 				if s := b.pick(now, r); s >= 0 && b.maySend(now, r, s) {
