--- a/choice/choice.go
+++ b/choice/choice.go
@@ -807,7 +807,7 @@
 		b.servers[s].overdue = 0
 	}
 	fine, poor := b.fine.read(now, second), b.poor.read(now, second)
-	if poor > 0.03*(fine+poor)+0.5 {
+	if poor > 0.06*(fine+poor)+0.5 {
 		b.admit = max(0.02, b.admit*0.95)
 	} else {
 		b.admit = min(1, b.admit+0.01)
