--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,7 @@
 	mostCredit = 10.0
 	busyCounts = 2.0  // a busy answer counts as so many in flight until as long again has passed
 	strain     = 0.15 // more misses than this part of the reads strain the origin
-	crowd      = 0.3  // of the expected time may be spent by the trips in flight
+	crowd      = 0.45 // of the expected time may be spent by the trips in flight
 	firstRoom  = 8.0
 	drownBy    = 5.0   // the margin grows by so many times the part of reads that it fails or answers late
 	valueOver  = 100.0 // the mean value is over so many retrievals
@@ -181,6 +181,7 @@
 	warmed     sum // answers of warm caches
 	warm       int
 	began      int64
+	answers    sum // of caches, errors too
 	meanValue  float64
 	room       float64 // aside: how many reads may be out at the origin
 	// Answers of caches to reads; those that needed the origin or failed; of these, those late or failed.
@@ -708,6 +709,7 @@
 			break
 		}
 		b.good.add(now, memory, 1)
+		b.answers.add(now, memory, 1)
 		if how == OK {
 			w.took.add(now, 4*memory, float64(tookTime))
 		}
@@ -724,6 +726,9 @@
 	case Errored, TimedOut, Unreached, Reset, CalledOff:
 		if how == Errored {
 			h.heard = now
+			if s != b.origin {
+				b.answers.add(now, memory, 1)
+			}
 		}
 		if how != CalledOff || r.live {
 			h.bad.add(now, memory, 1)
@@ -743,8 +748,10 @@
 // crowded tells, by Little's law, that a new trip would wait for most of its expected time.
 // Guards against queues that turn all answers late: once full they stay full of work nobody wants.
 func (b *Balancer) crowded(now int64, w *workload) bool {
-	part := crowd * min(3, max(1, w.value/b.meanValue)) // What is worth most is let in longest.
-	return float64(b.out) > float64(len(b.ready))+part*b.rate(now, &b.good)*float64(w.expected)
+	part := crowd * min(3, max(1, w.value/b.meanValue))        // What is worth most is let in longest.
+	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate, one a server.
+	free := float64(len(b.ready)) * max(young, 1/b.balancers)
+	return float64(b.out) > 1+free+part*b.rate(now, &b.answers)*float64(w.expected)
 }
 
 // rate is a sum's events a nanosecond, allowing for a start not long ago.
