--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,7 @@
 	mostCredit = 10.0
 	busyCounts = 2.0  // a busy answer counts as so many in flight until as long again has passed
 	strain     = 0.15 // more misses than this part of the reads strain the origin
-	crowd      = 0.2  // of the expected time may be spent by the trips in flight
+	crowd      = 0.4  // of the expected time may be spent by the trips in flight
 	firstRoom  = 8.0
 	drownBy    = 5.0   // the margin grows by so many times the part of reads that it fails or answers late
 	valueOver  = 100.0 // the mean value is over so many retrievals
@@ -181,7 +181,6 @@
 	warmed     sum // answers of warm caches
 	warm       int
 	began      int64
-	waits      sum // time that trips spent on misses
 	answers    sum // of caches, errors too
 	meanValue  float64
 	room       float64 // aside: how many reads may be out at the origin
@@ -631,7 +630,6 @@
 		b.reads.add(now, memory, 1)
 		if how != OK || note > 1 {
 			b.misses.add(now, memory, 1)
-			b.waits.add(now, memory, float64(tookTime))
 			if how == Errored {
 				b.drowned.add(now, memory, 1)
 			}
@@ -753,7 +751,6 @@
 	part := crowd * min(3, max(1, w.value/b.meanValue))        // What is worth most is let in longest.
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate, one a server.
 	free := float64(len(b.ready)) * max(young, 1/b.balancers)
-	free += b.waits.read(now, memory) / float64(memory) // What waits for the origin does not crowd the caches.
 	return float64(b.out) > 1+free+part*b.rate(now, &b.answers)*float64(w.expected)
 }
 
