--- a/choice/choice.go
+++ b/choice/choice.go
@@ -170,7 +170,7 @@
 	meanValue                float64
 	out                      int // trips in flight at ready caches
 	held                     held
-	good, bad, refused       sum     // of all caches, as a server's
+	good, bad                sum     // of all caches, as a server's
 	answers, warmed          sum     // of all caches, errors too; of warm ones
 	reads, misses, failed    sum     // answers to reads; those that needed the origin or failed; that failed
 	fine, poor               sum     // trips that ended in time, and late or not at all
@@ -301,7 +301,8 @@
 		key = b.chance.next() // No key: any candidates are as good.
 	}
 	*r = retrieval{workload: workload, key: key, write: write, live: true,
-		due: now + patience, stop: now + patience, width: firstWidth, missed: -1, trips: r.trips[:0], place: len(b.live)}
+		due: now + patience, stop: now + patience, width: firstWidth, missed: -1,
+		trips: r.trips[:0], place: len(b.live)}
 	if w.tardy == 0 {
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
 	}
@@ -399,8 +400,7 @@
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
-	all := float64(b.out) + b.held.read(now, b.out) + busyCounts*b.refused.read(now)
-	limit := overMean*all/float64(max(1, len(b.ready))) + overBy
+	limit := overMean*(float64(b.out)+b.held.read(now, b.out))/float64(max(1, len(b.ready))) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the order of its ranking, so that it is
 	// fetched for one cache and not for three; the more end in an error, the less it is passed on for load.
 	ordered := r.width == firstWidth && b.misses.read(now) > strain*(b.reads.read(now)+1)
@@ -416,7 +416,7 @@
 		s := b.best[j].server
 		copy(b.best[j:n], b.best[j+1:n])
 		h := &b.servers[s]
-		if !b.mayReach(now, r, s) || len(r.trips) > 0 && h.credit < 1 || r.hold == 0 && tried(r, s) {
+		if !b.mayReach(now, r, s) || len(r.trips) > 0 && h.credit < 1 || len(b.ready) > len(r.trips) && tried(r, s) {
 			continue
 		}
 		if b.doubted(now, s) {
@@ -674,7 +674,6 @@
 		}
 	case how == Full:
 		h.refused.add(now, 1)
-		b.refused.add(now, 1)
 	case how != Unsent:
 		b.bad.add(now, 1)
 	}
