--- a/choice/choice.go
+++ b/choice/choice.go
@@ -334,7 +334,7 @@
 	switch {
 	case now >= r.due || len(r.trips) >= b.mostTrips:
 		b.finish(now, i)
-	case s < 0 && len(r.trips) > 0:
+	case s < 0 && len(r.trips) > 0 && b.mayReachAny(now, r):
 		b.wait(now, i) // No server has credit for a further trip: hold as at full width.
 	case s < 0 || !b.maySend(now, r, s):
 		b.finish(now, i)
@@ -508,6 +508,15 @@
 	return true
 }
 
+func (b *Balancer) mayReachAny(now int64, r *retrieval) bool {
+	for _, s := range b.ready {
+		if b.mayReach(now, r, s) {
+			return true
+		}
+	}
+	return false
+}
+
 // maySend is the gate before Host.Send.
 func (b *Balancer) maySend(now int64, r *retrieval, s int) bool {
 	return r.live && now < r.stop && len(r.trips) < b.mostTrips && b.mayReach(now, r, s)
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,286 @@
+package choice
+
+import "testing"
+
+// FuzzRules plays random traffic, outcomes and lists; the watcher checks the rules at every call.
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(24) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		c := chance{seed + 1, 7}
+		group := []string{"all", "zone"}[c.below(2)]
+		w := plain(t, seed, 2+c.below(30), map[string]any{"allowed.secondCopies": c.below(2) == 0,
+			"allowed.cancelling": c.below(2) == 0, "workloads.1.group": group, "allowed.mostTrips": float64(1 + c.below(6))})
+		n := len(w.healths)
+		health := make([]Health, n)
+		started := make([]int64, n)
+		for range 600 {
+			switch c.below(20) {
+			case 0:
+				s := c.below(n)
+				health[s] = Health(c.below(3))
+				if health[s] == Ready {
+					started[s] = w.now
+				}
+				w.list(Whole, n, func(s int) (Health, int64) { return health[s], started[s] })
+			case 1:
+				w.b.Listing(w.now, Failed)
+				w.b.Listed(w.now)
+			case 2, 3, 4, 5, 6, 7, 8:
+				w.ask(Effect(c.below(3)), uint64(c.below(9)), int64(20+c.below(1500))*ms)
+			case 9:
+				if i := c.below(len(w.asked) + 1); i < len(w.asked) && w.asked[i].live {
+					w.asked[i].live = false
+					w.b.Aborted(w.now, i)
+				}
+			default:
+				for i := max(0, len(w.asked)-20); i < len(w.asked); i++ {
+					for trip := range w.asked[i].trips {
+						if c.below(3) == 0 {
+							w.answer(i, trip, []Outcome{OK, OK, OK, OK, OK, OK, Errored, Full, Full, TimedOut, Unreached, Reset,
+								CalledOff, Unsent}[c.below(14)])
+						}
+					}
+				}
+			}
+			w.step(int64(c.below(15)) * ms)
+		}
+		w.step(2 * second)
+	})
+}
+
+// FuzzCold sends all it can at a server that has just started; no second may bring it over its budget.
+func FuzzCold(f *testing.F) {
+	f.Add(uint64(1), 8)
+	f.Add(uint64(2), 20)
+	f.Add(uint64(3), 3)
+	f.Fuzz(func(t *testing.T, seed uint64, n int) {
+		n = 2 + max(n, -n)%40
+		w := plain(t, seed, n, nil)
+		started := int64(1 << 62)
+		lastSecond := func() (sent int) {
+			for i := range w.asked {
+				for _, trip := range w.asked[i].trips {
+					if trip.server == 0 && trip.at > w.now-second && trip.at >= started {
+						sent++
+					}
+				}
+			}
+			return sent
+		}
+		run := func(steps int, check bool) {
+			for range steps {
+				i := w.ask(Harmless, w.b.chance.next(), second)
+				w.step(4 * ms)
+				for trip := range w.asked[i].trips {
+					w.answer(i, trip, OK)
+				}
+				// The fleet answers 250 a second; so much at most is a warm server's part of what this one sends.
+				can := 250.0 / float64(n-1) * (0.2 + 0.8*float64(w.now-started)/float64(8*second))
+				if got := lastSecond(); check && float64(got) > 3*can+2 {
+					t.Fatalf("%d sent to a cold server that can do %.1f", got, can)
+				}
+			}
+		}
+		run(750, false)
+		started = w.now
+		w.list(Whole, n, func(s int) (Health, int64) {
+			if s == 0 {
+				return Ready, started
+			}
+			return Ready, 0
+		})
+		run(500, true)
+	})
+}
+
+// The gates stand by themselves, whatever the path before them already kept to.
+func TestGates(t *testing.T) {
+	w := plain(t, 1, 6, map[string]any{"workloads.1.group": "zone"})
+	can := func(effect Effect, how ran, age int64, to int) bool {
+		r := &retrieval{workload: int(effect), live: true, stop: w.now + second, trips: []trip{{2, w.now - age, how}}}
+		return w.b.maySend(w.now, r, to)
+	}
+	for name, bad := range map[string]bool{
+		"one-shot that may have run": can(OneShot, perhaps, ms, 3), "second copy": can(Harmless, running, ms, 3),
+		"stamped in another zone": can(Stamped, perhaps, ms, 3), "stamped too late": can(Stamped, perhaps, 900*ms, 4),
+		"to one that drains":    func() bool { w.b.servers[5].health = Draining; return can(Harmless, never, ms, 5) }(),
+		"to a cold one at once": func() bool { w.b.servers[4].started = w.now; return can(Harmless, never, ms, 4) }(),
+	} {
+		if bad {
+			t.Error("may send: " + name)
+		}
+	}
+	if !can(OneShot, never, ms, 3) || !can(Harmless, perhaps, ms, 3) || !can(Stamped, perhaps, ms, 0) {
+		t.Error("may not send what may run again")
+	}
+	for effect, may := range []bool{true, false, false} {
+		if w.b.mayDismiss(&retrieval{workload: effect, trips: []trip{{2, 0, perhaps}}}) != may {
+			t.Errorf("dismissal of effect %d", effect)
+		}
+	}
+}
+
+func TestThreeCandidatesAtRandom(t *testing.T) {
+	w := plain(t, 1, 12, nil)
+	for range 90 {
+		w.answer(w.ask(Harmless, 77, second), 0, OK)
+		w.step(20 * ms)
+	}
+	if len(w.sends) != 3 {
+		t.Fatalf("one key went to %d servers, not three", len(w.sends))
+	}
+	for s, n := range w.sends {
+		if n < 10 {
+			t.Fatalf("server %d got %d of 90", s, n)
+		}
+	}
+}
+
+func TestBusyWidensThenHoldsDouble(t *testing.T) {
+	w := plain(t, 1, 12, nil)
+	i := w.ask(Harmless, 5, second)
+	w.answer(i, 0, Full)
+	if len(w.asked[i].trips) != 2 {
+		t.Fatal("a busy answer must widen at once")
+	}
+	for _, hold := range []int64{33, 66} {
+		w.answer(i, len(w.asked[i].trips)-1, Full)
+		n := len(w.asked[i].trips)
+		w.step((hold - 2) * ms)
+		if len(w.asked[i].trips) != n {
+			t.Fatalf("the hold of %d ms was cut short", hold)
+		}
+		w.step(4 * ms)
+		if len(w.asked[i].trips) != n+1 {
+			t.Fatalf("the hold of %d ms did not end", hold)
+		}
+	}
+}
+
+func TestOverMeanIsPassedOver(t *testing.T) {
+	w := plain(t, 1, 12, nil)
+	for range 9 {
+		w.ask(Harmless, 5, second)
+	}
+	for s, n := range w.sends {
+		if n != 3 {
+			t.Fatalf("server %d holds %d of nine, not three", s, n)
+		}
+	}
+}
+
+// A server that takes trips and answers none must lose its traffic before the hard stop tells.
+func TestSilentServerLosesTraffic(t *testing.T) {
+	w := plain(t, 1, 8, nil)
+	hung, late := 3, 0
+	for n := range 600 {
+		i := w.ask([]Effect{Harmless, OneShot}[n%2], w.b.chance.next(), 3*second)
+		w.step(10 * ms)
+		for trip := range w.asked[i].trips {
+			if w.asked[i].trips[trip].server != hung {
+				w.answer(i, trip, OK)
+			} else if n > 300 {
+				late++
+			}
+		}
+	}
+	if late > 6 {
+		t.Fatalf("%d of 300 trips went to a silent server", late)
+	}
+	if w.sends[hung] == 0 {
+		t.Fatal("the silent server was never tried")
+	}
+	w.b.servers[hung].bad = sum{} // What is in flight must count before any outcome.
+	for w.sends[hung] = 0; w.sends[hung] == 0; w.step(ms) {
+		w.b.held, w.b.servers[hung].held = held{}, held{}
+		w.ask(OneShot, w.b.chance.next(), 3*second)
+	}
+	w.step(second)
+	if mean, _ := w.b.posterior(w.now, hung); mean > 0.9 {
+		t.Fatalf("overdue trips leave the chance of success at %.2f", mean)
+	}
+}
+
+func TestQuickErrorsRaiseDoubt(t *testing.T) {
+	w := plain(t, 1, 8, nil)
+	for range 300 {
+		i := w.ask(OneShot, w.b.chance.next(), second)
+		w.step(5 * ms)
+		if how := OK; len(w.asked[i].trips) > 0 {
+			if w.asked[i].trips[0].server == 3 {
+				how = Errored
+			}
+			w.answer(i, 0, how)
+		}
+	}
+	if w.sends[3] > 20 {
+		t.Fatalf("a server that only fails got %d of 300", w.sends[3])
+	}
+}
+
+// Guards the case of incident ic1f58d: queues that stay full of work nobody wants.
+func TestCrowdedFleetDismissesAtOnce(t *testing.T) {
+	w := plain(t, 1, 8, nil)
+	for range 400 {
+		w.ask(Harmless, w.b.chance.next(), 3*second)
+		w.step(ms)
+	}
+	if w.dismissed < 300 {
+		t.Fatalf("only %d of 400 dismissed while nothing answers", w.dismissed)
+	}
+}
+
+func TestOneShotThatMayHaveRunIsGivenUpAtOnce(t *testing.T) {
+	w := plain(t, 1, 8, nil)
+	w.answer(w.ask(OneShot, 5, second), 0, Reset)
+	if w.givenUp != 1 {
+		t.Fatal("held, though nothing more may be done for it")
+	}
+}
+
+func TestNothingToSendTo(t *testing.T) {
+	w := plain(t, 1, 0, nil)
+	w.ask(OneShot, 5, second)
+	if w.dismissed != 1 {
+		t.Fatal("an empty list must dismiss at once")
+	}
+}
+
+func TestFailedListsSpreadGrowingWaits(t *testing.T) {
+	w := plain(t, 1, 3, nil)
+	for n := range 4 {
+		w.b.Listing(w.now, Failed)
+		w.b.Listed(w.now)
+		w.step(8 * second)
+		if w.subscribe != n+2 {
+			t.Fatalf("asked %d times after %d failures", w.subscribe, n+1)
+		}
+	}
+}
+
+// Aside: one fetch a key; the read that waited goes to the cache that now holds it; writes go to the origin.
+func TestAsideFetchesOnce(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"extra.mode": "aside", "extra.originKind": 1.0})
+	w.b.Listing(w.now, Whole)
+	for s := range 5 {
+		w.healths[s] = Ready
+		w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s/4, 0, 0)
+	}
+	w.b.Listed(w.now)
+	a, b := w.ask(Harmless, 9, second), w.ask(Harmless, 9, second)
+	w.answer(a, 0, Missing)
+	w.answer(b, 0, Missing)
+	if w.sends[4] != 1 || len(w.asked[b].trips) != 1 {
+		t.Fatal("two reads of one key must fetch once")
+	}
+	first := w.asked[a].trips[0].server
+	w.answer(a, 1, OK)
+	if got := w.asked[b].trips; len(got) != 2 || got[1].server != first {
+		t.Fatal("the waiting read must go to the cache that holds the key now")
+	}
+	if c := w.ask(Stamped, 9, second); w.asked[c].trips[0].server != 4 {
+		t.Fatal("a write goes to the origin")
+	}
+}
--- /dev/null
+++ b/choice/helper_test.go
@@ -0,0 +1,176 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+const ms = int64(1e6)
+
+// sent is a trip as the test's host saw it.
+type sent struct {
+	server int
+	at     int64
+	out    bool
+	how    Outcome
+}
+
+type asked struct {
+	effect Effect
+	live   bool
+	stop   int64
+	trips  []sent
+}
+
+// watcher is a Host that checks the rules at every call.
+type watcher struct {
+	t         testing.TB
+	b         *Balancer
+	now       int64
+	values    map[string]any
+	asked     []asked
+	healths   map[int]Health
+	zones     map[int]int
+	timers    map[int64][]int
+	sends     map[int]int
+	dismissed int
+	givenUp   int
+	offCalled int
+	subscribe int
+}
+
+func never2(how Outcome) bool {
+	return how == Full || how == Unreached || how == Unsent || how == Missing
+}
+
+func (w *watcher) Send(i, s int, until int64) {
+	r := &w.asked[i]
+	effect, group := r.effect, w.values["workloads.1.group"].(string)
+	remembers := int64(w.values["workloads.1.dedupWindow"].(float64)) * ms
+	if !r.live || w.now >= r.stop {
+		w.t.Fatalf("sent after the end of retrieval %d", i)
+	}
+	if w.healths[s] != Ready {
+		w.t.Fatalf("sent to server %d, which drains or is gone", s)
+	}
+	for _, t := range r.trips {
+		if t.out && !w.values["allowed.secondCopies"].(bool) {
+			w.t.Fatalf("second copy of %d where none are allowed", i)
+		}
+		if !t.out && never2(t.how) {
+			continue
+		}
+		if effect == OneShot {
+			w.t.Fatalf("one-shot %d sent again though it may have run", i)
+		}
+		if effect == Stamped && (w.now-t.at >= remembers || group == "zone" && w.zones[t.server] != w.zones[s]) {
+			w.t.Fatalf("stamped %d sent again outside its group or time", i)
+		}
+	}
+	if len(r.trips) >= int(w.values["allowed.mostTrips"].(float64)) {
+		w.t.Fatalf("too many trips of %d", i)
+	}
+	r.trips = append(r.trips, sent{server: s, at: w.now, out: true})
+	w.sends[s]++
+}
+
+func (w *watcher) end(i int) {
+	if !w.asked[i].live {
+		w.t.Fatalf("second final answer for %d", i)
+	}
+	w.asked[i].live = false
+}
+
+func (w *watcher) Dismiss(i int, comeBack int64) {
+	w.end(i)
+	w.dismissed++
+	r := &w.asked[i]
+	for _, t := range r.trips {
+		group := w.values["workloads.1.group"].(string)
+		if (t.out || !never2(t.how)) && (r.effect == OneShot || r.effect == Stamped && group != "all") {
+			w.t.Fatalf("dismissed %d though it may have run", i)
+		}
+	}
+	if comeBack > 0 && !w.values["allowed.retryAfter"].(bool) {
+		w.t.Fatal("told when to come back where that is not allowed")
+	}
+}
+
+func (w *watcher) GiveUp(i int)        { w.end(i); w.givenUp++ }
+func (w *watcher) CallOff(i, trip int) { w.offCalled++ }
+func (w *watcher) Subscribe()          { w.subscribe++ }
+func (w *watcher) Wake(tag int, a int64) {
+	at := (w.now + a + ms - 1) / ms * ms
+	w.timers[at] = append(w.timers[at], tag)
+}
+
+// plain is a fleet of n ready servers under a watcher. Workload 0 is harmless, 1 stamped, 2 one-shot.
+func plain(t testing.TB, seed uint64, n int, change map[string]any) *watcher {
+	w := &watcher{t: t, now: second, healths: map[int]Health{}, zones: map[int]int{}, timers: map[int64][]int{},
+		sends: map[int]int{}, values: map[string]any{"allowed.mostTrips": 4.0, "allowed.secondCopies": false,
+			"allowed.cancelling": true, "allowed.retryAfter": false, "balancers": 2.0, "workloads": 3.0,
+			"invariants.warmUp": 8000.0, "invariants.startCapacity": 0.2, "invariants.fallMultiple": 3.0,
+			"invariants.tipAfter": 1000.0, "registryMode": "subscribe", "allowed.maxRetryAfter": 2000.0}}
+	for i, effect := range []string{"free", "guarded", "single_shot"} {
+		at := fmt.Sprintf("workloads.%d.", i)
+		w.values[at+"effect"], w.values[at+"group"], w.values[at+"dedupWindow"] = effect, "all", 900.0
+		w.values[at+"expectedTime"], w.values[at+"value"], w.values[at+"tardyValue"] = 600.0, 1.0, 0.2
+	}
+	for name, value := range change {
+		w.values[name] = value
+	}
+	w.b = New(w.now, seed, w.values, w)
+	w.list(Saved, n, func(int) (Health, int64) { return Ready, 0 })
+	return w
+}
+
+func (w *watcher) list(scope Scope, n int, what func(s int) (Health, int64)) {
+	w.b.Listing(w.now, scope)
+	for s := range n {
+		health, started := what(s)
+		w.healths[s], w.zones[s] = health, s%2
+		w.b.Row(w.now, s, fmt.Sprintf("10.0.0.%d:80", s), health, started, 0, s%2, 0)
+	}
+	w.b.Listed(w.now)
+}
+
+func (w *watcher) ask(effect Effect, key uint64, patience int64) int {
+	w.asked = append(w.asked, asked{effect: effect, live: true, stop: w.now + patience})
+	i := len(w.asked) - 1
+	w.b.Asked(w.now, i, patience, int(effect), -1, key, true, effect != Harmless, false, 0)
+	return i
+}
+
+func (w *watcher) answer(i, trip int, how Outcome) {
+	t := &w.asked[i].trips[trip]
+	if !t.out {
+		return
+	}
+	t.out, t.how = false, how
+	if how == OK {
+		w.asked[i].live = false
+	}
+	w.b.Ended(w.now, i, trip, t.server, 1, how, w.now-t.at, !w.asked[i].live)
+}
+
+// step moves the clock, plays due timers and times out what is past its hard stop; then nothing may be lost.
+func (w *watcher) step(by int64) {
+	for end := w.now + by; w.now < end; {
+		w.now += ms
+		tags := w.timers[w.now]
+		delete(w.timers, w.now)
+		for _, tag := range tags {
+			w.b.Woke(w.now, tag)
+		}
+		for i := range w.asked {
+			for t := range w.asked[i].trips {
+				if w.now >= w.asked[i].stop {
+					w.answer(i, t, TimedOut)
+				}
+			}
+			if w.asked[i].live && w.now > w.asked[i].stop {
+				w.t.Fatalf("retrieval %d is lost", i)
+			}
+		}
+	}
+}
