--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -192,12 +192,12 @@
 	if w.sends[hung] == 0 {
 		t.Fatal("the silent server was never tried")
 	}
-	w.b.servers[hung].bad = sum{} // What is in flight must count before any outcome.
 	for w.sends[hung] = 0; w.sends[hung] == 0; w.step(ms) {
 		w.b.held, w.b.servers[hung].held = held{}, held{}
 		w.ask(OneShot, w.b.chance.next(), 3*second)
 	}
 	w.step(second)
+	w.b.servers[hung].bad = sum{} // What is in flight must count before any outcome.
 	if mean, _ := w.b.posterior(w.now, hung); mean > 0.9 {
 		t.Fatalf("overdue trips leave the chance of success at %.2f", mean)
 	}
@@ -280,6 +280,9 @@
 	if got := w.asked[b].trips; len(got) != 2 || got[1].server != first {
 		t.Fatal("the waiting read must go to the cache that holds the key now")
 	}
+	w.answer(w.ask(Harmless, 8, second), 0, Missing)
+	w.answer(w.ask(Harmless, 8, second/5), 0, Missing)
+	w.step(second) // The fetch hangs: the read that waits must have its answer in time all the same.
 	if c := w.ask(Stamped, 9, second); w.asked[c].trips[0].server != 4 {
 		t.Fatal("a write goes to the origin")
 	}
