--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,6 +24,8 @@
 	strain     = 0.15 // more misses than this part of the reads strain the origin
 	drownBy    = 5.0  // the margin grows by so many times the part of reads that end in an error
 	crowd      = 0.4  // of the expected time may be spent by what is in flight
+	quick      = 0.25 // of the expected time: hits that come sooner tell of caches that are not crowded
+	quickBy    = 4.0  // times that while they do
 	mostValued = 3.0  // times that for what has the most value
 	valueOver  = 100  // the mean value is taken over so many retrievals
 	late       = 0.75 // of the expected time: a trip that takes longer is poor
@@ -173,6 +175,7 @@
 	good, bad                sum     // of all caches, as a server's
 	answers, warmed          sum     // of all caches, errors too; of warm ones
 	reads, misses, failed    sum     // answers to reads; those that needed the origin or failed; that failed
+	hits, hitTook            sum     // answers told to be hits, and their times
 	fine, poor               sum     // trips that ended in time, and late or not at all
 	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
@@ -195,7 +198,7 @@
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{}, admit: 1,
 		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
-		fine: sum{life: second}, poor: sum{life: second}}
+		fine: sum{life: second}, poor: sum{life: second}, hits: sum{life: second}, hitTook: sum{life: second}}
 	for range 8 {
 		b.chance.next()
 	}
@@ -698,6 +701,9 @@
 		b.reads.add(now, 1)
 		if how != OK || note > 1 {
 			b.misses.add(now, 1)
+		} else if note == 1 {
+			b.hits.add(now, 1)
+			b.hitTook.add(now, float64(took))
 		}
 		if how == Errored {
 			b.failed.add(now, 1)
@@ -713,6 +719,9 @@
 	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
 	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
+	if b.hitTook.read(now) < quick*float64(w.expected)*b.hits.read(now) {
+		part *= quickBy // Hits come quickly: what is in flight waits for the origin, not for the caches.
+	}
 	return float64(b.out) > free+part*rate*float64(w.expected)
 }
 
