--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,8 +24,8 @@
 	strain     = 0.15 // more misses than this part of the reads strain the origin
 	drownBy    = 5.0  // the margin grows by so many times the part of reads that end in an error
 	crowd      = 0.4  // of the expected time may be spent by what is in flight
-	quick      = 0.25 // of the expected time: hits that come sooner tell of caches that are not crowded
-	quickBy    = 4.0  // times that while they do
+	knownKeys  = 8191 // places for keys read lately
+	unknown    = 0.25 // of the room under strain is for keys not read lately
 	mostValued = 3.0  // times that for what has the most value
 	valueOver  = 100  // the mean value is taken over so many retrievals
 	late       = 0.75 // of the expected time: a trip that takes longer is poor
@@ -172,11 +172,11 @@
 	meanValue                float64
 	out                      int // trips in flight at ready caches
 	held                     held
-	good, bad                sum     // of all caches, as a server's
-	answers, warmed          sum     // of all caches, errors too; of warm ones
-	reads, misses, failed    sum     // answers to reads; those that needed the origin or failed; that failed
-	hits, hitTook            sum     // answers told to be hits, and their times
-	fine, poor               sum     // trips that ended in time, and late or not at all
+	good, bad                sum // of all caches, as a server's
+	answers, warmed          sum // of all caches, errors too; of warm ones
+	reads, misses, failed    sum // answers to reads; those that needed the origin or failed; that failed
+	fine, poor               sum // trips that ended in time, and late or not at all
+	known                    [knownKeys]uint64
 	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
 	origin                   int            // aside: its index, -1 if none is listed
@@ -198,7 +198,7 @@
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{}, admit: 1,
 		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
-		fine: sum{life: second}, poor: sum{life: second}, hits: sum{life: second}, hitTook: sum{life: second}}
+		fine: sum{life: second}, poor: sum{life: second}}
 	for range 8 {
 		b.chance.next()
 	}
@@ -311,7 +311,7 @@
 	}
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
-	if b.beyondShare(now, tenant) && b.chance.part() > b.admit || b.crowded(now, w) {
+	if b.beyondShare(now, tenant) && b.chance.part() > b.admit || b.crowded(now, r) {
 		b.finish(now, i)
 		return
 	}
@@ -406,7 +406,7 @@
 	limit := overMean*(float64(b.out)+b.held.read(now, b.out))/float64(max(1, len(b.ready))) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the order of its ranking, so that it is
 	// fetched for one cache and not for three; the more end in an error, the less it is passed on for load.
-	ordered := r.width == firstWidth && b.misses.read(now) > strain*(b.reads.read(now)+1)
+	ordered := r.width == firstWidth && b.strained(now)
 	if ordered {
 		limit *= 1 + drownBy*b.failed.read(now)/(b.reads.read(now)+1)
 	}
@@ -444,6 +444,10 @@
 	return least
 }
 
+func (b *Balancer) strained(now int64) bool {
+	return b.misses.read(now) > strain*(b.reads.read(now)+1)
+}
+
 func tried(r *retrieval, s int) bool {
 	for t := range r.trips {
 		if r.trips[t].server == s {
@@ -690,6 +694,7 @@
 		b.bad.add(now, 1)
 	}
 	if how == OK {
+		b.known[r.key%knownKeys] = r.key
 		w.n.add(now, 1)
 		w.took.add(now, float64(took))
 		w.tookTook.add(now, float64(took)*float64(took))
@@ -701,9 +706,6 @@
 		b.reads.add(now, 1)
 		if how != OK || note > 1 {
 			b.misses.add(now, 1)
-		} else if note == 1 {
-			b.hits.add(now, 1)
-			b.hitTook.add(now, float64(took))
 		}
 		if how == Errored {
 			b.failed.add(now, 1)
@@ -713,14 +715,15 @@
 
 // crowded tells by Little's law that a new trip would wait too long. Guards against queues that make all
 // answers late: once full they stay full of work that nobody wants. What has most value is let in longest.
-func (b *Balancer) crowded(now int64, w *workload) bool {
+func (b *Balancer) crowded(now int64, r *retrieval) bool {
+	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: one a server.
 	free := 1 + float64(len(b.ready))*max(young, 1/b.balancers)
 	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
 	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
-	if b.hitTook.read(now) < quick*float64(w.expected)*b.hits.read(now) {
-		part *= quickBy // Hits come quickly: what is in flight waits for the origin, not for the caches.
+	if !r.write && b.strained(now) && b.known[r.key%knownKeys] != r.key {
+		part, free = part*unknown, free*unknown // It would most likely miss, and the origin is short.
 	}
 	return float64(b.out) > free+part*rate*float64(w.expected)
 }
