Reads of keys not seen lately give way first while the fleet is crowded

Cause: under a slow origin and in incidents, reads that will miss take the room of those that hit. Change: their room shrinks by the part that is being turned away.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,6 @@
 	drownBy    = 5.0  // the margin grows by so many times the part of reads that end in an error
 	crowd      = 0.4  // of the expected time may be spent by what is in flight
 	knownKeys  = 8191 // places for keys read lately
-	unknown    = 0.25 // of the room under strain is for keys not read lately
 	mostValued = 3.0  // times that for what has the most value
 	valueOver  = 100  // the mean value is taken over so many retrievals
 	late       = 0.75 // of the expected time: a trip that takes longer is poor
@@ -177,6 +176,7 @@
 	reads, misses, failed    sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]uint64
+	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
 	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
 	origin                   int            // aside: its index, -1 if none is listed
@@ -311,7 +311,13 @@
 	}
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
-	if b.beyondShare(now, tenant) && b.chance.part() > b.admit || b.crowded(now, r) {
+	b.asked.add(now, 1)
+	if b.beyondShare(now, tenant) && b.chance.part() > b.admit {
+		b.finish(now, i)
+		return
+	}
+	if b.crowded(now, r) {
+		b.turned.add(now, 1)
 		b.finish(now, i)
 		return
 	}
@@ -722,8 +728,8 @@
 	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
 	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
-	if !r.write && b.strained(now) && b.known[r.key%knownKeys] != r.key {
-		part, free = part*unknown, free*unknown // It would most likely miss, and the origin is short.
+	if !r.write && b.known[r.key%knownKeys] != r.key {
+		part *= 1 - b.turned.read(now)/(b.asked.read(now)+1) // It would most likely miss: it goes first.
 	}
 	return float64(b.out) > free+part*rate*float64(w.expected)
 }
