--- a/choice/choice.go
+++ b/choice/choice.go
@@ -729,8 +729,7 @@
 	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
 	if !r.write && b.known[r.key%knownKeys] != r.key {
-		left := 1 - b.turned.read(now)/(b.asked.read(now)+1) // It would most likely miss: it goes first.
-		part, free = part*left*left, free*left
+		part *= 1 - b.turned.read(now)/(b.asked.read(now)+1) // It would most likely miss: it goes first.
 	}
 	return float64(b.out) > free+part*rate*float64(w.expected)
 }
