--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,6 +24,7 @@
 	strain     = 0.15 // more misses than this part of the reads strain the origin
 	drownBy    = 5.0  // the margin grows by so many times the part of reads that end in an error
 	crowd      = 0.4  // of the expected time may be spent by what is in flight
+	leastPart  = 0.5  // of the room is left to keys not read lately
 	knownKeys  = 8191 // places for keys read lately
 	mostValued = 3.0  // times that for what has the most value
 	valueOver  = 100  // the mean value is taken over so many retrievals
@@ -729,7 +730,8 @@
 	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
 	if !r.write && b.known[r.key%knownKeys] != r.key {
-		part *= 1 - b.turned.read(now)/(b.asked.read(now)+1) // It would most likely miss: it goes first.
+		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
+		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
 	}
 	return float64(b.out) > free+part*rate*float64(w.expected)
 }
