--- a/choice/choice.go
+++ b/choice/choice.go
@@ -148,6 +148,12 @@
 
 func (c *chance) below(n int) int { hi, _ := bits.Mul64(c.next(), uint64(n)); return int(hi) }
 
+// read is where a key was read last.
+type read struct {
+	key    uint64
+	server int
+}
+
 type ranked struct {
 	score  uint64
 	server int
@@ -176,7 +182,7 @@
 	answers, warmed          sum // of all caches, errors too; of warm ones
 	reads, misses, failed    sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor               sum // trips that ended in time, and late or not at all
-	known                    [knownKeys]uint64
+	known                    [knownKeys]read
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
 	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
@@ -414,6 +420,13 @@
 	// Guards a short origin: while many reads miss, a key keeps to the order of its ranking, so that it is
 	// fetched for one cache and not for three; the more end in an error, the less it is passed on for load.
 	ordered := r.width == firstWidth && b.strained(now)
+	if last := b.known[r.key%knownKeys]; ordered && last.key == r.key {
+		for j := range n {
+			if b.best[j].server == last.server {
+				b.best[0], b.best[j] = b.best[j], b.best[0]
+			}
+		}
+	}
 	if ordered {
 		limit *= 1 + drownBy*b.failed.read(now)/(b.reads.read(now)+1)
 	}
@@ -701,7 +714,7 @@
 		b.bad.add(now, 1)
 	}
 	if how == OK {
-		b.known[r.key%knownKeys] = r.key
+		b.known[r.key%knownKeys] = read{r.key, s}
 		w.n.add(now, 1)
 		w.took.add(now, float64(took))
 		w.tookTook.add(now, float64(took)*float64(took))
@@ -729,7 +742,7 @@
 	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
 	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
-	if !r.write && b.known[r.key%knownKeys] != r.key {
+	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
 		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
 	}
