--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,8 +28,7 @@
 	knownKeys  = 8191 // places for keys read lately
 	mostValued = 3.0  // times that for what has the most value
 	valueOver  = 100  // the mean value is taken over so many retrievals
-	late       = 0.75 // of the expected time: a trip that takes longer is poor
-	mostPoor   = 0.06 // of the trips may be poor before traffic beyond a share is cut
+	beyondFull = 1.7  // so much sooner the room is full for traffic beyond a share
 	doubt      = 0.6  // of the chance of success that all have: under it a server is passed by
 	firstGood  = 2.0  // what is taken of a server before it is known
 	firstBad   = 0.1
@@ -181,10 +180,8 @@
 	good, bad                sum // of all caches, as a server's
 	answers, warmed          sum // of all caches, errors too; of warm ones
 	reads, misses, failed    sum // answers to reads; those that needed the origin or failed; that failed
-	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]read
-	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
-	admit                    float64 // the part of what is beyond a share that is let in
+	asked, turned            sum // retrievals that came, and those dismissed for the crowd
 	aside                    bool
 	origin                   int            // aside: its index, -1 if none is listed
 	fetches                  map[uint64]int // aside: key to the retrieval that asks the origin for it
@@ -203,9 +200,8 @@
 
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
-	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{}, admit: 1,
-		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
-		fine: sum{life: second}, poor: sum{life: second}}
+	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{},
+		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
 	for range 8 {
 		b.chance.next()
 	}
@@ -319,11 +315,11 @@
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(now, 1)
-	if b.beyondShare(now, tenant) && b.chance.part() > b.admit {
-		b.finish(now, i)
-		return
+	full := 1.0
+	if b.beyondShare(now, tenant) {
+		full = beyondFull
 	}
-	if b.crowded(now, r, 1) {
+	if b.crowded(now, r, full) {
 		b.turned.add(now, 1)
 		b.finish(now, i)
 		return
@@ -672,7 +668,6 @@
 func (b *Balancer) learn(now int64, r *retrieval, s, note int, how Outcome, took int64) {
 	h, w := &b.servers[s], &b.workloads[r.workload]
 	cache, answered := s != b.origin, how == OK || how == Missing || how == Errored
-	poor := how != OK && how != Missing || how == OK && float64(took) > late*float64(w.expected)
 	if how == CalledOff && !r.live {
 		return
 	}
@@ -686,11 +681,6 @@
 	case how != Full && how != Unsent:
 		h.bad.add(now, 1) // Quick errors too: a server that fails fast never looks busy.
 	}
-	if poor {
-		b.poor.add(now, 1)
-	} else {
-		b.fine.add(now, 1)
-	}
 	if !cache {
 		// Guards writes against reads that crowd a short origin: the reads' room gives way and comes back.
 		if r.write {
@@ -784,11 +774,6 @@
 func (b *Balancer) Woke(now int64, tag int) {
 	switch {
 	case tag == tagSweep:
-		if poor := b.poor.read(now); poor > mostPoor*(b.fine.read(now)+poor)+0.5 {
-			b.admit = max(0.02, b.admit*0.95)
-		} else {
-			b.admit = min(1, b.admit+0.01)
-		}
 		b.sweep(now)
 		b.host.Wake(tagSweep, sweepEvery)
 	case tag == tagList:
