--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,6 +8,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"strconv"
 )
 
@@ -28,7 +29,8 @@
 	knownKeys  = 8191 // places for keys read lately
 	mostValued = 3.0  // times that for what has the most value
 	valueOver  = 100  // the mean value is taken over so many retrievals
-	beyondFull = 1.7  // so much sooner the room is full for traffic beyond a share
+	late       = 0.75 // of the expected time: a trip that takes longer is poor
+	mostPoor   = 0.06 // of the trips may be poor before traffic beyond a share is cut
 	doubt      = 0.6  // of the chance of success that all have: under it a server is passed by
 	firstGood  = 2.0  // what is taken of a server before it is known
 	firstBad   = 0.1
@@ -180,8 +182,10 @@
 	good, bad                sum // of all caches, as a server's
 	answers, warmed          sum // of all caches, errors too; of warm ones
 	reads, misses, failed    sum // answers to reads; those that needed the origin or failed; that failed
+	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]read
-	asked, turned            sum // retrievals that came, and those dismissed for the crowd
+	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
+	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
 	origin                   int            // aside: its index, -1 if none is listed
 	fetches                  map[uint64]int // aside: key to the retrieval that asks the origin for it
@@ -200,8 +204,9 @@
 
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
-	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{},
-		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
+	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{}, admit: 1,
+		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
+		fine: sum{life: second}, poor: sum{life: second}}
 	for range 8 {
 		b.chance.next()
 	}
@@ -293,7 +298,6 @@
 	for len(b.best) < len(b.ready) {
 		b.best = append(b.best, ranked{})
 	}
-	b.sweep(now)
 }
 
 // Asked begins a retrieval.
@@ -315,11 +319,11 @@
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(now, 1)
-	full := 1.0
-	if b.beyondShare(now, tenant) {
-		full = beyondFull
+	if b.beyondShare(now, tenant) && b.chance.part() > b.admit {
+		b.finish(now, i)
+		return
 	}
-	if b.crowded(now, r, full) {
+	if b.crowded(now, r, 1) {
 		b.turned.add(now, 1)
 		b.finish(now, i)
 		return
@@ -346,7 +350,8 @@
 	switch {
 	case now >= r.due || len(r.trips) >= b.mostTrips:
 		b.finish(now, i)
-	case s < 0 && len(r.trips) > 0 && b.mayReachAny(now, r):
+	case s < 0 && len(r.trips) > 0 &&
+		slices.ContainsFunc(b.ready, func(s int) bool { return b.mayReach(now, r, s) }):
 		b.wait(now, i) // No server has credit for a further trip: hold as at full width.
 	case s < 0 || !b.maySend(now, r, s):
 		b.finish(now, i)
@@ -435,7 +440,8 @@
 		s := b.best[j].server
 		copy(b.best[j:n], b.best[j+1:n])
 		h := &b.servers[s]
-		if !b.mayReach(now, r, s) || len(r.trips) > 0 && h.credit < 1 || len(b.ready) > len(r.trips) && tried(r, s) {
+		tried := slices.ContainsFunc(r.trips, func(t trip) bool { return t.server == s })
+		if !b.mayReach(now, r, s) || len(r.trips) > 0 && h.credit < 1 || tried && len(b.ready) > len(r.trips) {
 			continue
 		}
 		if b.doubted(now, s) {
@@ -464,15 +470,6 @@
 	return b.misses.read(now) > strain*(b.reads.read(now)+1)
 }
 
-func tried(r *retrieval, s int) bool {
-	for t := range r.trips {
-		if r.trips[t].server == s {
-			return true
-		}
-	}
-	return false
-}
-
 // doubted draws from the posterior of a server's chance of success.
 func (b *Balancer) doubted(now int64, s int) bool {
 	if h := &b.servers[s]; h.bad.read(now)+float64(h.overdue) < 0.5 {
@@ -531,15 +528,6 @@
 	return true
 }
 
-func (b *Balancer) mayReachAny(now int64, r *retrieval) bool {
-	for _, s := range b.ready {
-		if b.mayReach(now, r, s) {
-			return true
-		}
-	}
-	return false
-}
-
 // maySend is the gate before Host.Send.
 func (b *Balancer) maySend(now int64, r *retrieval, s int) bool {
 	return r.live && now < r.stop && len(r.trips) < b.mostTrips && b.mayReach(now, r, s)
@@ -548,12 +536,8 @@
 // mayDismiss is the gate before Host.Dismiss: trying again must do no harm.
 func (b *Balancer) mayDismiss(r *retrieval) bool {
 	w := &b.workloads[r.workload]
-	for t := range r.trips {
-		if r.trips[t].ran != never && (w.effect == OneShot || w.effect == Stamped && w.group != "all") {
-			return false
-		}
-	}
-	return true
+	return w.effect == Harmless || w.effect == Stamped && w.group == "all" ||
+		!slices.ContainsFunc(r.trips, func(t trip) bool { return t.ran != never })
 }
 
 // finish gives a retrieval that is given up on its final answer, at once.
@@ -668,6 +652,7 @@
 func (b *Balancer) learn(now int64, r *retrieval, s, note int, how Outcome, took int64) {
 	h, w := &b.servers[s], &b.workloads[r.workload]
 	cache, answered := s != b.origin, how == OK || how == Missing || how == Errored
+	poor := how != OK && how != Missing || how == OK && float64(took) > late*float64(w.expected)
 	if how == CalledOff && !r.live {
 		return
 	}
@@ -681,6 +666,11 @@
 	case how != Full && how != Unsent:
 		h.bad.add(now, 1) // Quick errors too: a server that fails fast never looks busy.
 	}
+	if poor {
+		b.poor.add(now, 1)
+	} else {
+		b.fine.add(now, 1)
+	}
 	if !cache {
 		// Guards writes against reads that crowd a short origin: the reads' room gives way and comes back.
 		if r.write {
@@ -774,6 +764,11 @@
 func (b *Balancer) Woke(now int64, tag int) {
 	switch {
 	case tag == tagSweep:
+		if poor := b.poor.read(now); poor > mostPoor*(b.fine.read(now)+poor)+0.5 {
+			b.admit = max(0.02, b.admit*0.95)
+		} else {
+			b.admit = min(1, b.admit+0.01)
+		}
 		b.sweep(now)
 		b.host.Wake(tagSweep, sweepEvery)
 	case tag == tagList:
@@ -789,14 +784,13 @@
 // sweep looks over what is live: silence is evidence before any outcome.
 func (b *Balancer) sweep(now int64) {
 	b.warm = 0
-	for _, s := range b.ready {
-		if !b.cold(now, s) {
+	for s := range b.servers {
+		h := &b.servers[s]
+		h.overdue = 0
+		if h.health == Ready && s != b.origin && !b.cold(now, s) {
 			b.warm++
 		}
 	}
-	for s := range b.servers {
-		b.servers[s].overdue = 0
-	}
 	for n := len(b.live) - 1; n >= 0; n = min(n, len(b.live)) - 1 {
 		i := b.live[n]
 		r := &b.retrievals[i]
@@ -818,17 +812,17 @@
 		} else if !b.copies || age < w.expected/2 {
 			continue
 		}
-		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt.
-		// One-shots do: they run to the hard stop.
+		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt, nor,
+		// while the fleet is calm, for a pause to pass. One-shots do wait: they run to the hard stop.
 		mean, _ := b.posterior(now, r.trips[t].server)
-		if mean >= doubt && !(b.copies && !b.crowded(now, r, 2) && b.turned.read(now) < 0.5) || now >= r.due || t+1 >= b.mostTrips || w.effect == OneShot {
-			continue
-		}
-		if b.copies {
+		calm := b.copies && !b.crowded(now, r, 2) && b.turned.read(now) < 0.5
+		switch {
+		case mean >= doubt && !calm, now >= r.due, t+1 >= b.mostTrips, w.effect == OneShot:
+		case b.copies:
 			if s := b.pick(now, r); s >= 0 && b.maySend(now, r, s) {
 				b.send(now, i, s)
 			}
-		} else if b.mayCallOff {
+		case b.mayCallOff:
 			b.host.CallOff(i, t)
 		}
 	}
