--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,8 +24,7 @@
 	busyCounts = 2.0  // a busy answer counts as so many in flight
 	strain     = 0.15 // more misses than this part of the reads strain the origin
 	drownBy    = 5.0  // the margin grows by so many times the part of reads that end in an error
-	leastCrowd = 0.2  // of the expected time may be spent by what is in flight
-	mostCrowd  = 0.5
+	crowd      = 0.25  // of the expected time may be spent by what is in flight
 	leastPart  = 0.5  // of the room is left to keys not read lately
 	knownKeys  = 8191 // places for keys read lately
 	mostValued = 3.0  // times that for what has the most value
@@ -186,8 +185,6 @@
 	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]read
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
-	crowd                    float64 // of the expected time may be spent by what is in flight
-	hits, jammed             sum     // answers that needed no origin; those late, and refusals as full
 	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
 	origin                   int            // aside: its index, -1 if none is listed
@@ -209,8 +206,7 @@
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{}, admit: 1,
 		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
-		fine: sum{life: second}, poor: sum{life: second},
-		hits: sum{life: second}, jammed: sum{life: second}, crowd: mostCrowd}
+		fine: sum{life: second}, poor: sum{life: second}}
 	for range 8 {
 		b.chance.next()
 	}
@@ -675,12 +671,6 @@
 	} else {
 		b.fine.add(now, 1)
 	}
-	if cache && (how == Full || how == OK && note < 2 && !r.write) {
-		b.hits.add(now, 1)
-		if poor {
-			b.jammed.add(now, 1)
-		}
-	}
 	if !cache {
 		// Guards writes against reads that crowd a short origin: the reads' room gives way and comes back.
 		if r.write {
@@ -731,12 +721,13 @@
 	free := 1 + float64(len(b.ready))*max(young, 1/b.balancers)
 	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
 	rate := b.answers.read(now) / seen / float64(memory)
-	part := b.crowd * min(mostValued, max(1, w.value/b.meanValue))
+	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
 	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
 		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
 	}
-	return full*float64(b.out) > free+part*rate*float64(w.expected)
+	room := free + part*rate*float64(w.expected)
+	return full*float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
 // beyondShare tells whether a tenant is over its share of what comes in here. This balancer's part of all
@@ -779,11 +770,6 @@
 		} else {
 			b.admit = min(1, b.admit+0.01)
 		}
-		if jammed := b.jammed.read(now); jammed > 0.15*b.hits.read(now)+0.5 {
-			b.crowd = max(leastCrowd, b.crowd*0.97)
-		} else {
-			b.crowd = min(mostCrowd, b.crowd+0.005)
-		}
 		b.sweep(now)
 		b.host.Wake(tagSweep, sweepEvery)
 	case tag == tagList:
