--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,18 +21,19 @@
 	firstHold  = 33 * int64(1e6) // the first hold at full width; it doubles
 	overMean   = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
 	overBy     = 0.3
-	busyCounts = 2.0  // a busy answer counts as so many in flight
-	strain     = 0.15 // more misses than this part of the reads strain the origin
-	drownBy    = 5.0  // the margin grows by so many times the part of reads that end in an error
-	crowd      = 0.25  // of the expected time may be spent by what is in flight
-	leastPart  = 0.5  // of the room is left to keys not read lately
-	knownKeys  = 8191 // places for keys read lately
-	mostValued = 3.0  // times that for what has the most value
-	valueOver  = 100  // the mean value is taken over so many retrievals
-	late       = 0.75 // of the expected time: a trip that takes longer is poor
-	mostPoor   = 0.06 // of the trips may be poor before traffic beyond a share is cut
-	doubt      = 0.6  // of the chance of success that all have: under it a server is passed by
-	firstGood  = 2.0  // what is taken of a server before it is known
+	busyCounts = 2.0    // a busy answer counts as so many in flight
+	strain     = 0.15   // more misses than this part of the reads strain the origin
+	drownBy    = 5.0    // the margin grows by so many times the part of reads that end in an error
+	crowd      = 0.15   // of the expected time may be spent by what is in flight
+	leastPart  = 0.5    // of the room is left to keys not read lately
+	knownKeys  = 8191   // places for keys read lately
+	usualGrows = 1.0005 // a sweep, so that the usual time is found again when it has risen
+	mostValued = 3.0    // times that for what has the most value
+	valueOver  = 100    // the mean value is taken over so many retrievals
+	late       = 0.75   // of the expected time: a trip that takes longer is poor
+	mostPoor   = 0.06   // of the trips may be poor before traffic beyond a share is cut
+	doubt      = 0.6    // of the chance of success that all have: under it a server is passed by
+	firstGood  = 2.0    // what is taken of a server before it is known
 	firstBad   = 0.1
 	perAnswer  = 0.2 // credit that an answer earns
 	mostCredit = 10.0
@@ -185,6 +186,8 @@
 	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]read
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
+	settled, took            sum     // trips that caches settled, and their times
+	usual                    float64 // time of a trip while nothing is crowded
 	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
 	origin                   int            // aside: its index, -1 if none is listed
@@ -206,7 +209,7 @@
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{}, admit: 1,
 		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
-		fine: sum{life: second}, poor: sum{life: second}}
+		fine: sum{life: second}, poor: sum{life: second}, usual: float64(second)}
 	for range 8 {
 		b.chance.next()
 	}
@@ -694,6 +697,8 @@
 		b.bad.add(now, 1)
 	}
 	if how == OK {
+		b.settled.add(now, 1)
+		b.took.add(now, float64(took))
 		b.known[r.key%knownKeys] = read{r.key, s}
 		w.n.add(now, 1)
 		w.took.add(now, float64(took))
@@ -726,7 +731,7 @@
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
 		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
 	}
-	room := free + part*rate*float64(w.expected)
+	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
 	return full*float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
@@ -784,6 +789,9 @@
 
 // sweep looks over what is live: silence is evidence before any outcome.
 func (b *Balancer) sweep(now int64) {
+	if n := b.settled.read(now); n >= 3 { // The least mean of late: what trips take while nothing is crowded.
+		b.usual = min(b.took.read(now)/n, max(b.usual, float64(second/1000))*usualGrows)
+	}
 	b.warm = 0
 	for s := range b.servers {
 		h := &b.servers[s]
