--- a/choice/choice.go
+++ b/choice/choice.go
@@ -723,7 +723,7 @@
 func (b *Balancer) crowded(now int64, r *retrieval, full float64) bool {
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: one a server.
-	free := 1 + float64(len(b.ready))*max(young, 1/b.balancers)
+	free := 1 + float64(len(b.ready))*young
 	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
 	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
