--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	knownKeys  = 8191   // places for keys read lately
 	usualGrows = 1.0005 // a sweep, so that the usual time is found again when it has risen
 	mostValued = 3.0    // times that for what has the most value
-	meanOver   = 100    // means of what is asked are over so many retrievals
+	valueOver  = 100    // the mean value is taken over so many retrievals
 	late       = 0.75   // of the expected time: a trip that takes longer is poor
 	mostPoor   = 0.06   // of the trips may be poor before traffic beyond a share is cut
 	doubt      = 0.6    // of the chance of success that all have: under it a server is passed by
@@ -72,8 +72,7 @@
 	missed            int  // aside: the cache that lacked the key, -1 if none did
 	fetching, waiting bool // aside: it asks the origin for its key, or waits for the one that does
 	trips             []trip
-	weight            float64 // its predicted cost over the mean
-	out, place        int     // trips in flight; its place in Balancer.live
+	out, place        int // trips in flight; its place in Balancer.live
 }
 
 type server struct {
@@ -84,7 +83,6 @@
 	listed             bool
 	out, overdue       int // trips in flight, and those overdue while it is silent
 	held               held
-	load               float64 // in flight, by what it is predicted to cost
 	good, bad, refused sum
 	credit             float64
 	room               float64 // cold: what it may still be sent
@@ -129,9 +127,9 @@
 // held is a count in flight, averaged over time.
 type held sum
 
-func (h *held) read(now int64, load float64) float64 {
+func (h *held) read(now int64, out int) float64 {
 	if now > h.at {
-		h.value = load + (h.value-load)*math.Exp(-float64(now-h.at)/float64(memory))
+		h.value = float64(out) + (h.value-float64(out))*math.Exp(-float64(now-h.at)/float64(memory))
 		h.at = now
 	}
 	return h.value
@@ -180,8 +178,7 @@
 	workloads                []workload
 	tenants                  []tenant
 	meanValue                float64
-	out                      int     // trips in flight at ready caches
-	load, predicted          float64 // the same by predicted cost; the mean cost predicted
+	out                      int // trips in flight at ready caches
 	held                     held
 	good, bad                sum // of all caches, as a server's
 	answers, warmed          sum // of all caches, errors too; of warm ones
@@ -287,8 +284,8 @@
 
 // Listed ends the list.
 func (b *Balancer) Listed(now int64) {
-	b.held.read(now, b.load)
-	b.ready, b.out, b.load, b.origin = b.ready[:0], 0, 0, -1
+	b.held.read(now, b.out)
+	b.ready, b.out, b.origin = b.ready[:0], 0, -1
 	for s := range b.servers {
 		h := &b.servers[s]
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
@@ -298,7 +295,7 @@
 			b.origin = s
 		} else if h.health == Ready {
 			b.ready = append(b.ready, s)
-			b.out, b.load = b.out+h.out, b.load+h.load
+			b.out += h.out
 		}
 	}
 	for len(b.best) < len(b.ready) {
@@ -317,16 +314,13 @@
 		key = b.chance.next() // No key: any candidates are as good.
 	}
 	*r = retrieval{workload: workload, key: key, write: write, live: true,
-		due: now + patience, stop: now + patience, width: firstWidth, missed: -1, weight: 1,
+		due: now + patience, stop: now + patience, width: firstWidth, missed: -1,
 		trips: r.trips[:0], place: len(b.live)}
 	if w.tardy == 0 {
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
 	}
-	if b.live = append(b.live, i); predicted > 0 {
-		b.predicted += (float64(predicted) - b.predicted) / meanOver
-		r.weight = min(4, max(0.25, float64(predicted)/b.predicted))
-	}
-	b.meanValue += (w.value - b.meanValue) / meanOver
+	b.live = append(b.live, i)
+	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(now, 1)
 	if b.beyondShare(now, tenant) && b.chance.part() > b.admit {
 		b.finish(now, i)
@@ -387,14 +381,12 @@
 // count keeps the numbers in flight.
 func (b *Balancer) count(now int64, r *retrieval, s, by int) {
 	h := &b.servers[s]
-	h.held.read(now, h.load)
-	b.held.read(now, b.load)
+	h.held.read(now, h.out)
+	b.held.read(now, b.out)
 	r.out += by
 	h.out += by
-	h.load += float64(by) * r.weight
 	if h.health == Ready && s != b.origin {
 		b.out += by
-		b.load += float64(by) * r.weight
 	}
 }
 
@@ -428,7 +420,7 @@
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
-	limit := overMean*(b.load+b.held.read(now, b.load))/float64(max(1, len(b.ready))) + overBy
+	limit := overMean*(float64(b.out)+b.held.read(now, b.out))/float64(max(1, len(b.ready))) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the order of its ranking, so that it is
 	// fetched for one cache and not for three; the more end in an error, the less it is passed on for load.
 	ordered := r.width == firstWidth && b.strained(now)
@@ -463,7 +455,7 @@
 		}
 		// The mean over time counts too: with under one trip in flight a server, the count of the moment does
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
-		load := h.load + h.held.read(now, h.load) + busyCounts*h.refused.read(now)
+		load := float64(h.out) + h.held.read(now, h.out) + busyCounts*h.refused.read(now)
 		if load <= limit {
 			return s
 		}
@@ -645,7 +637,8 @@
 	case noMore:
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
-	case now >= r.stop || s == b.origin && how != Full:
+	case now >= r.stop || s == b.origin && how != Full,
+		how == Errored && b.failed.read(now) > strain*b.reads.read(now): // The origin fails all alike: no use to go on.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
