--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,7 +23,6 @@
 	overBy     = 0.3
 	busyCounts = 2.0    // a busy answer counts as so many in flight
 	strain     = 0.15   // more misses than this part of the reads strain the origin
-	drownBy    = 5.0    // the margin grows by so many times the part of reads that end in an error
 	crowd      = 0.15   // of the expected time may be spent by what is in flight
 	leastPart  = 0.5    // of the room is left to keys not read lately
 	knownKeys  = 8191   // places for keys read lately
@@ -421,8 +420,8 @@
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
 	limit := overMean*(float64(b.out)+b.held.read(now, b.out))/float64(max(1, len(b.ready))) + overBy
-	// Guards a short origin: while many reads miss, a key keeps to the order of its ranking, so that it is
-	// fetched for one cache and not for three; the more end in an error, the less it is passed on for load.
+	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
+	// order of its ranking, so that it is fetched for one cache and not for three.
 	ordered := r.width == firstWidth && b.strained(now)
 	if last := b.known[r.key%knownKeys]; ordered && last.key == r.key {
 		for j := range n {
@@ -431,9 +430,6 @@
 			}
 		}
 	}
-	if ordered {
-		limit *= 1 + drownBy*b.failed.read(now)/(b.reads.read(now)+1)
-	}
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
 		j := 0
@@ -638,7 +634,7 @@
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
 	case now >= r.stop || s == b.origin && how != Full,
-		how == Errored && b.failed.read(now) > strain*b.reads.read(now): // The origin fails all alike: no use to go on.
+		how == Errored && b.failed.read(now) > strain*b.reads.read(now): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
