--- a/choice/choice.go
+++ b/choice/choice.go
@@ -815,13 +815,15 @@
 		age := now - r.trips[t].sent
 		if age >= w.overdueAfter(now) {
 			h.overdue++
-			b.stuck++ // What a silent server holds does not crowd the others.
 		} else if !b.copies || age < w.expected/2 {
 			continue
 		}
 		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt, nor,
 		// while the fleet is calm, for a pause to pass. One-shots do wait: they run to the hard stop.
 		mean, _ := b.posterior(now, r.trips[t].server)
+		if mean < doubt {
+			b.stuck++ // What a hung server holds does not crowd the others.
+		}
 		calm := b.copies && !b.crowded(now, r, 2) && b.turned.read(now) < 0.5
 		switch {
 		case mean >= doubt && !calm, now >= r.due, t+1 >= b.mostTrips, w.effect == OneShot:
