--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,10 +23,11 @@
 	overBy     = 0.3
 	busyCounts = 2.0    // a busy answer counts as so many in flight
 	strain     = 0.15   // more misses than this part of the reads strain the origin
-	crowd      = 0.15   // of the expected time may be spent by what is in flight
+	crowd      = 0.1    // of the expected time may be spent by what is in flight
 	leastPart  = 0.5    // of the room is left to keys not read lately
 	knownKeys  = 8191   // places for keys read lately
 	usualGrows = 1.0005 // a sweep, so that the usual time is found again when it has risen
+	rateFalls  = 0.999  // a sweep: the best rate of late is forgotten over tens of seconds
 	mostValued = 3.0    // times that for what has the most value
 	valueOver  = 100    // the mean value is taken over so many retrievals
 	late       = 0.75   // of the expected time: a trip that takes longer is poor
@@ -177,7 +178,7 @@
 	workloads                []workload
 	tenants                  []tenant
 	meanValue                float64
-	out, stuck               int // trips in flight at ready caches, and those overdue at silent ones
+	out                      int // trips in flight at ready caches
 	held                     held
 	good, bad                sum // of all caches, as a server's
 	answers, warmed          sum // of all caches, errors too; of warm ones
@@ -186,6 +187,7 @@
 	known                    [knownKeys]read
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
 	settled, took            sum     // trips that caches settled, and their times
+	rate                     float64 // answers of caches a nanosecond, the best of late
 	usual                    float64 // time of a trip while nothing is crowded
 	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
@@ -721,15 +723,13 @@
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: one a server.
 	free := 1 + float64(len(b.ready))*max(young, 1/b.balancers)
-	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
-	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
 	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
 		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
 	}
-	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
-	return full*float64(b.out-b.stuck) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
+	room := free + b.rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
+	return full*float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
 // beyondShare tells whether a tenant is over its share of what comes in here. This balancer's part of all
@@ -786,10 +786,13 @@
 
 // sweep looks over what is live: silence is evidence before any outcome.
 func (b *Balancer) sweep(now int64) {
+	// The best rate of late: the present one is what the gate lets in, and would shut it further by itself.
+	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
+	b.rate = max(b.answers.read(now)/seen/float64(memory), b.rate*rateFalls)
 	if n := b.settled.read(now); n >= 3 { // The least mean of late: what trips take while nothing is crowded.
 		b.usual = min(b.took.read(now)/n, max(b.usual, float64(second/1000))*usualGrows)
 	}
-	b.warm, b.stuck = 0, 0
+	b.warm = 0
 	for s := range b.servers {
 		h := &b.servers[s]
 		h.overdue = 0
@@ -821,9 +824,6 @@
 		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt, nor,
 		// while the fleet is calm, for a pause to pass. One-shots do wait: they run to the hard stop.
 		mean, _ := b.posterior(now, r.trips[t].server)
-		if mean < doubt {
-			b.stuck++ // What a hung server holds does not crowd the others.
-		}
 		calm := b.copies && !b.crowded(now, r, 2) && b.turned.read(now) < 0.5
 		switch {
 		case mean >= doubt && !calm, now >= r.due, t+1 >= b.mostTrips, w.effect == OneShot:
