--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,11 +23,10 @@
 	overBy     = 0.3
 	busyCounts = 2.0    // a busy answer counts as so many in flight
 	strain     = 0.15   // more misses than this part of the reads strain the origin
-	crowd      = 0.1    // of the expected time may be spent by what is in flight
+	crowd      = 0.15   // of the expected time may be spent by what is in flight
 	leastPart  = 0.5    // of the room is left to keys not read lately
 	knownKeys  = 8191   // places for keys read lately
 	usualGrows = 1.0005 // a sweep, so that the usual time is found again when it has risen
-	rateFalls  = 0.999  // a sweep: the best rate of late is forgotten over tens of seconds
 	mostValued = 3.0    // times that for what has the most value
 	valueOver  = 100    // the mean value is taken over so many retrievals
 	late       = 0.75   // of the expected time: a trip that takes longer is poor
@@ -187,7 +186,6 @@
 	known                    [knownKeys]read
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
 	settled, took            sum     // trips that caches settled, and their times
-	rate                     float64 // answers of caches a nanosecond, the best of late
 	usual                    float64 // time of a trip while nothing is crowded
 	admit                    float64 // the part of what is beyond a share that is let in
 	aside                    bool
@@ -274,7 +272,8 @@
 		for i := range len(address) {
 			hash = (hash ^ uint64(address[i])) * 1099511628211
 		}
-		b.servers = append(b.servers, server{hash: hash, credit: 1, heard: now, roomAt: now})
+		b.servers = append(b.servers, server{hash: hash, credit: 1, heard: now, roomAt: now,
+			bad: sum{life: 3 * memory}})
 	}
 	h := &b.servers[s]
 	if started > h.started {
@@ -723,12 +722,14 @@
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: one a server.
 	free := 1 + float64(len(b.ready))*max(young, 1/b.balancers)
+	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
+	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
 	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
 		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
 	}
-	room := free + b.rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
+	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
 	return full*float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
@@ -786,9 +787,6 @@
 
 // sweep looks over what is live: silence is evidence before any outcome.
 func (b *Balancer) sweep(now int64) {
-	// The best rate of late: the present one is what the gate lets in, and would shut it further by itself.
-	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
-	b.rate = max(b.answers.read(now)/seen/float64(memory), b.rate*rateFalls)
 	if n := b.settled.read(now); n >= 3 { // The least mean of late: what trips take while nothing is crowded.
 		b.usual = min(b.took.read(now)/n, max(b.usual, float64(second/1000))*usualGrows)
 	}
