--- a/choice/choice.go
+++ b/choice/choice.go
@@ -272,8 +272,7 @@
 		for i := range len(address) {
 			hash = (hash ^ uint64(address[i])) * 1099511628211
 		}
-		b.servers = append(b.servers, server{hash: hash, credit: 1, heard: now, roomAt: now,
-			bad: sum{life: 3 * memory}})
+		b.servers = append(b.servers, server{hash: hash, credit: 1, heard: now, roomAt: now})
 	}
 	h := &b.servers[s]
 	if started > h.started {
