--- a/choice/choice.go
+++ b/choice/choice.go
@@ -325,7 +325,7 @@
 		b.finish(now, i)
 		return
 	}
-	if b.crowded(now, r, 1) {
+	if b.crowded(now, r) {
 		b.turned.add(now, 1)
 		b.finish(now, i)
 		return
@@ -717,7 +717,7 @@
 
 // crowded tells by Little's law that a new trip would wait too long. Guards against queues that make all
 // answers late: once full they stay full of work that nobody wants. What has most value is let in longest.
-func (b *Balancer) crowded(now int64, r *retrieval, full float64) bool {
+func (b *Balancer) crowded(now int64, r *retrieval) bool {
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: one a server.
 	free := 1 + float64(len(b.ready))*max(young, 1/b.balancers)
@@ -729,7 +729,7 @@
 		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
 	}
 	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
-	return full*float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
+	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
 // beyondShare tells whether a tenant is over its share of what comes in here. This balancer's part of all
@@ -809,21 +809,15 @@
 		t, w := len(r.trips)-1, &b.workloads[r.workload]
 		h := &b.servers[r.trips[t].server]
 		if r.trips[t].ran != running || r.trips[t].server == b.origin || r.stop == math.MaxInt64 ||
-			h.heard >= r.trips[t].sent {
+			h.heard >= r.trips[t].sent || now-r.trips[t].sent < w.overdueAfter(now) {
 			continue
 		}
-		age := now - r.trips[t].sent
-		if age >= w.overdueAfter(now) {
-			h.overdue++
-		} else if !b.copies || age < w.expected/2 {
-			continue
-		}
-		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt, nor,
-		// while the fleet is calm, for a pause to pass. One-shots do wait: they run to the hard stop.
+		h.overdue++
+		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt.
+		// One-shots do: they run to the hard stop.
 		mean, _ := b.posterior(now, r.trips[t].server)
-		calm := b.copies && !b.crowded(now, r, 2) && b.turned.read(now) < 0.5
 		switch {
-		case mean >= doubt && !calm, now >= r.due, t+1 >= b.mostTrips, w.effect == OneShot:
+		case mean >= doubt, now >= r.due, t+1 >= b.mostTrips, w.effect == OneShot:
 		case b.copies:
 			if s := b.pick(now, r); s >= 0 && b.maySend(now, r, s) {
 				b.send(now, i, s)
