--- a/benchlink/link.go
+++ b/benchlink/link.go
@@ -53,7 +53,7 @@
 	return i
 }
 
-func (n *instance) settle(i int) {
+func (n *instance) release(i int) {
 	s := &n.slots[i]
 	if at, held := n.ids[s.id]; held && at == i && s.ended && s.out == 0 {
 		delete(n.ids, s.id)
@@ -81,7 +81,7 @@
 	}
 	n.reply.end()
 	n.slots[retrieval].ended = true
-	n.settle(retrieval)
+	n.release(retrieval)
 }
 
 func (n *instance) GiveUp(retrieval int) {
@@ -89,7 +89,7 @@
 	n.reply.whole("id", n.slots[retrieval].id)
 	n.reply.end()
 	n.slots[retrieval].ended = true
-	n.settle(retrieval)
+	n.release(retrieval)
 }
 
 func (n *instance) CallOff(retrieval, trip int) {
@@ -240,7 +240,7 @@
 		if i, known := n.ids[id]; known && in.bad == nil {
 			n.slots[i].ended = true
 			n.module.Aborted(now, i)
-			n.settle(i)
+			n.release(i)
 		}
 	case "neighbour_says":
 		from, _ := in.whole("from", true)
@@ -347,11 +347,11 @@
 	workload := place(in, "category", n.workloads, true)
 	tenant := place(in, "owner", n.tenants, false)
 	key, keyGiven := in.whole("pathKey", false)
-	write, again, predicted := in.yes("update"), in.yes("repeat"), in.span("predicted", false)
+	write, predicted := in.yes("update"), in.span("predicted", false)
 	if in.bad == nil {
 		i := n.take(id)
-		n.module.Asked(now, i, patience, workload, tenant, key, keyGiven, write, again, predicted)
-		n.settle(i)
+		n.module.Asked(now, i, patience, workload, tenant, key, keyGiven, write, predicted)
+		n.release(i)
 	}
 }
 
@@ -368,5 +368,5 @@
 	n.slots[i].out--
 	n.slots[i].ended = n.slots[i].ended || noMore
 	n.module.Ended(now, i, int(leg), server, int(info), how, took, noMore)
-	n.settle(i)
+	n.release(i)
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,17 +75,17 @@
 }
 
 type server struct {
-	hash               uint64
-	health             Health
-	started, heard     int64 // when it last started, and last answered
-	kind, zone, cell   int
-	listed             bool
-	out, overdue       int // trips in flight, and those overdue while it is silent
-	held               held
-	good, bad, refused sum
-	credit             float64
-	room               float64 // cold: what it may still be sent
-	roomAt             int64
+	hash             uint64
+	health           Health
+	started, heard   int64 // when it last started, and last answered
+	kind, zone, cell int
+	listed           bool
+	out, overdue     int // trips in flight, and those overdue while it is silent
+	held             held
+	good, bad, busy  sum
+	credit           float64
+	room             float64 // cold: what it may still be sent
+	roomAt           int64
 }
 
 type workload struct {
@@ -181,7 +181,7 @@
 	held                     held
 	good, bad                sum // of all caches, as a server's
 	answers, warmed          sum // of all caches, errors too; of warm ones
-	reads, misses, failed    sum // answers to reads; those that needed the origin or failed; that failed
+	reads, misses, errors    sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]read
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
@@ -303,8 +303,8 @@
 }
 
 // Asked begins a retrieval.
-func (b *Balancer) Asked(now int64, i int, patience int64, workload, tenant int, key uint64, keyGiven, write,
-	again bool, predicted int64) {
+func (b *Balancer) Asked(now int64, i int, patience int64, workload, tenant int, key uint64, keyGiven, write bool,
+	predicted int64) {
 	for len(b.retrievals) <= i {
 		b.retrievals = append(b.retrievals, retrieval{})
 	}
@@ -451,7 +451,7 @@
 		}
 		// The mean over time counts too: with under one trip in flight a server, the count of the moment does
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
-		load := float64(h.out) + h.held.read(now, h.out) + busyCounts*h.refused.read(now)
+		load := float64(h.out) + h.held.read(now, h.out) + busyCounts*h.busy.read(now)
 		if load <= limit {
 			return s
 		}
@@ -634,7 +634,7 @@
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
 	case now >= r.stop || s == b.origin && how != Full,
-		how == Errored && b.failed.read(now) > strain*b.reads.read(now): // The origin fails all alike.
+		how == Errored && b.errors.read(now) > strain*b.reads.read(now): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
@@ -689,7 +689,7 @@
 			b.warmed.add(now, 1)
 		}
 	case how == Full:
-		h.refused.add(now, 1)
+		h.busy.add(now, 1)
 	case how != Unsent:
 		b.bad.add(now, 1)
 	}
@@ -710,7 +710,7 @@
 			b.misses.add(now, 1)
 		}
 		if how == Errored {
-			b.failed.add(now, 1)
+			b.errors.add(now, 1)
 		}
 	}
 }
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -137,7 +137,7 @@
 func (w *watcher) ask(effect Effect, key uint64, patience int64) int {
 	w.asked = append(w.asked, asked{effect: effect, live: true, stop: w.now + patience})
 	i := len(w.asked) - 1
-	w.b.Asked(w.now, i, patience, int(effect), -1, key, true, effect != Harmless, false, 0)
+	w.b.Asked(w.now, i, patience, int(effect), -1, key, true, effect != Harmless, 0)
 	return i
 }
 
