--- a/benchlink/link.go
+++ b/benchlink/link.go
@@ -13,7 +13,8 @@
 )
 
 var outcomes = map[uint64]choice.Outcome{10: choice.OK, 20: choice.Errored, 30: choice.Full,
-	40: choice.TimedOut, 50: choice.Unreached, 60: choice.Reset, 70: choice.CalledOff, 80: choice.Unsent, 90: choice.Missing}
+	40: choice.TimedOut, 50: choice.Unreached, 60: choice.Reset, 70: choice.CalledOff, 80: choice.Unsent,
+	90: choice.Missing}
 var scopes = map[string]choice.Scope{"INCREMENTAL": choice.Incremental, "FULL": choice.Whole,
 	"SAVED": choice.Saved, "FAILED": choice.Failed}
 var healths = map[string]choice.Health{"ready": choice.Ready, "draining": choice.Draining,
