--- a/choice/choice.go
+++ b/choice/choice.go
@@ -807,10 +807,6 @@
 			continue
 		}
 		t, w := len(r.trips)-1, &b.workloads[r.workload]
-		if now >= r.due && w.effect == Harmless {
-			b.finish(now, i) // Its answer has no value any more: waiting for it would only count as crowding.
-			continue
-		}
 		h := &b.servers[r.trips[t].server]
 		if r.trips[t].ran != running || r.trips[t].server == b.origin || r.stop == math.MaxInt64 ||
 			h.heard >= r.trips[t].sent || now-r.trips[t].sent < w.overdueAfter(now) {
