--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -9,7 +9,7 @@
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) {
 		c := chance{seed + 1, 7}
-		group := []string{"all", "zone"}[c.below(2)]
+		group := []string{"all", "zone", "cell"}[c.below(3)]
 		w := plain(t, seed, 2+c.below(30), map[string]any{"allowed.secondCopies": c.below(2) == 0,
 			"allowed.cancelling": c.below(2) == 0, "workloads.1.group": group,
 			"allowed.mostTrips": float64(1 + c.below(6))})
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -39,7 +39,7 @@
 	subscribe int
 }
 
-func never2(how Outcome) bool {
+func provenNever(how Outcome) bool {
 	return how == Full || how == Unreached || how == Unsent || how == Missing
 }
 
@@ -57,13 +57,14 @@
 		if t.out && !w.values["allowed.secondCopies"].(bool) {
 			w.t.Fatalf("second copy of %d where none are allowed", i)
 		}
-		if !t.out && never2(t.how) {
+		if !t.out && provenNever(t.how) {
 			continue
 		}
 		if effect == OneShot {
 			w.t.Fatalf("one-shot %d sent again though it may have run", i)
 		}
-		if effect == Stamped && (w.now-t.at >= remembers || group == "zone" && w.zones[t.server] != w.zones[s]) {
+		if effect == Stamped && (w.now-t.at >= remembers || group == "zone" && w.zones[t.server] != w.zones[s] ||
+			group == "cell" && t.server%3 != s%3) {
 			w.t.Fatalf("stamped %d sent again outside its group or time", i)
 		}
 	}
@@ -87,7 +88,7 @@
 	r := &w.asked[i]
 	for _, t := range r.trips {
 		group := w.values["workloads.1.group"].(string)
-		if (t.out || !never2(t.how)) && (r.effect == OneShot || r.effect == Stamped && group != "all") {
+		if (t.out || !provenNever(t.how)) && (r.effect == OneShot || r.effect == Stamped && group != "all") {
 			w.t.Fatalf("dismissed %d though it may have run", i)
 		}
 	}
@@ -129,7 +130,7 @@
 	for s := range n {
 		health, started := what(s)
 		w.healths[s], w.zones[s] = health, s%2
-		w.b.Row(w.now, s, fmt.Sprintf("10.0.0.%d:80", s), health, started, 0, s%2, 0)
+		w.b.Row(w.now, s, fmt.Sprintf("10.0.0.%d:80", s), health, started, 0, s%2, s%3)
 	}
 	w.b.Listed(w.now)
 }
