--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -98,7 +98,12 @@
 
 // The gates stand by themselves, whatever the path before them already kept to.
 func TestGates(t *testing.T) {
-	w := plain(t, 1, 6, map[string]any{"workloads.1.group": "zone"})
+	gates(t, "zone")
+	gates(t, "cell")
+}
+
+func gates(t *testing.T, group string) {
+	w := plain(t, 1, 6, map[string]any{"workloads.1.group": group})
 	can := func(effect Effect, how ran, age int64, to int) bool {
 		r := &retrieval{workload: int(effect), live: true, stop: w.now + second}
 		r.trips = []trip{{2, w.now - age, how}}
@@ -107,16 +112,16 @@
 	w.b.servers[5].health, w.b.servers[1].started = Draining, w.now
 	for name, bad := range map[string]bool{
 		"one-shot that may have run": can(OneShot, perhaps, ms, 3), "second copy": can(Harmless, running, ms, 3),
-		"stamped in another zone": can(Stamped, perhaps, ms, 3),
-		"stamped too late":        can(Stamped, perhaps, 900*ms, 4),
-		"to one that drains":      can(Harmless, never, ms, 5),
-		"to a cold one at once":   can(Harmless, never, ms, 1),
+		"stamped to another group": can(Stamped, perhaps, ms, 3),
+		"stamped too late":         can(Stamped, perhaps, 900*ms, 2),
+		"to one that drains":       can(Harmless, never, ms, 5),
+		"to a cold one at once":    can(Harmless, never, ms, 1),
 	} {
 		if bad {
 			t.Error("may send: " + name)
 		}
 	}
-	if !can(OneShot, never, ms, 3) || !can(Harmless, perhaps, ms, 3) || !can(Stamped, perhaps, ms, 0) {
+	if !can(OneShot, never, ms, 3) || !can(Harmless, perhaps, ms, 3) || !can(Stamped, perhaps, ms, 2) {
 		t.Error("may not send what may run again")
 	}
 	for effect, may := range []bool{true, false, false} {
