--- a/choice/choice.go
+++ b/choice/choice.go
@@ -177,7 +177,7 @@
 	workloads                []workload
 	tenants                  []tenant
 	meanValue                float64
-	out, stuck               int // trips in flight at ready caches, and those overdue at silent ones
+	out                      int // trips in flight at ready caches
 	held                     held
 	good, bad                sum // of all caches, as a server's
 	answers, warmed          sum // of all caches, errors too; of warm ones
@@ -729,7 +729,7 @@
 		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
 	}
 	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
-	return float64(b.out-b.stuck) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
+	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
 // beyondShare tells whether a tenant is over its share of what comes in here. This balancer's part of all
@@ -789,7 +789,7 @@
 	if n := b.settled.read(now); n >= 3 { // The least mean of late: what trips take while nothing is crowded.
 		b.usual = min(b.took.read(now)/n, max(b.usual, float64(second/1000))*usualGrows)
 	}
-	b.warm, b.stuck = 0, 0
+	b.warm = 0
 	for s := range b.servers {
 		h := &b.servers[s]
 		h.overdue = 0
@@ -812,9 +812,7 @@
 			h.heard >= r.trips[t].sent || now-r.trips[t].sent < w.overdueAfter(now) {
 			continue
 		}
-		if h.overdue++; h.overdue > 1 {
-			b.stuck++ // What a silent server holds does not crowd the others; one trip may just be slow.
-		}
+		h.overdue++
 		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt.
 		// One-shots do: they run to the hard stop.
 		mean, _ := b.posterior(now, r.trips[t].server)
