--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,16 +62,16 @@
 }
 
 type retrieval struct {
-	workload             int
-	key                  uint64
-	write, live, strange bool  // strange: its key was not read here lately
-	due, stop            int64 // due: an answer after it has no value; stop: the hard stop
-	width                int
-	hold, heldUntil      int64
-	missed               int  // aside: the cache that lacked the key, -1 if none did
-	fetching, waiting    bool // aside: it asks the origin for its key, or waits for the one that does
-	trips                []trip
-	out, place           int // trips in flight; its place in Balancer.live
+	workload          int
+	key               uint64
+	write, live       bool
+	due, stop         int64 // due: an answer after it has no value; stop: the hard stop
+	width             int
+	hold, heldUntil   int64
+	missed            int  // aside: the cache that lacked the key, -1 if none did
+	fetching, waiting bool // aside: it asks the origin for its key, or waits for the one that does
+	trips             []trip
+	out, place        int // trips in flight; its place in Balancer.live
 }
 
 type server struct {
@@ -177,7 +177,7 @@
 	workloads                []workload
 	tenants                  []tenant
 	meanValue                float64
-	out, strange             int // trips in flight at ready caches; those for keys not read lately, counted apart
+	out                      int // trips in flight at ready caches
 	held                     held
 	good, bad                sum // of all caches, as a server's
 	answers, warmed          sum // of all caches, errors too; of warm ones
@@ -320,7 +320,6 @@
 	}
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
-	r.strange = !write && b.known[key%knownKeys].key != key
 	b.asked.add(now, 1)
 	if b.beyondShare(now, tenant) && b.chance.part() > b.admit {
 		b.finish(now, i)
@@ -385,9 +384,6 @@
 	b.held.read(now, b.out)
 	r.out += by
 	h.out += by
-	if r.strange && s != b.origin {
-		b.strange += by
-	}
 	if h.health == Ready && s != b.origin {
 		b.out += by
 	}
@@ -728,14 +724,12 @@
 	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
 	rate := b.answers.read(now) / seen / float64(memory)
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
-	out := b.out - b.strange
-	if r.strange {
+	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
 		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
-		out = b.strange
 	}
 	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
-	return float64(out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
+	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
 // beyondShare tells whether a tenant is over its share of what comes in here. This balancer's part of all
