--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,6 +21,7 @@
 	firstHold  = 33 * int64(1e6) // the first hold at full width; it doubles
 	overMean   = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
 	overBy     = 0.3
+	likeKind   = 2.0    // what all of its kind tell of a server counts as so many trips of its own
 	busyCounts = 2.0    // a busy answer counts as so many in flight
 	strain     = 0.15   // more misses than this part of the reads strain the origin
 	crowd      = 0.15   // of the expected time may be spent by what is in flight
@@ -82,12 +83,19 @@
 	listed           bool
 	out, overdue     int // trips in flight, and those overdue while it is silent
 	held             held
+	sent             sum // trips
 	good, bad, busy  sum
 	credit           float64
 	room             float64 // cold: what it may still be sent
 	roomAt           int64
 }
 
+// kind is what is known of all ready servers of one kind.
+type kind struct {
+	ready, out int
+	held       held
+}
+
 type workload struct {
 	effect              Effect
 	group               string
@@ -167,6 +175,7 @@
 	chance                   chance
 	began                    int64
 	servers                  []server
+	kinds                    []kind
 	ready                    []int // caches that the list calls ready
 	warm                     int   // how many of them are not cold
 	best                     []ranked
@@ -285,6 +294,10 @@
 func (b *Balancer) Listed(now int64) {
 	b.held.read(now, b.out)
 	b.ready, b.out, b.origin = b.ready[:0], 0, -1
+	for k := range b.kinds {
+		b.kinds[k].held.read(now, b.kinds[k].out)
+		b.kinds[k].ready, b.kinds[k].out = 0, 0
+	}
 	for s := range b.servers {
 		h := &b.servers[s]
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
@@ -293,6 +306,11 @@
 		if h.health == Ready && b.aside && h.kind == int(b.number("extra.originKind")) {
 			b.origin = s
 		} else if h.health == Ready {
+			for len(b.kinds) <= h.kind {
+				b.kinds = append(b.kinds, kind{})
+			}
+			b.kinds[h.kind].ready++
+			b.kinds[h.kind].out += h.out
 			b.ready = append(b.ready, s)
 			b.out += h.out
 		}
@@ -373,6 +391,7 @@
 		}
 	}
 	r.trips = append(r.trips, trip{server: s, sent: now})
+	h.sent.add(now, 1)
 	b.count(now, r, s, 1)
 	b.host.Send(i, s, r.stop)
 }
@@ -385,10 +404,21 @@
 	r.out += by
 	h.out += by
 	if h.health == Ready && s != b.origin {
+		k := &b.kinds[h.kind]
+		k.held.read(now, k.out)
 		b.out += by
+		k.out += by
 	}
 }
 
+// usually is how many trips are in flight at a server over time. While few trips tell of it, what is in flight
+// at all of its kind tells more.
+func (b *Balancer) usually(now int64, s int) float64 {
+	h := &b.servers[s]
+	k, n := &b.kinds[h.kind], h.sent.read(now)
+	return (n*h.held.read(now, h.out) + likeKind*k.held.read(now, k.out)/float64(max(1, k.ready))) / (n + likeKind)
+}
+
 // rank puts the first width caches of a key's ranking into b.best, in its order (all: in the list's).
 func (b *Balancer) rank(key uint64, width int) int {
 	if width >= len(b.ready) {
@@ -419,7 +449,8 @@
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
-	limit := overMean*(float64(b.out)+b.held.read(now, b.out))/float64(max(1, len(b.ready))) + overBy
+	mean := b.held.read(now, b.out) / float64(max(1, len(b.ready)))
+	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+mean) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
 	ordered := r.width == firstWidth && b.strained(now)
@@ -451,8 +482,9 @@
 		}
 		// The mean over time counts too: with under one trip in flight a server, the count of the moment does
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
-		load := float64(h.out) + h.held.read(now, h.out) + busyCounts*h.busy.read(now)
-		if load <= limit {
+		usual := b.usually(now, s)
+		load := float64(h.out) + usual + busyCounts*h.busy.read(now)
+		if load <= limit && b.chance.part()*usual <= overMean*mean {
 			return s
 		}
 		if least < 0 || load < lightest {
