--- a/choice/choice.go
+++ b/choice/choice.go
@@ -738,7 +738,7 @@
 	}
 	if answered && !r.write {
 		b.reads.add(now, 1)
-		if how != OK || note > 1 {
+		if how == Errored || note > 1 && took > w.expected/2 {
 			b.misses.add(now, 1)
 		}
 		if how == Errored {
