--- a/choice/choice.go
+++ b/choice/choice.go
@@ -484,7 +484,7 @@
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
 		usual := b.usually(now, s)
 		load := float64(h.out) + usual + busyCounts*h.busy.read(now)
-		if load <= limit && b.chance.part()*usual <= overMean*mean {
+		if load <= limit && math.Pow(b.chance.part(), 1./3)*usual <= overMean*mean {
 			return s
 		}
 		if least < 0 || load < lightest {
@@ -738,7 +738,7 @@
 	}
 	if answered && !r.write {
 		b.reads.add(now, 1)
-		if how == Errored || note > 1 && took > w.expected/2 {
+		if how != OK || note > 1 {
 			b.misses.add(now, 1)
 		}
 		if how == Errored {
