Memory stretches until it holds enough retrievals

Cause: three seconds hold ten retrievals of a balancer at size; rates, usual times, shares and the mean in flight were mostly noise. What was seen now fades by a clock that runs slower while few retrievals come; rates are scaled back. Conclusion: kept; at small size the clock runs at full pace, so that one rule serves both.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,6 +16,8 @@
 	second     = int64(1e9)
 	memory     = 3 * second      // how long what was seen counts
 	sweepEvery = 25 * int64(1e6) // how often trips in flight are looked over
+	enough     = 60.0            // retrievals: with fewer in it, memory stretches
+	slowest    = 0.1
 	firstWidth = 3               // candidates of a key
 	widening   = 7               // a busy answer widens so many times
 	firstHold  = 33 * int64(1e6) // the first hold at full width; it doubles
@@ -173,7 +175,8 @@
 	host                     Host
 	values                   map[string]any
 	chance                   chance
-	began                    int64
+	began, now, seen         int64   // seen: the clock by which what was seen fades
+	pace                     float64 // of that clock: slower while there is little to go by
 	servers                  []server
 	kinds                    []kind
 	ready                    []int // caches that the list calls ready
@@ -215,7 +218,7 @@
 
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
-	b := &Balancer{host: host, values: values, began: now, origin: -1, fetches: map[uint64]int{}, admit: 1,
+	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, fetches: map[uint64]int{}, admit: 1,
 		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
 		fine: sum{life: second}, poor: sum{life: second}, usual: float64(second)}
 	for range 8 {
@@ -254,6 +257,13 @@
 	return b
 }
 
+// passes moves the clocks. What was seen fades slower while few retrievals come, so that what is known always rests
+// on enough of them.
+func (b *Balancer) passes(now int64) {
+	b.seen += int64(float64(now-b.now) * b.pace)
+	b.now, b.pace = now, min(1, max(slowest, b.asked.read(b.seen)/enough))
+}
+
 // Listing begins a list; a Row for each entry and Listed follow.
 func (b *Balancer) Listing(now int64, scope Scope) {
 	b.scope = scope
@@ -292,10 +302,11 @@
 
 // Listed ends the list.
 func (b *Balancer) Listed(now int64) {
-	b.held.read(now, b.out)
+	b.passes(now)
+	b.held.read(b.seen, b.out)
 	b.ready, b.out, b.origin = b.ready[:0], 0, -1
 	for k := range b.kinds {
-		b.kinds[k].held.read(now, b.kinds[k].out)
+		b.kinds[k].held.read(b.seen, b.kinds[k].out)
 		b.kinds[k].ready, b.kinds[k].out = 0, 0
 	}
 	for s := range b.servers {
@@ -323,6 +334,7 @@
 // Asked begins a retrieval.
 func (b *Balancer) Asked(now int64, i int, patience int64, workload, tenant int, key uint64, keyGiven,
 	write bool, predicted int64) {
+	b.passes(now)
 	for len(b.retrievals) <= i {
 		b.retrievals = append(b.retrievals, retrieval{})
 	}
@@ -338,13 +350,13 @@
 	}
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
-	b.asked.add(now, 1)
+	b.asked.add(b.seen, 1)
 	if b.beyondShare(now, tenant) && b.chance.part() > b.admit {
 		b.finish(now, i)
 		return
 	}
 	if b.crowded(now, r) {
-		b.turned.add(now, 1)
+		b.turned.add(b.seen, 1)
 		b.finish(now, i)
 		return
 	}
@@ -358,7 +370,7 @@
 	if toOrigin := b.aside && (r.write || r.missed >= 0); toOrigin {
 		s = b.origin
 		if s >= 0 && !r.write && float64(b.servers[s].out) >= b.room {
-			b.misses.add(now, 1)
+			b.misses.add(b.seen, 1)
 			b.wait(now, i)
 			return
 		}
@@ -391,7 +403,7 @@
 		}
 	}
 	r.trips = append(r.trips, trip{server: s, sent: now})
-	h.sent.add(now, 1)
+	h.sent.add(b.seen, 1)
 	b.count(now, r, s, 1)
 	b.host.Send(i, s, r.stop)
 }
@@ -399,13 +411,13 @@
 // count keeps the numbers in flight.
 func (b *Balancer) count(now int64, r *retrieval, s, by int) {
 	h := &b.servers[s]
-	h.held.read(now, h.out)
-	b.held.read(now, b.out)
+	h.held.read(b.seen, h.out)
+	b.held.read(b.seen, b.out)
 	r.out += by
 	h.out += by
 	if h.health == Ready && s != b.origin {
 		k := &b.kinds[h.kind]
-		k.held.read(now, k.out)
+		k.held.read(b.seen, k.out)
 		b.out += by
 		k.out += by
 	}
@@ -415,8 +427,8 @@
 // at all of its kind tells more.
 func (b *Balancer) usually(now int64, s int) float64 {
 	h := &b.servers[s]
-	k, n := &b.kinds[h.kind], h.sent.read(now)
-	return (n*h.held.read(now, h.out) + likeKind*k.held.read(now, k.out)/float64(max(1, k.ready))) / (n + likeKind)
+	k, n := &b.kinds[h.kind], h.sent.read(b.seen)
+	return (n*h.held.read(b.seen, h.out) + likeKind*k.held.read(b.seen, k.out)/float64(max(1, k.ready))) / (n + likeKind)
 }
 
 // rank puts the first width caches of a key's ranking into b.best, in its order (all: in the list's).
@@ -449,7 +461,7 @@
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
-	mean := b.held.read(now, b.out) / float64(max(1, len(b.ready)))
+	mean := b.held.read(b.seen, b.out) / float64(max(1, len(b.ready)))
 	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+mean) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
@@ -483,7 +495,7 @@
 		// The mean over time counts too: with under one trip in flight a server, the count of the moment does
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
 		usual := b.usually(now, s)
-		load := float64(h.out) + usual + busyCounts*h.busy.read(now)
+		load := float64(h.out) + usual + busyCounts*h.busy.read(b.seen)
 		if load <= limit && math.Pow(b.chance.part(), 1./3)*usual <= overMean*mean {
 			return s
 		}
@@ -498,12 +510,12 @@
 }
 
 func (b *Balancer) strained(now int64) bool {
-	return b.misses.read(now) > strain*(b.reads.read(now)+1)
+	return b.misses.read(b.seen) > strain*(b.reads.read(b.seen)+1)
 }
 
 // doubted draws from the posterior of a server's chance of success.
 func (b *Balancer) doubted(now int64, s int) bool {
-	if h := &b.servers[s]; h.bad.read(now)+float64(h.overdue) < 0.5 {
+	if h := &b.servers[s]; h.bad.read(b.seen)+float64(h.overdue) < 0.5 {
 		return false
 	}
 	mean, spread := b.posterior(now, s)
@@ -515,8 +527,8 @@
 // origin in trouble makes all fail alike. Trips overdue at a silent server count before they end.
 func (b *Balancer) posterior(now int64, s int) (mean, spread float64) {
 	h := &b.servers[s]
-	good, bad := h.good.read(now)+firstGood, h.bad.read(now)+float64(h.overdue)+firstBad
-	all, amiss := b.good.read(now)+firstGood, b.bad.read(now)+firstBad
+	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+float64(h.overdue)+firstBad
+	all, amiss := b.good.read(b.seen)+firstGood, b.bad.read(b.seen)+firstBad
 	n := good + bad
 	return good / n * (all + amiss) / all, math.Sqrt(good*bad/(n*n*(n+1))) * (all + amiss) / all
 }
@@ -531,7 +543,7 @@
 func (b *Balancer) coldRoom(now int64, s int) float64 {
 	h := &b.servers[s]
 	part := b.startPart + (1-b.startPart)*max(0, float64(now-h.started)/float64(b.warmUp))
-	rate := b.warmed.read(now) / float64(memory) * float64(second) / float64(max(1, b.warm))
+	rate := b.warmed.read(b.seen) / float64(memory) * b.pace * float64(second) / float64(max(1, b.warm))
 	rate = max(rate, 0.5/b.balancers) * coldPart * b.multiple * part
 	h.room = min(h.room+rate*float64(now-h.roomAt)/float64(second), 1+rate*float64(b.tipAfter)/float64(second)/4)
 	h.roomAt = now
@@ -644,6 +656,7 @@
 
 // Ended tells how a trip ended. A retrieval that has had its final answer may still have trips that end.
 func (b *Balancer) Ended(now int64, i, t, s, note int, how Outcome, took int64, noMore bool) {
+	b.passes(now)
 	r := &b.retrievals[i]
 	b.count(now, r, s, -1)
 	switch how {
@@ -666,7 +679,7 @@
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
 	case now >= r.stop || s == b.origin && how != Full,
-		how == Errored && b.errors.read(now) > strain*b.reads.read(now): // The origin fails all alike.
+		how == Errored && b.errors.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
@@ -693,15 +706,15 @@
 	}
 	switch {
 	case how == OK || how == Missing:
-		h.good.add(now, 1)
+		h.good.add(b.seen, 1)
 		h.credit = min(mostCredit, h.credit+perAnswer)
 	case how != Full && how != Unsent:
-		h.bad.add(now, 1) // Quick errors too: a server that fails fast never looks busy.
+		h.bad.add(b.seen, 1) // Quick errors too: a server that fails fast never looks busy.
 	}
 	if poor {
-		b.poor.add(now, 1)
+		b.poor.add(b.seen, 1)
 	} else {
-		b.fine.add(now, 1)
+		b.fine.add(b.seen, 1)
 	}
 	if !cache {
 		// Guards writes against reads that crowd a short origin: the reads' room gives way and comes back.
@@ -710,39 +723,39 @@
 			b.room += 1 / b.room
 		} else {
 			b.room = max(1, b.room*0.8)
-			b.misses.add(now, 1)
+			b.misses.add(b.seen, 1)
 		}
 		return
 	}
 	switch {
 	case how == OK || how == Missing:
-		b.good.add(now, 1)
+		b.good.add(b.seen, 1)
 		if !b.cold(now, s) {
-			b.warmed.add(now, 1)
+			b.warmed.add(b.seen, 1)
 		}
 	case how == Full:
-		h.busy.add(now, 1)
+		h.busy.add(b.seen, 1)
 	case how != Unsent:
-		b.bad.add(now, 1)
+		b.bad.add(b.seen, 1)
 	}
 	if how == OK {
-		b.settled.add(now, 1)
-		b.took.add(now, float64(took))
+		b.settled.add(b.seen, 1)
+		b.took.add(b.seen, float64(took))
 		b.known[r.key%knownKeys] = read{r.key, s}
-		w.n.add(now, 1)
-		w.took.add(now, float64(took))
-		w.tookTook.add(now, float64(took)*float64(took))
+		w.n.add(b.seen, 1)
+		w.took.add(b.seen, float64(took))
+		w.tookTook.add(b.seen, float64(took)*float64(took))
 	}
 	if answered {
-		b.answers.add(now, 1)
+		b.answers.add(b.seen, 1)
 	}
 	if answered && !r.write {
-		b.reads.add(now, 1)
+		b.reads.add(b.seen, 1)
 		if how != OK || note > 1 {
-			b.misses.add(now, 1)
+			b.misses.add(b.seen, 1)
 		}
 		if how == Errored {
-			b.errors.add(now, 1)
+			b.errors.add(b.seen, 1)
 		}
 	}
 }
@@ -753,12 +766,12 @@
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: one a server.
 	free := 1 + float64(len(b.ready))*max(young, 1/b.balancers)
-	seen := 1 - math.Exp(-float64(now-b.began+second/4)/float64(memory))
-	rate := b.answers.read(now) / seen / float64(memory)
+	seen := 1 - math.Exp(-float64(b.seen+second/4)/float64(memory))
+	rate := b.answers.read(b.seen) / seen / float64(memory) * b.pace
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
 	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
-		part *= max(leastPart, 1-b.turned.read(now)/(b.asked.read(now)+1))
+		part *= max(leastPart, 1-b.turned.read(b.seen)/(b.asked.read(b.seen)+1))
 	}
 	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
 	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
@@ -770,11 +783,11 @@
 	if t < 0 || b.tenants[t].quota <= 0 {
 		return false
 	}
-	b.tenants[t].asked.add(now, 1)
+	b.tenants[t].asked.add(b.seen, 1)
 	part := 1.0
 	for j := range b.tenants {
 		if n := &b.tenants[j]; n.quota > 0 {
-			part = min(part, n.asked.read(now)/(n.quota*float64(memory)/float64(second)))
+			part = min(part, n.asked.read(b.seen)/(n.quota*float64(memory)/b.pace/float64(second)))
 		}
 	}
 	n := &b.tenants[t]
@@ -797,9 +810,10 @@
 
 // Woke: a timer has come due.
 func (b *Balancer) Woke(now int64, tag int) {
+	b.passes(now)
 	switch {
 	case tag == tagSweep:
-		if poor := b.poor.read(now); poor > mostPoor*(b.fine.read(now)+poor)+0.5 {
+		if poor := b.poor.read(b.seen); poor > mostPoor*(b.fine.read(b.seen)+poor)+0.5 {
 			b.admit = max(0.02, b.admit*0.95)
 		} else {
 			b.admit = min(1, b.admit+0.01)
@@ -818,8 +832,8 @@
 
 // sweep looks over what is live: silence is evidence before any outcome.
 func (b *Balancer) sweep(now int64) {
-	if n := b.settled.read(now); n >= 3 { // The least mean of late: what trips take while nothing is crowded.
-		b.usual = min(b.took.read(now)/n, max(b.usual, float64(second/1000))*usualGrows)
+	if n := b.settled.read(b.seen); n >= 3 { // The least mean of late: what trips take while nothing is crowded.
+		b.usual = min(b.took.read(b.seen)/n, max(b.usual, float64(second/1000))*usualGrows)
 	}
 	b.warm = 0
 	for s := range b.servers {
@@ -841,7 +855,7 @@
 		t, w := len(r.trips)-1, &b.workloads[r.workload]
 		h := &b.servers[r.trips[t].server]
 		if r.trips[t].ran != running || r.trips[t].server == b.origin || r.stop == math.MaxInt64 ||
-			h.heard >= r.trips[t].sent || now-r.trips[t].sent < w.overdueAfter(now) {
+			h.heard >= r.trips[t].sent || now-r.trips[t].sent < w.overdueAfter(b.seen) {
 			continue
 		}
 		h.overdue++
@@ -861,13 +875,13 @@
 }
 
 // overdueAfter is the age at which a trip is overdue.
-func (w *workload) overdueAfter(now int64) int64 {
-	n := w.n.read(now)
+func (w *workload) overdueAfter(seen int64) int64 {
+	n := w.n.read(seen)
 	if n < 3 {
 		return w.expected / 2
 	}
-	mean := w.took.read(now) / n
-	spread := math.Sqrt(max(0, w.tookTook.read(now)/n-mean*mean))
+	mean := w.took.read(seen) / n
+	spread := math.Sqrt(max(0, w.tookTook.read(seen)/n-mean*mean))
 	return min(w.expected, max(w.expected/8, int64(mean+3*spread)))
 }
 
