--- a/choice/choice.go
+++ b/choice/choice.go
@@ -466,13 +466,6 @@
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
 	ordered := r.width == firstWidth && b.strained(now)
-	if last := b.known[r.key%knownKeys]; ordered && last.key == r.key {
-		for j := range n {
-			if b.best[j].server == last.server {
-				b.best[0], b.best[j] = b.best[j], b.best[0]
-			}
-		}
-	}
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
 		j := 0
