Shares go by counts with their root as slack, drawn by chance

Cause: a bucket of under two retrievals cuts a tenant that is inside its share, and the least of five thin counts is nearly always none.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -108,9 +108,8 @@
 }
 
 type tenant struct {
-	quota, bucket float64
-	asked         sum
-	at            int64
+	quota float64
+	asked sum
 }
 
 // A sum decays: what was added counts less and less, over life (0: memory).
@@ -248,7 +247,7 @@
 		b.workloads, b.meanValue = append(b.workloads, w), w.value
 	}
 	for i := range int(b.number("tenants")) {
-		b.tenants = append(b.tenants, tenant{quota: b.number("tenants." + strconv.Itoa(i) + ".quotaRps"), at: now})
+		b.tenants = append(b.tenants, tenant{quota: b.number("tenants." + strconv.Itoa(i) + ".quotaRps")})
 	}
 	if b.text("registryMode") == "subscribe" {
 		host.Subscribe()
@@ -351,7 +350,7 @@
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(b.seen, 1)
-	if b.beyondShare(now, tenant) && b.chance.part() > b.admit {
+	if b.beyondShare(tenant) && b.chance.part() > b.admit {
 		b.finish(now, i)
 		return
 	}
@@ -466,6 +465,13 @@
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
 	ordered := r.width == firstWidth && b.strained(now)
+	if last := b.known[r.key%knownKeys]; ordered && last.key == r.key {
+		for j := range n {
+			if b.best[j].server == last.server {
+				b.best[0], b.best[j] = b.best[j], b.best[0]
+			}
+		}
+	}
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
 		j := 0
@@ -770,28 +776,23 @@
 	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
-// beyondShare tells whether a tenant is over its share of what comes in here. This balancer's part of all
-// traffic is told by the tenant that uses least of its own share.
-func (b *Balancer) beyondShare(now int64, t int) bool {
+// beyondShare draws whether a retrieval is among what its tenant sends beyond its share of what comes in here. This
+// balancer's part of all traffic is told by the tenant that uses least of its own share. Counts vary by their root:
+// that much is not held against anybody, so that a few retrievals do not cut a tenant that is inside its share.
+func (b *Balancer) beyondShare(t int) bool {
 	if t < 0 || b.tenants[t].quota <= 0 {
 		return false
 	}
 	b.tenants[t].asked.add(b.seen, 1)
-	part := 1.0
+	part, span := 1.0, float64(memory)/b.pace/float64(second)
 	for j := range b.tenants {
 		if n := &b.tenants[j]; n.quota > 0 {
-			part = min(part, n.asked.read(b.seen)/(n.quota*float64(memory)/b.pace/float64(second)))
+			came := n.asked.read(b.seen)
+			part = min(part, (came+math.Sqrt(came+1))/(n.quota*span))
 		}
 	}
-	n := &b.tenants[t]
-	rate := n.quota * max(part, 1/b.balancers)
-	n.bucket = min(n.bucket+rate*float64(now-n.at)/float64(second), 1+rate/2)
-	n.at = now
-	if n.bucket < 1 {
-		return true
-	}
-	n.bucket--
-	return false
+	came, share := b.tenants[t].asked.read(b.seen), b.tenants[t].quota*span*max(part, 1/b.balancers)
+	return b.chance.part()*came > share+math.Sqrt(share)
 }
 
 // Aborted: the client has gone.
