--- a/benchlink/link.go
+++ b/benchlink/link.go
@@ -339,7 +339,7 @@
 			n.hosts[address] = server
 			n.addresses = append(n.addresses, address)
 		}
-		n.module.Row(now, server, address, health, started, kind, zone, int(cell))
+		n.module.Row(now, server, address, health, started, kind, zone, int(cell), in.number("heft", false))
 	}
 	n.module.Listed(now)
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -83,7 +83,8 @@
 	started, heard   int64 // when it last started, and last answered
 	kind, zone, cell int
 	listed           bool
-	out, overdue     int // trips in flight, and those overdue while it is silent
+	out, overdue     int     // trips in flight, and those overdue while it is silent
+	size             float64 // by the list
 	held             held
 	sent             sum // trips
 	good, bad, busy  sum
@@ -180,6 +181,7 @@
 	kinds                    []kind
 	ready                    []int // caches that the list calls ready
 	warm                     int   // how many of them are not cold
+	size                     float64
 	best                     []ranked
 	scope                    Scope
 	failures                 int
@@ -284,7 +286,8 @@
 }
 
 // Row is one entry of the list.
-func (b *Balancer) Row(now int64, s int, address string, health Health, started int64, kind, zone, cell int) {
+func (b *Balancer) Row(now int64, s int, address string, health Health, started int64, kind, zone, cell int,
+	size float64) {
 	if s == len(b.servers) {
 		hash := uint64(14695981039346656037)
 		for i := range len(address) {
@@ -296,14 +299,17 @@
 	if started > h.started {
 		h.started, h.room, h.roomAt = started, 0, now // Guards against a burst at a server that just started.
 	}
-	h.health, h.kind, h.zone, h.cell, h.listed = health, kind, zone, cell, true
+	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, kind, zone, cell, true, 1
+	if size > 0 {
+		h.size = size
+	}
 }
 
 // Listed ends the list.
 func (b *Balancer) Listed(now int64) {
 	b.passes(now)
 	b.held.read(b.seen, b.out)
-	b.ready, b.out, b.origin = b.ready[:0], 0, -1
+	b.ready, b.out, b.origin, b.size = b.ready[:0], 0, -1, 0
 	for k := range b.kinds {
 		b.kinds[k].held.read(b.seen, b.kinds[k].out)
 		b.kinds[k].ready, b.kinds[k].out = 0, 0
@@ -323,6 +329,7 @@
 			b.kinds[h.kind].out += h.out
 			b.ready = append(b.ready, s)
 			b.out += h.out
+			b.size += h.size
 		}
 	}
 	for len(b.best) < len(b.ready) {
@@ -427,7 +434,7 @@
 func (b *Balancer) usually(now int64, s int) float64 {
 	h := &b.servers[s]
 	k, n := &b.kinds[h.kind], h.sent.read(b.seen)
-	return (n*h.held.read(b.seen, h.out) + likeKind*k.held.read(b.seen, k.out)/float64(max(1, k.ready))) / (n + likeKind)
+	return (n*h.held.read(b.seen, h.out) + likeKind*k.held.read(b.seen, k.out)/float64(max(1, k.ready))) / (n + likeKind) / h.size
 }
 
 // rank puts the first width caches of a key's ranking into b.best, in its order (all: in the list's).
@@ -460,7 +467,7 @@
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
-	mean := b.held.read(b.seen, b.out) / float64(max(1, len(b.ready)))
+	mean := b.held.read(b.seen, b.out) / max(1, b.size)
 	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+mean) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -275,7 +275,7 @@
 	w.b.Listing(w.now, Whole)
 	for s := range 5 {
 		w.healths[s] = Ready
-		w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s/4, 0, 0)
+		w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s/4, 0, 0, 0)
 	}
 	w.b.Listed(w.now)
 	a, b := w.ask(Harmless, 9, second), w.ask(Harmless, 9, second)
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -130,7 +130,7 @@
 	for s := range n {
 		health, started := what(s)
 		w.healths[s], w.zones[s] = health, s%2
-		w.b.Row(w.now, s, fmt.Sprintf("10.0.0.%d:80", s), health, started, 0, s%2, s%3)
+		w.b.Row(w.now, s, fmt.Sprintf("10.0.0.%d:80", s), health, started, 0, s%2, s%3, 0)
 	}
 	w.b.Listed(w.now)
 }
