Tried: an unknown server counts as one success, not two

Meant to let one overdue trip suffice for doubt in thin views. Conclusion: work is heavy-tailed, most overdue trips are answered yet; how many are has to be learnt first.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	late       = 0.75   // of the expected time: a trip that takes longer is poor
 	mostPoor   = 0.06   // of the trips may be poor before traffic beyond a share is cut
 	doubt      = 0.6    // of the chance of success that all have: under it a server is passed by
-	firstGood  = 2.0    // what is taken of a server before it is known
+	firstGood  = 1.0    // what is taken of a server before it is known
 	firstBad   = 0.1
 	perAnswer  = 0.2 // credit that an answer earns
 	mostCredit = 10.0
