--- a/choice/choice.go
+++ b/choice/choice.go
@@ -163,7 +163,6 @@
 type read struct {
 	key    uint64
 	server int
-	nth    int // of the retrievals that came here
 }
 
 type ranked struct {
@@ -198,7 +197,6 @@
 	reads, misses, errors    sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]read
-	nth                      int // retrievals that came
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
 	settled, took            sum     // trips that caches settled, and their times
 	usual                    float64 // time of a trip while nothing is crowded
@@ -359,7 +357,6 @@
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(b.seen, 1)
-	b.nth++
 	if b.beyondShare(tenant) && b.chance.part() > b.admit {
 		b.finish(now, i)
 		return
@@ -474,18 +471,15 @@
 	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+mean) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
-	// A key that comes so often that it makes up a server's load stays spread over three.
-	last := b.known[r.key%knownKeys]
-	hot := last.key == r.key && b.nth-last.nth <= len(b.ready)
-	ordered := r.width == firstWidth && !hot && b.strained(now)
-	if ordered && last.key == r.key {
+	ordered := r.width == firstWidth && b.strained(now)
+	if last := b.known[r.key%knownKeys]; ordered && last.key == r.key {
 		for j := range n {
 			if b.best[j].server == last.server {
 				b.best[0], b.best[j] = b.best[j], b.best[0]
 			}
 		}
 	}
-	least, doubtful, lightest := -1, -1, 0.0
+	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
 		j := 0
 		if !ordered {
@@ -499,8 +493,8 @@
 			continue
 		}
 		if b.doubted(now, s) {
-			if doubtful < 0 || h.out < b.servers[doubtful].out {
-				doubtful = s
+			if last < 0 || h.out < b.servers[last].out {
+				last = s
 			}
 			continue
 		}
@@ -516,7 +510,7 @@
 		}
 	}
 	if least < 0 && r.width >= len(b.ready) {
-		return doubtful // All that may be sent anything are in doubt: still better than nothing.
+		return last // All that may be sent anything are in doubt: still better than nothing.
 	}
 	return least
 }
@@ -753,7 +747,7 @@
 	if how == OK {
 		b.settled.add(b.seen, 1)
 		b.took.add(b.seen, float64(took))
-		b.known[r.key%knownKeys] = read{r.key, s, b.nth}
+		b.known[r.key%knownKeys] = read{r.key, s}
 		w.n.add(b.seen, 1)
 		w.took.add(b.seen, float64(took))
 		w.tookTook.add(b.seen, float64(took)*float64(took))
