The ranking gives a server keys by the size that the list states

Cause: a third of the keys had no large server among their three, so passing over could not help them. The hash score is weighed by the stated size; equal sizes rank as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -166,7 +166,7 @@
 }
 
 type ranked struct {
-	score  uint64
+	score  float64
 	server int
 }
 
@@ -447,9 +447,10 @@
 	}
 	n := 0
 	for _, s := range b.ready {
-		score := (key ^ b.servers[s].hash) * 0x9e3779b97f4a7c15
-		score = (score ^ score>>32) * 0xd6e8feb86659fd93
-		score ^= score >> 32
+		mix := (key ^ b.servers[s].hash) * 0x9e3779b97f4a7c15
+		mix = (mix ^ mix>>32) * 0xd6e8feb86659fd93
+		mix ^= mix >> 32
+		score := math.Log((float64(mix>>11)+0.5)/(1<<53)) / b.servers[s].size // The larger, the more keys it has.
 		if n < width {
 			n++
 		} else if score <= b.best[n-1].score {
