--- a/choice/choice.go
+++ b/choice/choice.go
@@ -198,6 +198,7 @@
 	reads, misses, errors    sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]read
+	credit                   float64 // for further trips, wherever they go
 	over, inTime             sum     // retrievals that have had their answer; those settled in time
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
 	settled, took            sum     // trips that caches settled, and their times
@@ -221,7 +222,7 @@
 
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
-	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, fetches: map[uint64]int{}, admit: 1,
+	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, credit: 1, fetches: map[uint64]int{}, admit: 1,
 		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
 		fine: sum{life: second}, poor: sum{life: second}, usual: float64(second)}
 	for range 8 {
@@ -413,6 +414,7 @@
 		}
 		if len(r.trips) > 0 {
 			h.credit--
+			b.credit--
 		}
 	}
 	r.trips = append(r.trips, trip{server: s, sent: now})
@@ -497,7 +499,7 @@
 		copy(b.best[j:n], b.best[j+1:n])
 		h := &b.servers[s]
 		tried := slices.ContainsFunc(r.trips, func(t trip) bool { return t.server == s })
-		if !b.mayReach(now, r, s) || len(r.trips) > 0 && h.credit < 1 || tried && len(b.ready) > len(r.trips) {
+		if !b.mayReach(now, r, s) || len(r.trips) > 0 && min(b.credit, h.credit) < 1 || tried && len(b.ready) > len(r.trips) {
 			continue
 		}
 		if b.doubted(now, s) {
@@ -728,6 +730,7 @@
 	case how == OK || how == Missing:
 		h.good.add(b.seen, 1)
 		h.credit = min(mostCredit, h.credit+perAnswer)
+		b.credit = min(mostCredit, b.credit+perAnswer)
 	case how != Full && how != Unsent:
 		h.bad.add(b.seen, 1) // Quick errors too: a server that fails fast never looks busy.
 	}
