--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,7 @@
 	strain        = 0.15   // more misses than this part of the reads strain the origin
 	crowd         = 0.15   // of the expected time may be spent by what is in flight
 	beyondSettled = 1.5    // so many retrievals are let in for each one settled in time
+	youngRoom     = 4.0    // trips in flight a server that all balancers together may add while they know no rate
 	leastPart     = 0.5    // of the room is left to keys not read lately
 	knownKeys     = 8191   // places for keys read lately
 	usualGrows    = 1.0005 // a sweep, so that the usual time is found again when it has risen
@@ -795,8 +796,8 @@
 // answers late: once full they stay full of work that nobody wants. What has most value is let in longest.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
 	w := &b.workloads[r.workload]
-	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: one a server.
-	free := 1 + float64(len(b.ready))*max(young, 1/b.balancers)
+	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: some for each server.
+	free := 1 + float64(len(b.ready))*(1+youngRoom*young)/b.balancers
 	seen := 1 - math.Exp(-float64(b.seen+second/4)/float64(memory))
 	rate := b.answers.read(b.seen) / seen / float64(memory) * b.pace
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
