--- a/choice/choice.go
+++ b/choice/choice.go
@@ -99,6 +99,7 @@
 type kind struct {
 	ready, out int
 	held       held
+	busy       sum
 }
 
 type workload struct {
@@ -194,7 +195,7 @@
 	meanValue                float64
 	out                      int // trips in flight at ready caches
 	held                     held
-	good, bad                sum // of all caches, as a server's
+	good, bad, busy          sum // of all caches, as a server's
 	answers, warmed          sum // of all caches, errors too; of warm ones
 	reads, misses, errors    sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor               sum // trips that ended in time, and late or not at all
@@ -439,12 +440,14 @@
 	}
 }
 
-// usually is how many trips are in flight at a server over time. While few trips tell of it, what is in flight
-// at all of its kind tells more.
-func (b *Balancer) usually(now int64, s int) float64 {
+// usually is how many trips are in flight at a server over time, for each unit of its size. Busy answers count in:
+// others' trips are what fills such a server. While few trips tell of it, those to all of its kind tell more.
+func (b *Balancer) usually(s int) float64 {
 	h := &b.servers[s]
 	k, n := &b.kinds[h.kind], h.sent.read(b.seen)
-	return (n*h.held.read(b.seen, h.out) + likeKind*k.held.read(b.seen, k.out)/float64(max(1, k.ready))) / (n + likeKind) / h.size
+	own := h.held.read(b.seen, h.out) + busyCounts*h.busy.read(b.seen)
+	like := (k.held.read(b.seen, k.out) + k.busy.read(b.seen)) / float64(max(1, k.ready))
+	return (n*own + likeKind*like) / (n + likeKind) / h.size
 }
 
 // rank puts the first width caches of a key's ranking into b.best, in its order (all: in the list's).
@@ -478,8 +481,8 @@
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	n := b.rank(r.key, r.width)
-	mean := b.held.read(b.seen, b.out) / max(1, b.size)
-	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+mean) + overBy
+	mean := (b.held.read(b.seen, b.out) + b.busy.read(b.seen)) / max(1, b.size)
+	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+b.held.read(b.seen, b.out)/max(1, b.size)) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
 	ordered := r.width == firstWidth && b.strained(now)
@@ -511,8 +514,8 @@
 		}
 		// The mean over time counts too: with under one trip in flight a server, the count of the moment does
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
-		usual := b.usually(now, s)
-		load := float64(h.out) + usual + busyCounts*h.busy.read(b.seen)
+		usual := b.usually(s)
+		load := float64(h.out) + usual
 		if load <= limit && math.Pow(b.chance.part(), 1./3)*usual <= overMean*mean {
 			return s
 		}
@@ -759,6 +762,8 @@
 		}
 	case how == Full:
 		h.busy.add(b.seen, 1)
+		b.busy.add(b.seen, 1)
+		b.kinds[h.kind].busy.add(b.seen, 1)
 	case how != Unsent:
 		b.bad.add(b.seen, 1)
 	}
