--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,7 @@
 	crowd         = 0.15   // of the expected time may be spent by what is in flight
 	beyondSettled = 1.5    // so many retrievals are let in for each one settled in time
 	youngRoom     = 4.0    // trips in flight a server that all balancers together may add while they know no rate
+	leastPart     = 0.5    // of the room is left to keys not read lately
 	knownKeys     = 8191   // places for keys read lately
 	usualGrows    = 1.0005 // a sweep, so that the usual time is found again when it has risen
 	mostValued    = 3.0    // times that for what has the most value
@@ -201,7 +202,7 @@
 	known                    [knownKeys]read
 	credit                   float64 // for further trips, wherever they go
 	over, inTime             sum     // retrievals that have had their answer; those settled in time
-	asked                    sum     // retrievals that came
+	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
 	settled, took            sum     // trips that caches settled, and their times
 	usual                    float64 // time of a trip while nothing is crowded
 	admit                    float64 // the part of what is beyond a share that is let in
@@ -371,6 +372,7 @@
 		return
 	}
 	if b.crowded(now, r) {
+		b.turned.add(b.seen, 1)
 		b.finish(now, i)
 		return
 	}
@@ -804,6 +806,10 @@
 	seen := 1 - math.Exp(-float64(b.seen+second/4)/float64(memory))
 	rate := b.answers.read(b.seen) / seen / float64(memory) * b.pace
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
+	if !r.write && b.known[r.key%knownKeys].key != r.key {
+		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
+		part *= max(leastPart, 1-b.turned.read(b.seen)/(b.asked.read(b.seen)+1))
+	}
 	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
 	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
