--- a/choice/choice.go
+++ b/choice/choice.go
@@ -516,11 +516,7 @@
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
 		usual := b.usually(s)
 		load := float64(h.out) + usual
-		draw := b.chance.part()
-		if ordered { // The same for a key each time and everywhere, so that it does not move to and fro.
-			draw = float64((r.key^h.hash)*0xff51afd7ed558ccd>>11) / (1 << 53)
-		}
-		if load <= limit && math.Cbrt(draw)*usual <= overMean*mean {
+		if load <= limit && math.Pow(b.chance.part(), 1./3)*usual <= overMean*mean {
 			return s
 		}
 		if least < 0 || load < lightest {
@@ -899,12 +895,12 @@
 		// One-shots do: they run to the hard stop.
 		mean, _ := b.posterior(now, r.trips[t].server)
 		switch {
-		case now >= r.due, t+1 >= b.mostTrips, w.effect == OneShot, mean >= doubt && b.admit < 1:
+		case mean >= doubt, now >= r.due, t+1 >= b.mostTrips, w.effect == OneShot:
 		case b.copies:
 			if s := b.pick(now, r); s >= 0 && b.maySend(now, r, s) {
 				b.send(now, i, s)
 			}
-		case b.mayCallOff && mean < doubt:
+		case b.mayCallOff:
 			b.host.CallOff(i, t)
 		}
 	}
@@ -918,7 +914,7 @@
 	}
 	mean := w.took.read(seen) / n
 	spread := math.Sqrt(max(0, w.tookTook.read(seen)/n-mean*mean))
-	return min(w.expected/2, max(w.expected/8, int64(mean+3*spread)))
+	return min(w.expected, max(w.expected/8, int64(mean+3*spread)))
 }
 
 // Probed: the result of a probe. This module sends none.
