--- a/choice/choice.go
+++ b/choice/choice.go
@@ -201,7 +201,7 @@
 	fine, poor               sum // trips that ended in time, and late or not at all
 	known                    [knownKeys]read
 	credit                   float64 // for further trips, wherever they go
-	settles, fetched         tally   // retrievals that were sent, settled in time; reads that needed the origin
+	over, inTime             sum     // retrievals that have had their answer; those settled in time
 	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
 	settled, took            sum     // trips that caches settled, and their times
 	usual                    float64 // time of a trip while nothing is crowded
@@ -366,9 +366,8 @@
 		b.finish(now, i)
 		return
 	}
-	valued := min(mostValued, max(1, w.value/b.meanValue))
-	known := r.write || b.known[r.key%knownKeys].key == r.key
-	if b.vain(&b.settles, valued) || !known && b.vain(&b.fetched, valued) {
+	if b.vain(r) {
+		b.over.add(b.seen, 1)
 		b.finish(now, i)
 		return
 	}
@@ -608,9 +607,6 @@
 func (b *Balancer) finish(now int64, i int) {
 	r := &b.retrievals[i]
 	dismiss := b.mayDismiss(r)
-	if len(r.trips) > 0 {
-		b.settles.add(b.seen, false)
-	}
 	b.drop(now, i, -1)
 	if dismiss {
 		b.host.Dismiss(i, int64(b.comeBackAfter))
@@ -624,6 +620,9 @@
 func (b *Balancer) drop(now int64, i, stored int) {
 	r := &b.retrievals[i]
 	r.live = false
+	if len(r.trips) > 0 {
+		b.over.add(b.seen, 1)
+	}
 	last := b.live[len(b.live)-1]
 	b.live[r.place], b.retrievals[last].place = last, r.place
 	b.live = b.live[:len(b.live)-1]
@@ -698,7 +697,9 @@
 	switch {
 	case !r.live:
 	case noMore && how == OK:
-		b.settles.add(b.seen, now <= r.due)
+		if now <= r.due {
+			b.inTime.add(b.seen, 1)
+		}
 		b.drop(now, i, r.missed)
 	case noMore:
 		b.drop(now, i, -1)
@@ -781,9 +782,6 @@
 		b.reads.add(b.seen, 1)
 		if how != OK || note > 1 {
 			b.misses.add(b.seen, 1)
-			if how != Missing {
-				b.fetched.add(b.seen, !poor)
-			}
 		}
 		if how == Errored {
 			b.errors.add(b.seen, 1)
@@ -791,26 +789,12 @@
 	}
 }
 
-// tally counts what has come to an end, and what of it ended well.
-type tally struct{ over, well sum }
-
-func (t *tally) add(seen int64, well bool) {
-	t.over.add(seen, 1)
-	if well {
-		t.well.add(seen, 1)
-	}
-}
-
-// vain draws whether one more is beyond what ends well: so many are let in for each of these. Guards against a fleet,
-// or an origin, that all balancers keep jammed: what goes in follows what comes out, by counts that mean the same in
-// a thin view as in a thick one.
-func (b *Balancer) vain(t *tally, most float64) bool {
-	over := t.over.read(b.seen)
-	if b.chance.part()*over <= beyondSettled*most*t.well.read(b.seen)+2*math.Sqrt(over+1) {
-		return false
-	}
-	t.add(b.seen, false)
-	return true
+// vain draws whether a retrieval is beyond what the fleet settles in time. Guards against a fleet that all balancers
+// keep jammed: what is let in follows what comes out, by counts that mean the same in a thin view as in a thick one.
+func (b *Balancer) vain(r *retrieval) bool {
+	w, over := &b.workloads[r.workload], b.over.read(b.seen)
+	may := beyondSettled*b.inTime.read(b.seen)*min(mostValued, max(1, w.value/b.meanValue)) + 2*math.Sqrt(over+1)
+	return b.chance.part()*over > may
 }
 
 // crowded tells by Little's law that a new trip would wait too long. Guards against queues that make all
