--- a/choice/choice.go
+++ b/choice/choice.go
@@ -175,46 +175,46 @@
 
 // Balancer is what one balancer knows.
 type Balancer struct {
-	host                     Host
-	values                   map[string]any
-	chance                   chance
-	began, now, seen         int64   // seen: the clock by which what was seen fades
-	pace                     float64 // of that clock: slower while there is little to go by
-	servers                  []server
-	kinds                    []kind
-	ready                    []int // caches that the list calls ready
-	warm                     int   // how many of them are not cold
-	size                     float64
-	best                     []ranked
-	scope                    Scope
-	failures                 int
-	retrievals               []retrieval
-	live                     []int
-	workloads                []workload
-	tenants                  []tenant
-	meanValue                float64
-	out                      int // trips in flight at ready caches
-	held                     held
-	good, bad, busy          sum // of all caches, as a server's
-	answers, warmed          sum // of all caches, errors too; of warm ones
-	reads, misses, errors    sum // answers to reads; those that needed the origin or failed; that failed
-	fine, poor               sum // trips that ended in time, and late or not at all
-	known                    [knownKeys]read
-	credit                   float64 // for further trips, wherever they go
-	over, inTime             sum     // retrievals that have had their answer; those settled in time
-	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
-	settled, took            sum     // trips that caches settled, and their times
-	usual                    float64 // time of a trip while nothing is crowded
-	admit                    float64 // the part of what is beyond a share that is let in
-	aside                    bool
-	origin                   int            // aside: its index, -1 if none is listed
-	fetches                  map[uint64]int // aside: key to the retrieval that asks the origin for it
-	room                     float64        // aside: how many reads may be out at the origin
-	copies, mayCallOff       bool
-	mostTrips                int
-	warmUp, tipAfter         int64
-	startPart, multiple      float64
-	balancers, comeBackAfter float64
+	host                         Host
+	values                       map[string]any
+	chance                       chance
+	began, now, seen             int64   // seen: the clock by which what was seen fades
+	pace                         float64 // of that clock: slower while there is little to go by
+	servers                      []server
+	kinds                        []kind
+	ready                        []int // caches that the list calls ready
+	warm                         int   // how many of them are not cold
+	size                         float64
+	best                         []ranked
+	scope                        Scope
+	failures                     int
+	retrievals                   []retrieval
+	live                         []int
+	workloads                    []workload
+	tenants                      []tenant
+	meanValue                    float64
+	out                          int // trips in flight at ready caches
+	held                         held
+	good, bad, busy              sum // of all caches, as a server's
+	answers, warmed              sum // of all caches, errors too; of warm ones
+	reads, misses, errors, fails sum // answers to reads; those that needed the origin or failed; that failed
+	fine, poor                   sum // trips that ended in time, and late or not at all
+	known                        [knownKeys]read
+	credit                       float64 // for further trips, wherever they go
+	over, inTime                 sum     // retrievals that have had their answer; those settled in time
+	asked, turned                sum     // retrievals that came, and those dismissed for the crowd
+	settled, took                sum     // trips that caches settled, and their times
+	usual                        float64 // time of a trip while nothing is crowded
+	admit                        float64 // the part of what is beyond a share that is let in
+	aside                        bool
+	origin                       int            // aside: its index, -1 if none is listed
+	fetches                      map[uint64]int // aside: key to the retrieval that asks the origin for it
+	room                         float64        // aside: how many reads may be out at the origin
+	copies, mayCallOff           bool
+	mostTrips                    int
+	warmUp, tipAfter             int64
+	startPart, multiple          float64
+	balancers, comeBackAfter     float64
 }
 
 func (b *Balancer) number(name string) float64 { x, _ := b.values[name].(float64); return x }
@@ -451,8 +451,8 @@
 }
 
 // rank puts the first width caches of a key's ranking into b.best, in its order (all: in the list's).
-func (b *Balancer) rank(key uint64, width int) int {
-	if width >= len(b.ready) {
+func (b *Balancer) rank(key uint64, width int, ordered bool) int {
+	if width >= len(b.ready) && !ordered {
 		for j, s := range b.ready {
 			b.best[j].server = s
 		}
@@ -480,13 +480,15 @@
 
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
-	n := b.rank(r.key, r.width)
+	ordered := b.strained(now)
+	n := b.rank(r.key, r.width, ordered)
 	mean := (b.held.read(b.seen, b.out) + b.busy.read(b.seen)) / max(1, b.size)
 	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+b.held.read(b.seen, b.out)/max(1, b.size)) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
-	ordered := r.width == firstWidth && b.strained(now)
-	if last := b.known[r.key%knownKeys]; ordered && last.key == r.key {
+	// While the origin fails, one more fetch is dearer than any queue: the first of the ranking, whatever its load.
+	strict := ordered && b.fails.read(b.seen) > strain*(b.reads.read(b.seen)+1)
+	if last := b.known[r.key%knownKeys]; ordered && !strict && last.key == r.key {
 		for j := range n {
 			if b.best[j].server == last.server {
 				b.best[0], b.best[j] = b.best[j], b.best[0]
@@ -516,7 +518,7 @@
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
 		usual := b.usually(s)
 		load := float64(h.out) + usual
-		if load <= limit && math.Pow(b.chance.part(), 1./3)*usual <= overMean*mean {
+		if strict || load <= limit && math.Pow(b.chance.part(), 1./3)*usual <= overMean*mean {
 			return s
 		}
 		if least < 0 || load < lightest {
@@ -786,6 +788,9 @@
 		if how == Errored {
 			b.errors.add(b.seen, 1)
 		}
+		if poor && (how != OK || note > 1) {
+			b.fails.add(b.seen, 1)
+		}
 	}
 }
 
