--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -149,6 +149,7 @@
 
 func TestBusyWidensThenHoldsDouble(t *testing.T) {
 	w := plain(t, 1, 12, nil)
+	w.b.credit = mostCredit
 	i := w.ask(Harmless, 5, second)
 	w.answer(i, 0, Full)
 	if len(w.asked[i].trips) != 2 {
