No look over all servers; only while something is live; the cold budget by all answers

It is now set when a retrieval comes, and touches only servers marked as silent. The cold budget goes by what all ready servers answer in the mean, cold ones too, which errs on the near side.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -183,11 +183,12 @@
 	servers                      []server
 	kinds                        []kind
 	ready                        []int // caches that the list calls ready
-	warm                         int   // how many of them are not cold
+	silent                       []int // servers with overdue trips
 	size                         float64
 	best                         []ranked
 	scope                        Scope
 	failures                     int
+	sweeping                     bool // a look over what is live is due
 	retrievals                   []retrieval
 	live                         []int
 	workloads                    []workload
@@ -196,7 +197,7 @@
 	out                          int // trips in flight at ready caches
 	held                         held
 	good, bad, busy              sum // of all caches, as a server's
-	answers, warmed              sum // of all caches, errors too; of warm ones
+	answers                      sum // of all caches, errors too
 	reads, misses, errors, fails sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor                   sum // trips that ended in time, and late or not at all
 	known                        [knownKeys]read
@@ -259,7 +260,6 @@
 	if b.text("registryMode") == "subscribe" {
 		host.Subscribe()
 	}
-	host.Wake(tagSweep, sweepEvery)
 	return b
 }
 
@@ -360,6 +360,10 @@
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
 	}
 	b.live = append(b.live, i)
+	if !b.sweeping {
+		b.sweeping = true
+		b.host.Wake(tagSweep, sweepEvery)
+	}
 	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(b.seen, 1)
 	if b.beyondShare(tenant) && b.chance.part() > b.admit {
@@ -560,12 +564,13 @@
 	return h.started > 0 && now < h.started+b.warmUp
 }
 
-// coldRoom is the budget of a cold server here. What warm servers answer tells this balancer's part of what a
-// server can do; the stated start and warm-up tell how much of that the cold one can.
+// coldRoom is the budget of a cold server here. What a server answers this balancer in the mean tells its part of what
+// one can do (cold ones count in: that errs on the near side); the stated start and warm-up tell how much of it a cold
+// one can.
 func (b *Balancer) coldRoom(now int64, s int) float64 {
 	h := &b.servers[s]
 	part := b.startPart + (1-b.startPart)*max(0, float64(now-h.started)/float64(b.warmUp))
-	rate := b.warmed.read(b.seen) / float64(memory) * b.pace * float64(second) / float64(max(1, b.warm))
+	rate := b.good.read(b.seen) / float64(memory) * b.pace * float64(second) / float64(max(1, len(b.ready)))
 	rate = max(rate, 0.5/b.balancers) * coldPart * b.multiple * part
 	h.room = min(h.room+rate*float64(now-h.roomAt)/float64(second), 1+rate*float64(b.tipAfter)/float64(second)/4)
 	h.roomAt = now
@@ -759,9 +764,6 @@
 	switch {
 	case how == OK || how == Missing:
 		b.good.add(b.seen, 1)
-		if !b.cold(now, s) {
-			b.warmed.add(b.seen, 1)
-		}
 	case how == Full:
 		h.busy.add(b.seen, 1)
 		b.busy.add(b.seen, 1)
@@ -856,7 +858,9 @@
 			b.admit = min(1, b.admit+0.01)
 		}
 		b.sweep(now)
-		b.host.Wake(tagSweep, sweepEvery)
+		if b.sweeping = len(b.live) > 0; b.sweeping {
+			b.host.Wake(tagSweep, sweepEvery)
+		}
 	case tag == tagList:
 		b.host.Subscribe()
 	case tag-tagHeld < len(b.retrievals):
@@ -872,14 +876,10 @@
 	if n := b.settled.read(b.seen); n >= 3 { // The least mean of late: what trips take while nothing is crowded.
 		b.usual = min(b.took.read(b.seen)/n, max(b.usual, float64(second/1000))*usualGrows)
 	}
-	b.warm = 0
-	for s := range b.servers {
-		h := &b.servers[s]
-		h.overdue = 0
-		if h.health == Ready && s != b.origin && !b.cold(now, s) {
-			b.warm++
-		}
+	for _, s := range b.silent {
+		b.servers[s].overdue = 0
 	}
+	b.silent = b.silent[:0]
 	for n := len(b.live) - 1; n >= 0; n = min(n, len(b.live)) - 1 {
 		i := b.live[n]
 		r := &b.retrievals[i]
@@ -896,6 +896,7 @@
 			continue
 		}
 		h.overdue++
+		b.silent = append(b.silent, r.trips[t].server)
 		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt.
 		// One-shots do: they run to the hard stop.
 		mean, _ := b.posterior(now, r.trips[t].server)
