--- a/choice/choice.go
+++ b/choice/choice.go
@@ -833,11 +833,11 @@
 	for j := range b.tenants {
 		if n := &b.tenants[j]; n.quota > 0 {
 			came := n.asked.read(b.seen)
-			part = min(part, (came+math.Sqrt(came+1))/(n.quota*span))
+			part = min(part, (came+b.admit*math.Sqrt(came+1))/(n.quota*span))
 		}
 	}
 	came, share := b.tenants[t].asked.read(b.seen), b.tenants[t].quota*span*max(part, 1/b.balancers)
-	return b.chance.part()*came > share+math.Sqrt(share)
+	return b.chance.part()*came > share+b.admit*math.Sqrt(share)
 }
 
 // Aborted: the client has gone.
