--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,9 +97,9 @@
 
 // kind is what is known of all ready servers of one kind.
 type kind struct {
-	ready, out int
-	held       held
-	busy       sum
+	ready, out           int
+	held                 held
+	answered, took, busy sum
 }
 
 type workload struct {
@@ -182,6 +182,7 @@
 	pace                         float64 // of that clock: slower while there is little to go by
 	servers                      []server
 	kinds                        []kind
+	all                          kind
 	ready                        []int // caches that the list calls ready
 	silent                       []int // servers with overdue trips
 	size                         float64
@@ -196,7 +197,7 @@
 	meanValue                    float64
 	out                          int // trips in flight at ready caches
 	held                         held
-	good, bad, busy              sum // of all caches, as a server's
+	good, bad                    sum // of all caches, as a server's
 	answers                      sum // of all caches, errors too
 	reads, misses, errors, fails sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor                   sum // trips that ended in time, and late or not at all
@@ -444,14 +445,22 @@
 	}
 }
 
-// usually is how many trips are in flight at a server over time, for each unit of its size. Busy answers count in:
-// others' trips are what fills such a server. While few trips tell of it, those to all of its kind tell more.
-func (b *Balancer) usually(s int) float64 {
+// usually is how many trips are in flight at a server over time, for each unit of its size, and how long each takes.
+// Busy answers count in: others' trips are what fills such a server. While few trips tell of it, those to all of its
+// kind tell more; of these only answers count, as silence is a server's own.
+func (b *Balancer) usually(s int) (load, each float64) {
 	h := &b.servers[s]
 	k, n := &b.kinds[h.kind], h.sent.read(b.seen)
 	own := h.held.read(b.seen, h.out) + busyCounts*h.busy.read(b.seen)
-	like := (k.held.read(b.seen, k.out) + k.busy.read(b.seen)) / float64(max(1, k.ready))
-	return (n*own + likeKind*like) / (n + likeKind) / h.size
+	like := k.held.read(b.seen, k.out) + k.busy.read(b.seen)
+	load = (n*own + likeKind*like/float64(max(1, k.ready))) / (n + likeKind) / h.size
+	return load, (own*float64(memory)/b.pace + likeKind*k.each(b.seen, b.all.each(b.seen, 0))) / (n + likeKind)
+}
+
+// each is how long a trip takes in the mean; before that is known, as long as others do.
+func (k *kind) each(seen int64, others float64) float64 {
+	busy := k.busy.read(seen)
+	return (k.took.read(seen) + busy*float64(memory) + likeKind*others) / (k.answered.read(seen) + busy + likeKind)
 }
 
 // rank puts the first width caches of a key's ranking into b.best, in its order (all: in the list's).
@@ -486,7 +495,6 @@
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	ordered := b.strained(now)
 	n := b.rank(r.key, r.width, ordered)
-	mean := (b.held.read(b.seen, b.out) + b.busy.read(b.seen)) / max(1, b.size)
 	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+b.held.read(b.seen, b.out)/max(1, b.size)) + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three.
@@ -520,9 +528,9 @@
 		}
 		// The mean over time counts too: with under one trip in flight a server, the count of the moment does
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
-		usual := b.usually(s)
-		load := float64(h.out) + usual
-		if strict || load <= limit && math.Pow(b.chance.part(), 1./3)*usual <= overMean*mean {
+		load, each := b.usually(s)
+		load += float64(h.out)
+		if strict || load <= limit && math.Cbrt(b.chance.part())*each <= overMean*b.all.each(b.seen, 0) {
 			return s
 		}
 		if least < 0 || load < lightest {
@@ -766,7 +774,7 @@
 		b.good.add(b.seen, 1)
 	case how == Full:
 		h.busy.add(b.seen, 1)
-		b.busy.add(b.seen, 1)
+		b.all.busy.add(b.seen, 1)
 		b.kinds[h.kind].busy.add(b.seen, 1)
 	case how != Unsent:
 		b.bad.add(b.seen, 1)
@@ -781,6 +789,10 @@
 	}
 	if answered {
 		b.answers.add(b.seen, 1)
+		for _, k := range [2]*kind{&b.all, &b.kinds[h.kind]} {
+			k.answered.add(b.seen, 1)
+			k.took.add(b.seen, float64(took))
+		}
 	}
 	if answered && !r.write {
 		b.reads.add(b.seen, 1)
