--- a/choice/choice.go
+++ b/choice/choice.go
@@ -530,7 +530,7 @@
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
 		load, each := b.usually(s)
 		load += float64(h.out)
-		if strict || load <= limit && math.Cbrt(b.chance.part())*each <= overMean*b.all.each(b.seen, 0) {
+		if strict || load <= limit && math.Pow(b.chance.part(), 0.2)*each <= overMean*b.all.each(b.seen, 0) {
 			return s
 		}
 		if least < 0 || load < lightest {
