--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,7 +15,7 @@
 const (
 	second        = int64(1e9)
 	memory        = 3 * second      // how long what was seen counts
-	sweepEvery    = 25 * int64(1e6) // how often trips in flight are looked over
+	margin        = 25 * int64(1e6) // before the hard stop an answer must be out
 	enough        = 60.0            // retrievals: with fewer in it, memory stretches
 	slowest       = 0.1
 	firstWidth    = 3               // candidates of a key
@@ -31,7 +31,7 @@
 	youngRoom     = 4.0    // trips in flight a server that all balancers together may add while they know no rate
 	leastPart     = 0.5    // of the room is left to keys not read lately
 	knownKeys     = 8191   // places for keys read lately
-	usualGrows    = 1.0005 // a sweep, so that the usual time is found again when it has risen
+	usualGrows    = 1.0005 // an answer, so that the usual time is found again when it has risen
 	mostValued    = 3.0    // times that for what has the most value
 	valueOver     = 100    // the mean value is taken over so many retrievals
 	late          = 0.75   // of the expected time: a trip that takes longer is poor
@@ -46,8 +46,7 @@
 )
 
 const ( // what a timer is for
-	tagSweep = iota
-	tagList
+	tagList = iota
 	tagHeld // and the retrieval's index
 )
 
@@ -82,10 +81,10 @@
 type server struct {
 	hash             uint64
 	health           Health
-	started, heard   int64 // when it last started, and last answered
+	started          int64 // when it last started
 	kind, zone, cell int
 	listed           bool
-	out, overdue     int     // trips in flight, and those overdue while it is silent
+	out              int     // trips in flight
 	size             float64 // by the list
 	held             held
 	sent             sum // trips
@@ -108,7 +107,6 @@
 	remembers, expected int64 // stamped: how long repeats are dropped
 	stretch, tardy      float64
 	value               float64
-	n, took, tookTook   sum // answers, their times and squared times
 }
 
 type tenant struct {
@@ -184,12 +182,10 @@
 	kinds                        []kind
 	all                          kind
 	ready                        []int // caches that the list calls ready
-	silent                       []int // servers with overdue trips
 	size                         float64
 	best                         []ranked
 	scope                        Scope
 	failures                     int
-	sweeping                     bool // a look over what is live is due
 	retrievals                   []retrieval
 	live                         []int
 	workloads                    []workload
@@ -198,7 +194,6 @@
 	out                          int // trips in flight at ready caches
 	held                         held
 	good, bad                    sum // of all caches, as a server's
-	answers                      sum // of all caches, errors too
 	reads, misses, errors, fails sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor                   sum // trips that ended in time, and late or not at all
 	known                        [knownKeys]read
@@ -246,7 +241,6 @@
 		w := workload{group: b.text(at + "group"), remembers: b.span(at + "dedupWindow"),
 			expected: b.span(at + "expectedTime"), stretch: b.number(at + "aimStretch"),
 			value: b.number(at + "value"), tardy: b.number(at + "tardyValue")}
-		w.n.life, w.took.life, w.tookTook.life = 4*memory, 4*memory, 4*memory
 		switch b.text(at + "effect") {
 		case "guarded":
 			w.effect = Stamped
@@ -299,7 +293,7 @@
 		for i := range len(address) {
 			hash = (hash ^ uint64(address[i])) * 1099511628211
 		}
-		b.servers = append(b.servers, server{hash: hash, credit: 1, heard: now, roomAt: now})
+		b.servers = append(b.servers, server{hash: hash, credit: 1, roomAt: now})
 	}
 	h := &b.servers[s]
 	if started > h.started {
@@ -361,10 +355,6 @@
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
 	}
 	b.live = append(b.live, i)
-	if !b.sweeping {
-		b.sweeping = true
-		b.host.Wake(tagSweep, sweepEvery)
-	}
 	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(b.seen, 1)
 	if b.beyondShare(tenant) && b.chance.part() > b.admit {
@@ -549,7 +539,7 @@
 
 // doubted draws from the posterior of a server's chance of success.
 func (b *Balancer) doubted(now int64, s int) bool {
-	if h := &b.servers[s]; h.bad.read(b.seen)+float64(h.overdue) < 0.5 {
+	if h := &b.servers[s]; h.bad.read(b.seen) < 0.5 {
 		return false
 	}
 	mean, spread := b.posterior(now, s)
@@ -558,10 +548,10 @@
 }
 
 // posterior is the mean and spread of a server's chance of success, as a part of the chance that all have: an
-// origin in trouble makes all fail alike. Trips overdue at a silent server count before they end.
+// origin in trouble makes all fail alike.
 func (b *Balancer) posterior(now int64, s int) (mean, spread float64) {
 	h := &b.servers[s]
-	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+float64(h.overdue)+firstBad
+	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
 	all, amiss := b.good.read(b.seen)+firstGood, b.bad.read(b.seen)+firstBad
 	n := good + bad
 	return good / n * (all + amiss) / all, math.Sqrt(good*bad/(n*n*(n+1))) * (all + amiss) / all
@@ -668,7 +658,8 @@
 func (b *Balancer) fetch(now int64, i int) {
 	r := &b.retrievals[i]
 	if leader, out := b.fetches[r.key]; out && leader != i {
-		r.waiting = true
+		r.waiting, r.heldUntil = true, max(now, r.due-margin)
+		b.host.Wake(tagHeld+i, r.heldUntil-now)
 		return
 	}
 	b.fetches[r.key], r.fetching = i, true
@@ -742,9 +733,6 @@
 	if how == CalledOff && !r.live {
 		return
 	}
-	if answered || how == Full {
-		h.heard = now
-	}
 	switch {
 	case how == OK || how == Missing:
 		h.good.add(b.seen, 1)
@@ -758,6 +746,11 @@
 	} else {
 		b.fine.add(b.seen, 1)
 	}
+	if poor := b.poor.read(b.seen); poor > mostPoor*(b.fine.read(b.seen)+poor)+0.5 {
+		b.admit = max(0.02, b.admit*0.95)
+	} else {
+		b.admit = min(1, b.admit+0.01)
+	}
 	if !cache {
 		// Guards writes against reads that crowd a short origin: the reads' room gives way and comes back.
 		if r.write {
@@ -782,13 +775,11 @@
 	if how == OK {
 		b.settled.add(b.seen, 1)
 		b.took.add(b.seen, float64(took))
+		// The least mean of late: what trips take while nothing is crowded.
+		b.usual = min(b.took.read(b.seen)/b.settled.read(b.seen), b.usual*usualGrows)
 		b.known[r.key%knownKeys] = read{r.key, s}
-		w.n.add(b.seen, 1)
-		w.took.add(b.seen, float64(took))
-		w.tookTook.add(b.seen, float64(took)*float64(took))
 	}
 	if answered {
-		b.answers.add(b.seen, 1)
 		for _, k := range [2]*kind{&b.all, &b.kinds[h.kind]} {
 			k.answered.add(b.seen, 1)
 			k.took.add(b.seen, float64(took))
@@ -823,7 +814,7 @@
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: some for each server.
 	free := 1 + float64(len(b.ready))*(1+youngRoom*young)/b.balancers
 	seen := 1 - math.Exp(-float64(b.seen+second/4)/float64(memory))
-	rate := b.answers.read(b.seen) / seen / float64(memory) * b.pace
+	rate := b.all.answered.read(b.seen) / seen / float64(memory) * b.pace
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
 	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
@@ -863,78 +854,19 @@
 func (b *Balancer) Woke(now int64, tag int) {
 	b.passes(now)
 	switch {
-	case tag == tagSweep:
-		if poor := b.poor.read(b.seen); poor > mostPoor*(b.fine.read(b.seen)+poor)+0.5 {
-			b.admit = max(0.02, b.admit*0.95)
-		} else {
-			b.admit = min(1, b.admit+0.01)
-		}
-		b.sweep(now)
-		if b.sweeping = len(b.live) > 0; b.sweeping {
-			b.host.Wake(tagSweep, sweepEvery)
-		}
 	case tag == tagList:
 		b.host.Subscribe()
 	case tag-tagHeld < len(b.retrievals):
 		if r := &b.retrievals[tag-tagHeld]; r.live && r.heldUntil > 0 && r.heldUntil <= now {
-			r.heldUntil = 0
-			b.route(now, tag-tagHeld)
-		}
-	}
-}
-
-// sweep looks over what is live: silence is evidence before any outcome.
-func (b *Balancer) sweep(now int64) {
-	if n := b.settled.read(b.seen); n >= 3 { // The least mean of late: what trips take while nothing is crowded.
-		b.usual = min(b.took.read(b.seen)/n, max(b.usual, float64(second/1000))*usualGrows)
-	}
-	for _, s := range b.silent {
-		b.servers[s].overdue = 0
-	}
-	b.silent = b.silent[:0]
-	for n := len(b.live) - 1; n >= 0; n = min(n, len(b.live)) - 1 {
-		i := b.live[n]
-		r := &b.retrievals[i]
-		if r.out == 0 {
-			if now+2*sweepEvery >= r.due { // Nothing is out: its answer may not wait for the next sweep.
-				b.finish(now, i)
+			if r.heldUntil = 0; r.waiting { // The fetch did not come: its answer may not wait any longer.
+				b.finish(now, tag-tagHeld)
+				return
 			}
-			continue
-		}
-		t, w := len(r.trips)-1, &b.workloads[r.workload]
-		h := &b.servers[r.trips[t].server]
-		if r.trips[t].ran != running || r.trips[t].server == b.origin || r.stop == math.MaxInt64 ||
-			h.heard >= r.trips[t].sent || now-r.trips[t].sent < w.overdueAfter(b.seen) {
-			continue
-		}
-		h.overdue++
-		b.silent = append(b.silent, r.trips[t].server)
-		// Guards against hung servers: what may run again does not wait for one that is silent and in doubt.
-		// One-shots do: they run to the hard stop.
-		mean, _ := b.posterior(now, r.trips[t].server)
-		switch {
-		case mean >= doubt, now >= r.due, t+1 >= b.mostTrips, w.effect == OneShot:
-		case b.copies:
-			if s := b.pick(now, r); s >= 0 && b.maySend(now, r, s) {
-				b.send(now, i, s)
-			}
-		case b.mayCallOff:
-			b.host.CallOff(i, t)
+			b.route(now, tag-tagHeld)
 		}
 	}
 }
 
-// overdueAfter is the age at which a trip is overdue.
-func (w *workload) overdueAfter(seen int64) int64 {
-	n := w.n.read(seen)
-	if n < 3 {
-		return w.expected / 2
-	}
-	mean := w.took.read(seen) / n
-	spread := math.Sqrt(max(0, w.tookTook.read(seen)/n-mean*mean))
-	return min(w.expected, max(w.expected/8, int64(mean+3*spread)))
-}
-
 // Probed: the result of a probe. This module sends none.
 func (b *Balancer) Probed(now int64, s int, how Outcome, took int64) {}
 
