--- a/choice/choice.go
+++ b/choice/choice.go
@@ -173,45 +173,45 @@
 
 // Balancer is what one balancer knows.
 type Balancer struct {
-	host                         Host
-	values                       map[string]any
-	chance                       chance
-	began, now, seen             int64   // seen: the clock by which what was seen fades
-	pace                         float64 // of that clock: slower while there is little to go by
-	servers                      []server
-	kinds                        []kind
-	all                          kind
-	ready                        []int // caches that the list calls ready
-	size                         float64
-	best                         []ranked
-	scope                        Scope
-	failures                     int
-	retrievals                   []retrieval
-	live                         []int
-	workloads                    []workload
-	tenants                      []tenant
-	meanValue                    float64
-	out                          int // trips in flight at ready caches
-	held                         held
-	good, bad                    sum // of all caches, as a server's
-	reads, misses, errors, fails sum // answers to reads; those that needed the origin or failed; that failed
-	fine, poor                   sum // trips that ended in time, and late or not at all
-	known                        [knownKeys]read
-	credit                       float64 // for further trips, wherever they go
-	over, inTime                 sum     // retrievals that have had their answer; those settled in time
-	asked, turned                sum     // retrievals that came, and those dismissed for the crowd
-	settled, took                sum     // trips that caches settled, and their times
-	usual                        float64 // time of a trip while nothing is crowded
-	admit                        float64 // the part of what is beyond a share that is let in
-	aside                        bool
-	origin                       int            // aside: its index, -1 if none is listed
-	fetches                      map[uint64]int // aside: key to the retrieval that asks the origin for it
-	room                         float64        // aside: how many reads may be out at the origin
-	copies, mayCallOff           bool
-	mostTrips                    int
-	warmUp, tipAfter             int64
-	startPart, multiple          float64
-	balancers, comeBackAfter     float64
+	host                     Host
+	values                   map[string]any
+	chance                   chance
+	began, now, seen         int64   // seen: the clock by which what was seen fades
+	pace                     float64 // of that clock: slower while there is little to go by
+	servers                  []server
+	kinds                    []kind
+	all                      kind
+	ready                    []int // caches that the list calls ready
+	size                     float64
+	best                     []ranked
+	scope                    Scope
+	failures                 int
+	retrievals               []retrieval
+	live                     []int
+	workloads                []workload
+	tenants                  []tenant
+	meanValue                float64
+	out                      int // trips in flight at ready caches
+	held                     held
+	good, bad                sum // of all caches, as a server's
+	reads, misses, fails     sum // answers to reads; those that needed the origin or failed; that failed
+	fine, poor               sum // trips that ended in time, and late or not at all
+	known                    [knownKeys]read
+	credit                   float64 // for further trips, wherever they go
+	over, inTime             sum     // retrievals that have had their answer; those settled in time
+	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
+	settled, took            sum     // trips that caches settled, and their times
+	usual                    float64 // time of a trip while nothing is crowded
+	admit                    float64 // the part of what is beyond a share that is let in
+	aside                    bool
+	origin                   int            // aside: its index, -1 if none is listed
+	fetches                  map[uint64]int // aside: key to the retrieval that asks the origin for it
+	room                     float64        // aside: how many reads may be out at the origin
+	copies, mayCallOff       bool
+	mostTrips                int
+	warmUp, tipAfter         int64
+	startPart, multiple      float64
+	balancers, comeBackAfter float64
 }
 
 func (b *Balancer) number(name string) float64 { x, _ := b.values[name].(float64); return x }
@@ -711,7 +711,7 @@
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
 	case now >= r.stop || s == b.origin && how != Full,
-		how == Errored && b.errors.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
+		how == Errored && b.fails.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
@@ -790,9 +790,6 @@
 		if how != OK || note > 1 {
 			b.misses.add(b.seen, 1)
 		}
-		if how == Errored {
-			b.errors.add(b.seen, 1)
-		}
 		if poor && (how != OK || note > 1) {
 			b.fails.add(b.seen, 1)
 		}
