--- a/choice/choice.go
+++ b/choice/choice.go
@@ -101,8 +101,6 @@
 	answered, took, busy sum
 }
 
-type zone struct{ good, bad sum }
-
 type workload struct {
 	effect              Effect
 	group               string
@@ -182,7 +180,6 @@
 	pace                     float64 // of that clock: slower while there is little to go by
 	servers                  []server
 	kinds                    []kind
-	zones                    []zone
 	all                      kind
 	ready                    []int // caches that the list calls ready
 	size                     float64
@@ -289,7 +286,7 @@
 }
 
 // Row is one entry of the list.
-func (b *Balancer) Row(now int64, s int, address string, health Health, started int64, kind, zoneOf, cell int,
+func (b *Balancer) Row(now int64, s int, address string, health Health, started int64, kind, zone, cell int,
 	size float64) {
 	if s == len(b.servers) {
 		hash := uint64(14695981039346656037)
@@ -298,14 +295,11 @@
 		}
 		b.servers = append(b.servers, server{hash: hash, credit: 1, roomAt: now})
 	}
-	for len(b.zones) <= zoneOf {
-		b.zones = append(b.zones, zone{})
-	}
 	h := &b.servers[s]
 	if started > h.started {
 		h.started, h.room, h.roomAt = started, 0, now // Guards against a burst at a server that just started.
 	}
-	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, kind, zoneOf, cell, true, 1
+	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, kind, zone, cell, true, 1
 	if size > 0 {
 		h.size = size
 	}
@@ -516,7 +510,7 @@
 		if !b.mayReach(now, r, s) || len(r.trips) > 0 && min(b.credit, h.credit) < 1 || tried && len(b.ready) > len(r.trips) {
 			continue
 		}
-		if b.doubted(s) {
+		if b.doubted(now, s) {
 			if last < 0 || h.out < b.servers[last].out {
 				last = s
 			}
@@ -543,21 +537,24 @@
 	return b.misses.read(b.seen) > strain*(b.reads.read(b.seen)+1)
 }
 
-// doubted draws from the posterior of a server's chance of success, as a part of the chance that all have: an origin
-// in trouble makes all fail alike. The prior is its zone's: a zone that is lost is lost to balancers that hardly see
-// each of its servers.
-func (b *Balancer) doubted(s int) bool {
-	h := &b.servers[s]
-	z := &b.zones[h.zone]
-	p := (z.good.read(b.seen) + firstGood) / (z.good.read(b.seen) + z.bad.read(b.seen) + firstGood + firstBad)
-	good, bad := h.good.read(b.seen)+firstGood*p, h.bad.read(b.seen)+firstGood*(1-p)
-	if bad < 0.4 {
+// doubted draws from the posterior of a server's chance of success.
+func (b *Balancer) doubted(now int64, s int) bool {
+	if h := &b.servers[s]; h.bad.read(b.seen) < 0.5 {
 		return false
 	}
-	n, all := good+bad, b.good.read(b.seen)+firstGood
+	mean, spread := b.posterior(now, s)
 	normal := b.chance.part() + b.chance.part() + b.chance.part() + b.chance.part() - 2 // of variance 1/3
-	mean, spread := good/n, math.Sqrt(good*bad/(n*n*(n+1)))
-	return mean+normal*math.Sqrt(3)*spread < doubt*all/(all+b.bad.read(b.seen)+firstBad)
+	return mean+normal*math.Sqrt(3)*spread < doubt
+}
+
+// posterior is the mean and spread of a server's chance of success, as a part of the chance that all have: an
+// origin in trouble makes all fail alike.
+func (b *Balancer) posterior(now int64, s int) (mean, spread float64) {
+	h := &b.servers[s]
+	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
+	all, amiss := b.good.read(b.seen)+firstGood, b.bad.read(b.seen)+firstBad
+	n := good + bad
+	return good / n * (all + amiss) / all, math.Sqrt(good*bad/(n*n*(n+1))) * (all + amiss) / all
 }
 
 func (b *Balancer) cold(now int64, s int) bool {
@@ -768,14 +765,12 @@
 	switch {
 	case how == OK || how == Missing:
 		b.good.add(b.seen, 1)
-		b.zones[h.zone].good.add(b.seen, 1)
 	case how == Full:
 		h.busy.add(b.seen, 1)
 		b.all.busy.add(b.seen, 1)
 		b.kinds[h.kind].busy.add(b.seen, 1)
 	case how != Unsent:
 		b.bad.add(b.seen, 1)
-		b.zones[h.zone].bad.add(b.seen, 1)
 	}
 	if how == OK {
 		b.settled.add(b.seen, 1)
