--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,6 +24,7 @@
 	overMean      = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
 	overBy        = 0.3
 	likeKind      = 2.0    // what all of its kind tell of a server counts as so many trips of its own
+	jam           = 3.0    // times the mean time of a trip: where one takes longer, none is sent while others are left
 	busyCounts    = 2.0    // a busy answer counts as so many in flight
 	strain        = 0.15   // more misses than this part of the reads strain the origin
 	crowd         = 0.15   // of the expected time may be spent by what is in flight
@@ -520,6 +521,9 @@
 		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
 		load, each := b.usually(s)
 		load += float64(h.out)
+		if r.width < len(b.ready) && each > jam*b.all.each(b.seen, 0) {
+			continue // Guards against a key that is more than its three can take: as after a busy answer.
+		}
 		if strict || load <= limit && math.Pow(b.chance.part(), 0.2)*each <= overMean*b.all.each(b.seen, 0) {
 			return s
 		}
