--- a/choice/choice.go
+++ b/choice/choice.go
@@ -95,12 +95,8 @@
 	roomAt           int64
 }
 
-// kind is what is known of all ready servers of one kind.
-type kind struct {
-	ready, out           int
-	held                 held
-	answered, took, busy sum
-}
+// kind is what the servers of one kind answered.
+type kind struct{ answered, took, busy sum }
 
 type workload struct {
 	effect              Effect
@@ -115,19 +111,15 @@
 	asked sum
 }
 
-// A sum decays: what was added counts less and less, over life (0: memory).
+// A sum decays: what was added counts less and less.
 type sum struct {
-	value    float64
-	at, life int64
+	value float64
+	at    int64
 }
 
 func (s *sum) read(now int64) float64 {
 	if now > s.at {
-		life := memory
-		if s.life > 0 {
-			life = s.life
-		}
-		s.value *= math.Exp(-float64(now-s.at) / float64(life))
+		s.value *= math.Exp(-float64(now-s.at) / float64(memory))
 		s.at = now
 	}
 	return s.value
@@ -222,9 +214,9 @@
 
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
-	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, credit: 1, fetches: map[uint64]int{}, admit: 1,
-		room: firstRoom, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
-		fine: sum{life: second}, poor: sum{life: second}, usual: float64(second)}
+	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1,
+		credit: 1, admit: 1, room: firstRoom, fetches: map[uint64]int{}, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
+		usual: float64(second)}
 	for range 8 {
 		b.chance.next()
 	}
@@ -311,10 +303,6 @@
 	b.passes(now)
 	b.held.read(b.seen, b.out)
 	b.ready, b.out, b.origin, b.size = b.ready[:0], 0, -1, 0
-	for k := range b.kinds {
-		b.kinds[k].held.read(b.seen, b.kinds[k].out)
-		b.kinds[k].ready, b.kinds[k].out = 0, 0
-	}
 	for s := range b.servers {
 		h := &b.servers[s]
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
@@ -326,8 +314,6 @@
 			for len(b.kinds) <= h.kind {
 				b.kinds = append(b.kinds, kind{})
 			}
-			b.kinds[h.kind].ready++
-			b.kinds[h.kind].out += h.out
 			b.ready = append(b.ready, s)
 			b.out += h.out
 			b.size += h.size
@@ -358,21 +344,17 @@
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(b.seen, 1)
-	if b.beyondShare(tenant) && b.chance.part() > b.admit {
-		b.finish(now, i)
-		return
-	}
-	if b.vain(r) {
+	switch {
+	case b.beyondShare(tenant) && b.chance.part() > b.admit:
+	case b.vain(r):
 		b.over.add(b.seen, 1)
-		b.finish(now, i)
-		return
-	}
-	if b.crowded(now, r) {
+	case b.crowded(now, r):
 		b.turned.add(b.seen, 1)
-		b.finish(now, i)
+	default:
+		b.route(now, i)
 		return
 	}
-	b.route(now, i)
+	b.finish(now, i)
 }
 
 // route is the ordinary path: one of the key's candidates at random, from as many as busy answers call for.
@@ -429,10 +411,7 @@
 	r.out += by
 	h.out += by
 	if h.health == Ready && s != b.origin {
-		k := &b.kinds[h.kind]
-		k.held.read(b.seen, k.out)
 		b.out += by
-		k.out += by
 	}
 }
 
@@ -443,9 +422,8 @@
 	h := &b.servers[s]
 	k, n := &b.kinds[h.kind], h.sent.read(b.seen)
 	own := h.held.read(b.seen, h.out) + busyCounts*h.busy.read(b.seen)
-	like := k.held.read(b.seen, k.out) + k.busy.read(b.seen)
-	load = (n*own + likeKind*like/float64(max(1, k.ready))) / (n + likeKind) / h.size
-	return load, (own*float64(memory)/b.pace + likeKind*k.each(b.seen, b.all.each(b.seen, 0))) / (n + likeKind)
+	each = (own*float64(memory)/b.pace + likeKind*k.each(b.seen, b.all.each(b.seen, 0))) / (n + likeKind)
+	return own / h.size, each
 }
 
 // each is how long a trip takes in the mean; before that is known, as long as others do.
@@ -508,7 +486,8 @@
 		copy(b.best[j:n], b.best[j+1:n])
 		h := &b.servers[s]
 		tried := slices.ContainsFunc(r.trips, func(t trip) bool { return t.server == s })
-		if !b.mayReach(now, r, s) || len(r.trips) > 0 && min(b.credit, h.credit) < 1 || tried && len(b.ready) > len(r.trips) {
+		if !b.mayReach(now, r, s) || len(r.trips) > 0 && min(b.credit, h.credit) < 1 ||
+			tried && len(b.ready) > len(r.trips) {
 			continue
 		}
 		if b.doubted(now, s) {
