What is saved for a cold server starts at a random part of one trip

Cause: from nothing, hundreds of balancers save up for their first trip for tens of seconds and then all send at once. Started anywhere under one, the fleet's sum is the budget from the start, spread by chance.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,12 +24,12 @@
 	overMean      = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
 	overBy        = 0.3
 	likeKind      = 2.0    // what all of its kind tell of a server counts as so many trips of its own
-	jam           = 3.0    // times the mean time of a trip: where one takes longer, none is sent while others are left
+	jam           = 3.0    // times the mean time of a trip: a server that takes longer is left for others
 	busyCounts    = 2.0    // a busy answer counts as so many in flight
 	strain        = 0.15   // more misses than this part of the reads strain the origin
 	crowd         = 0.15   // of the expected time may be spent by what is in flight
 	beyondSettled = 1.5    // so many retrievals are let in for each one settled in time
-	youngRoom     = 4.0    // trips in flight a server that all balancers together may add while they know no rate
+	youngRoom     = 4.0    // trips in flight a server that all balancers may add while they know no rate
 	leastPart     = 0.5    // of the room is left to keys not read lately
 	knownKeys     = 8191   // places for keys read lately
 	usualGrows    = 1.0005 // an answer, so that the usual time is found again when it has risen
@@ -215,8 +215,8 @@
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1,
-		credit: 1, admit: 1, room: firstRoom, fetches: map[uint64]int{}, chance: chance{seed ^ 0x9e3779b97f4a7c15, 1},
-		usual: float64(second)}
+		credit: 1, admit: 1, room: firstRoom, fetches: map[uint64]int{}, usual: float64(second),
+		chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
 	for range 8 {
 		b.chance.next()
 	}
@@ -251,8 +251,8 @@
 	return b
 }
 
-// passes moves the clocks. What was seen fades slower while few retrievals come, so that what is known always rests
-// on enough of them.
+// passes moves the clocks. What was seen fades slower while few retrievals come, so that what is known
+// always rests on enough of them.
 func (b *Balancer) passes(now int64) {
 	b.seen += int64(float64(now-b.now) * b.pace)
 	b.now, b.pace = now, min(1, max(slowest, b.asked.read(b.seen)/enough))
@@ -290,7 +290,7 @@
 	}
 	h := &b.servers[s]
 	if started > h.started {
-		h.started, h.room, h.roomAt = started, 0, now // Guards against a burst at a server that just started.
+		h.started, h.room, h.roomAt = started, b.chance.part(), now // Else all wait, then come at once.
 	}
 	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, kind, zone, cell, true, 1
 	if size > 0 {
@@ -415,9 +415,9 @@
 	}
 }
 
-// usually is how many trips are in flight at a server over time, for each unit of its size, and how long each takes.
-// Busy answers count in: others' trips are what fills such a server. While few trips tell of it, those to all of its
-// kind tell more; of these only answers count, as silence is a server's own.
+// usually is how many trips are in flight at a server over time, for each unit of its size, and how long
+// each takes. Busy answers count in: others' trips are what fills such a server. While few trips tell of
+// it, those to all of its kind tell more; of these only answers count, as silence is a server's own.
 func (b *Balancer) usually(s int) (load, each float64) {
 	h := &b.servers[s]
 	k, n := &b.kinds[h.kind], h.sent.read(b.seen)
@@ -429,7 +429,8 @@
 // each is how long a trip takes in the mean; before that is known, as long as others do.
 func (k *kind) each(seen int64, others float64) float64 {
 	busy := k.busy.read(seen)
-	return (k.took.read(seen) + busy*float64(memory) + likeKind*others) / (k.answered.read(seen) + busy + likeKind)
+	n := k.answered.read(seen) + busy + likeKind
+	return (k.took.read(seen) + busy*float64(memory) + likeKind*others) / n
 }
 
 // rank puts the first width caches of a key's ranking into b.best, in its order (all: in the list's).
@@ -464,10 +465,11 @@
 func (b *Balancer) pick(now int64, r *retrieval) int {
 	ordered := b.strained(now)
 	n := b.rank(r.key, r.width, ordered)
-	limit := overMean*(float64(b.out)/float64(max(1, len(b.ready)))+b.held.read(b.seen, b.out)/max(1, b.size)) + overBy
+	mean := float64(b.out)/float64(max(1, len(b.ready))) + b.held.read(b.seen, b.out)/max(1, b.size)
+	limit := overMean*mean + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
-	// order of its ranking, so that it is fetched for one cache and not for three.
-	// While the origin fails, one more fetch is dearer than any queue: the first of the ranking, whatever its load.
+	// order of its ranking, so that it is fetched for one cache and not for three. While the origin fails, one
+	// more fetch is dearer than any queue: the first of the ranking, whatever its load.
 	strict := ordered && b.fails.read(b.seen) > strain*(b.reads.read(b.seen)+1)
 	if last := b.known[r.key%knownKeys]; ordered && !strict && last.key == r.key {
 		for j := range n {
@@ -530,8 +532,8 @@
 	return mean+normal*math.Sqrt(3)*spread < doubt
 }
 
-// posterior is the mean and spread of a server's chance of success, as a part of the chance that all have: an
-// origin in trouble makes all fail alike.
+// posterior is the mean and spread of a server's chance of success, as a part of the chance that all have:
+// an origin in trouble makes all fail alike.
 func (b *Balancer) posterior(now int64, s int) (mean, spread float64) {
 	h := &b.servers[s]
 	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
@@ -545,9 +547,9 @@
 	return h.started > 0 && now < h.started+b.warmUp
 }
 
-// coldRoom is the budget of a cold server here. What a server answers this balancer in the mean tells its part of what
-// one can do (cold ones count in: that errs on the near side); the stated start and warm-up tell how much of it a cold
-// one can.
+// coldRoom is the budget of a cold server here. What a server answers this balancer in the mean tells its
+// part of what one can do (cold ones count in: that errs on the near side); the stated start and warm-up
+// tell how much of it a cold one can.
 func (b *Balancer) coldRoom(now int64, s int) float64 {
 	h := &b.servers[s]
 	part := b.startPart + (1-b.startPart)*max(0, float64(now-h.started)/float64(b.warmUp))
@@ -779,8 +781,9 @@
 	}
 }
 
-// vain draws whether a retrieval is beyond what the fleet settles in time. Guards against a fleet that all balancers
-// keep jammed: what is let in follows what comes out, by counts that mean the same in a thin view as in a thick one.
+// vain draws whether a retrieval is beyond what the fleet settles in time. Guards against a fleet that all
+// balancers keep jammed: what is let in follows what comes out, by counts that mean the same in a thin view
+// as in a thick one.
 func (b *Balancer) vain(r *retrieval) bool {
 	w, over := &b.workloads[r.workload], b.over.read(b.seen)
 	may := beyondSettled*b.inTime.read(b.seen)*min(mostValued, max(1, w.value/b.meanValue)) + 2*math.Sqrt(over+1)
@@ -804,9 +807,10 @@
 	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
-// beyondShare draws whether a retrieval is among what its tenant sends beyond its share of what comes in here. This
-// balancer's part of all traffic is told by the tenant that uses least of its own share. Counts vary by their root:
-// that much is not held against anybody, so that a few retrievals do not cut a tenant that is inside its share.
+// beyondShare draws whether a retrieval is among what its tenant sends beyond its share of what comes in
+// here. This balancer's part of all traffic is told by the tenant that uses least of its own share. Counts
+// vary by their root: that much is not held against anybody, so that a few retrievals do not cut a tenant
+// that is inside its share.
 func (b *Balancer) beyondShare(t int) bool {
 	if t < 0 || b.tenants[t].quota <= 0 {
 		return false
