--- a/choice/choice.go
+++ b/choice/choice.go
@@ -695,14 +695,14 @@
 	case noMore:
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
-	case now >= r.stop || s == b.origin && how != Full,
+	case now >= r.stop || s == b.origin && how != Full && how != Unreached,
 		how == Errored && b.fails.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
-	case how == Full && (s == b.origin || r.width >= len(b.ready)):
+	case (how == Full || how == Unreached) && (s == b.origin || r.width >= len(b.ready)):
 		b.wait(now, i)
-	case how == Full:
+	case how == Full, how == Unreached:
 		r.width *= widening
 		b.route(now, i)
 	default:
@@ -723,7 +723,7 @@
 		h.good.add(b.seen, 1)
 		h.credit = min(mostCredit, h.credit+perAnswer)
 		b.credit = min(mostCredit, b.credit+perAnswer)
-	case how != Full && how != Unsent:
+	case how != Full && how != Unreached && how != Unsent:
 		h.bad.add(b.seen, 1) // Quick errors too: a server that fails fast never looks busy.
 	}
 	if poor {
@@ -750,7 +750,7 @@
 	switch {
 	case how == OK || how == Missing:
 		b.good.add(b.seen, 1)
-	case how == Full:
+	case how == Full, how == Unreached:
 		h.busy.add(b.seen, 1)
 		b.all.busy.add(b.seen, 1)
 		b.kinds[h.kind].busy.add(b.seen, 1)
