--- a/choice/choice.go
+++ b/choice/choice.go
@@ -82,7 +82,7 @@
 type server struct {
 	hash             uint64
 	health           Health
-	started          int64 // when it last started
+	started, idleAt  int64 // when it last started, and when its connection will have been idle for too long
 	kind, zone, cell int
 	listed           bool
 	out              int     // trips in flight
@@ -166,45 +166,46 @@
 
 // Balancer is what one balancer knows.
 type Balancer struct {
-	host                     Host
-	values                   map[string]any
-	chance                   chance
-	began, now, seen         int64   // seen: the clock by which what was seen fades
-	pace                     float64 // of that clock: slower while there is little to go by
-	servers                  []server
-	kinds                    []kind
-	all                      kind
-	ready                    []int // caches that the list calls ready
-	size                     float64
-	best                     []ranked
-	scope                    Scope
-	failures                 int
-	retrievals               []retrieval
-	live                     []int
-	workloads                []workload
-	tenants                  []tenant
-	meanValue                float64
-	out                      int // trips in flight at ready caches
-	held                     held
-	good, bad                sum // of all caches, as a server's
-	reads, misses, fails     sum // answers to reads; those that needed the origin or failed; that failed
-	fine, poor               sum // trips that ended in time, and late or not at all
-	known                    [knownKeys]read
-	credit                   float64 // for further trips, wherever they go
-	over, inTime             sum     // retrievals that have had their answer; those settled in time
-	asked, turned            sum     // retrievals that came, and those dismissed for the crowd
-	settled, took            sum     // trips that caches settled, and their times
-	usual                    float64 // time of a trip while nothing is crowded
-	admit                    float64 // the part of what is beyond a share that is let in
-	aside                    bool
-	origin                   int            // aside: its index, -1 if none is listed
-	fetches                  map[uint64]int // aside: key to the retrieval that asks the origin for it
-	room                     float64        // aside: how many reads may be out at the origin
-	copies, mayCallOff       bool
-	mostTrips                int
-	warmUp, tipAfter         int64
-	startPart, multiple      float64
-	balancers, comeBackAfter float64
+	host                       Host
+	values                     map[string]any
+	chance                     chance
+	began, now, seen           int64   // seen: the clock by which what was seen fades
+	pace                       float64 // of that clock: slower while there is little to go by
+	servers                    []server
+	kinds                      []kind
+	all                        kind
+	ready                      []int // caches that the list calls ready
+	size                       float64
+	best                       []ranked
+	scope                      Scope
+	failures                   int
+	retrievals                 []retrieval
+	live                       []int
+	workloads                  []workload
+	tenants                    []tenant
+	meanValue                  float64
+	out                        int // trips in flight at ready caches
+	held                       held
+	good, bad                  sum // of all caches, as a server's
+	reads, misses, fails       sum // answers to reads; those that needed the origin or failed; that failed
+	fine, poor                 sum // trips that ended in time, and late or not at all
+	known                      [knownKeys]read
+	credit                     float64 // for further trips, wherever they go
+	over, inTime               sum     // retrievals that have had their answer; those settled in time
+	asked, turned              sum     // retrievals that came, and those dismissed for the crowd
+	settled, took              sum     // trips that caches settled, and their times
+	usual                      float64 // time of a trip while nothing is crowded
+	admit                      float64 // the part of what is beyond a share that is let in
+	aside                      bool
+	origin                     int            // aside: its index, -1 if none is listed
+	fetches                    map[uint64]int // aside: key to the retrieval that asks the origin for it
+	room                       float64        // aside: how many reads may be out at the origin
+	copies, mayCallOff         bool
+	mostTrips                  int
+	warmUp, tipAfter, connIdle int64
+	unreached                  sum // trips for which no connection could be had
+	startPart, multiple        float64
+	balancers, comeBackAfter   float64
 }
 
 func (b *Balancer) number(name string) float64 { x, _ := b.values[name].(float64); return x }
@@ -225,6 +226,7 @@
 	b.copies, b.mayCallOff = b.yes("allowed.secondCopies"), b.yes("allowed.cancelling")
 	b.startPart, b.warmUp = b.number("invariants.startCapacity"), b.span("invariants.warmUp")
 	b.multiple, b.tipAfter = b.number("invariants.fallMultiple"), b.span("invariants.tipAfter")
+	b.connIdle = b.span("allowed.connIdle")
 	b.balancers = max(1, b.number("balancers"))
 	if b.yes("allowed.retryAfter") {
 		b.comeBackAfter = b.number("allowed.maxRetryAfter") * 1e6 / 4
@@ -478,6 +480,8 @@
 			}
 		}
 	}
+	// Guards against full tables of connections: while connects fail, trips keep to those that are still open.
+	short := b.unreached.read(b.seen) > strain*(b.good.read(b.seen)+1)
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n-- {
 		j := 0
@@ -492,7 +496,7 @@
 			tried && len(b.ready) > len(r.trips) {
 			continue
 		}
-		if b.doubted(now, s) {
+		if short && h.idleAt < now || b.doubted(now, s) {
 			if last < 0 || h.out < b.servers[last].out {
 				last = s
 			}
@@ -681,6 +685,11 @@
 	default:
 		r.trips[t].ran = perhaps
 	}
+	if how != Unreached && how != Unsent {
+		b.servers[s].idleAt = now + b.connIdle
+	} else if how == Unreached {
+		b.unreached.add(b.seen, 1)
+	}
 	b.learn(now, r, s, note, how, took)
 	if how == Missing && r.missed < 0 {
 		r.missed = s
@@ -695,14 +704,14 @@
 	case noMore:
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
-	case now >= r.stop || s == b.origin && how != Full && how != Unreached,
+	case now >= r.stop || s == b.origin && how != Full,
 		how == Errored && b.fails.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
-	case (how == Full || how == Unreached) && (s == b.origin || r.width >= len(b.ready)):
+	case how == Full && (s == b.origin || r.width >= len(b.ready)):
 		b.wait(now, i)
-	case how == Full, how == Unreached:
+	case how == Full:
 		r.width *= widening
 		b.route(now, i)
 	default:
@@ -723,7 +732,7 @@
 		h.good.add(b.seen, 1)
 		h.credit = min(mostCredit, h.credit+perAnswer)
 		b.credit = min(mostCredit, b.credit+perAnswer)
-	case how != Full && how != Unreached && how != Unsent:
+	case how != Full && how != Unsent:
 		h.bad.add(b.seen, 1) // Quick errors too: a server that fails fast never looks busy.
 	}
 	if poor {
@@ -750,7 +759,7 @@
 	switch {
 	case how == OK || how == Missing:
 		b.good.add(b.seen, 1)
-	case how == Full, how == Unreached:
+	case how == Full:
 		h.busy.add(b.seen, 1)
 		b.all.busy.add(b.seen, 1)
 		b.kinds[h.kind].busy.add(b.seen, 1)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -288,3 +288,51 @@
 		t.Fatal("a write goes to the origin")
 	}
 }
+
+// Guards the case of incident i2afcbd: no connection is to be had but those that are open.
+func TestKeepsToOpenConnections(t *testing.T) {
+	w := plain(t, 1, 12, map[string]any{"allowed.connIdle": 9000.0})
+	tried := 0
+	for n := range 400 {
+		w.b.credit = mostCredit
+		i := w.ask(Harmless, w.b.chance.next(), second)
+		w.step(5 * ms)
+		for trip := 0; trip < len(w.asked[i].trips); trip++ {
+			if w.asked[i].trips[trip].server < 4 {
+				w.answer(i, trip, OK)
+				continue
+			} else if n > 200 {
+				tried++
+			}
+			w.answer(i, trip, Unreached)
+		}
+	}
+	if tried > 40 {
+		t.Fatalf("%d of the last 200 tried servers that take no connection", tried)
+	}
+}
+
+// A slow kind must lose traffic in a view so thin that no server is known by itself.
+func TestSlowKindIsKnownByItsKind(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"balancers": 300.0})
+	w.b.Listing(w.now, Whole)
+	for s := range 90 {
+		w.healths[s] = Ready
+		w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s%2, 0, 0, 0)
+	}
+	w.b.Listed(w.now)
+	slow := 0
+	for range 300 {
+		i := w.ask(Harmless, w.b.chance.next(), second)
+		if s := w.asked[i].trips[0].server; s%2 == 1 {
+			slow++
+			w.step(240 * ms)
+		}
+		w.step(60 * ms)
+		w.answer(i, 0, OK)
+		w.step(150 * ms)
+	}
+	if slow > 75 {
+		t.Fatalf("a kind five times slower got %d of 300 trips", slow)
+	}
+}
