The room at the origin is a part of the fleet's, and may be under one, by chance

Cause: eight reads at the origin for each balancer and never under one is thousands for the fleet. A random run of forty balancers, a cold server and an origin that answers nothing, restarts in turn; seen to fail without the cold gate and without the room.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,8 +42,9 @@
 	firstBad      = 0.1
 	perAnswer     = 0.2 // credit that an answer earns
 	mostCredit    = 10.0
-	coldPart      = 0.4 // of the cold budget: machines differ, and so do balancers' parts of the traffic
-	firstRoom     = 8.0 // aside: reads that may be out at the origin, until its answers tell
+	coldPart      = 0.4  // of the cold budget: machines differ, and so do balancers' parts of the traffic
+	leastRoom     = 0.1  // under one, reads are let in by chance
+	firstRoom     = 40.0 // aside: reads all may have out at the origin beyond two each, at first
 )
 
 const ( // what a timer is for
@@ -216,7 +217,7 @@
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1,
-		credit: 1, admit: 1, room: firstRoom, fetches: map[uint64]int{}, usual: float64(second),
+		credit: 1, admit: 1, fetches: map[uint64]int{}, usual: float64(second),
 		chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
 	for range 8 {
 		b.chance.next()
@@ -228,6 +229,7 @@
 	b.multiple, b.tipAfter = b.number("invariants.fallMultiple"), b.span("invariants.tipAfter")
 	b.connIdle = b.span("allowed.connIdle")
 	b.balancers = max(1, b.number("balancers"))
+	b.room = 2 + firstRoom/b.balancers
 	if b.yes("allowed.retryAfter") {
 		b.comeBackAfter = b.number("allowed.maxRetryAfter") * 1e6 / 4
 	}
@@ -365,7 +367,7 @@
 	s := -1
 	if toOrigin := b.aside && (r.write || r.missed >= 0); toOrigin {
 		s = b.origin
-		if s >= 0 && !r.write && float64(b.servers[s].out) >= b.room {
+		if s >= 0 && !r.write && float64(b.servers[s].out)+b.chance.part() > b.room {
 			b.misses.add(b.seen, 1)
 			b.wait(now, i)
 			return
@@ -749,9 +751,9 @@
 		// Guards writes against reads that crowd a short origin: the reads' room gives way and comes back.
 		if r.write {
 		} else if how == OK && took < w.expected/2 {
-			b.room += 1 / b.room
+			b.room += 1 / max(1, b.room)
 		} else {
-			b.room = max(1, b.room*0.8)
+			b.room = max(leastRoom, b.room*0.8)
 			b.misses.add(b.seen, 1)
 		}
 		return
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -336,3 +336,97 @@
 		t.Fatalf("a kind five times slower got %d of 300 trips", slow)
 	}
 }
+
+// FuzzFleet plays forty balancers before twenty caches, one of which comes back cold, and an origin that turns slow.
+// All are restarted in turn. Together they must stay within the cold budget, and leave the slow origin in peace.
+func FuzzFleet(f *testing.F) {
+	for seed := range uint64(3) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		const fleet, caches, perStep = 40, 20, 4 // 200 retrievals a second
+		c := chance{seed + 1, 7}
+		started := int64(1 << 62)
+		begin := func(i int, now int64) *watcher {
+			w := plain(t, seed*fleet+uint64(i), 0, map[string]any{"balancers": float64(fleet),
+				"extra.mode": "aside", "extra.originKind": 1.0, "workloads.0.expectedTime": 500.0})
+			w.now, w.b = now, New(now, c.next(), w.values, w)
+			return w
+		}
+		list := func(w *watcher) {
+			w.b.Listing(w.now, Whole)
+			for s := range caches + 1 {
+				w.healths[s] = Ready
+				at := int64(0)
+				if s == 0 && w.now >= started {
+					at = started
+				}
+				w.b.Row(w.now, s, string(rune('a'+s)), Ready, at, s/caches, 0, 0, 0)
+			}
+			w.b.Listed(w.now)
+		}
+		var ws [fleet]*watcher
+		for i := range ws {
+			ws[i] = begin(i, second)
+			list(ws[i])
+		}
+		var cold []int64 // when the cold server was sent something
+		reads, slow := 0, false
+		for step := range 900 { // of 20 ms
+			now := second + int64(step)*20*ms
+			if step == 300 {
+				started = now
+			}
+			slow = step >= 600
+			for i := range ws {
+				if step == 300 {
+					list(ws[i])
+				} else if step > 320 && step%40 == i { // restarted in turn
+					ws[i] = begin(i, now)
+					list(ws[i])
+				}
+			}
+			for range perStep {
+				w := ws[c.below(fleet)]
+				w.ask(Harmless, c.next(), second)
+			}
+			out := 0
+			for _, w := range ws {
+				for i := max(0, len(w.asked)-30); i < len(w.asked); i++ {
+					for trip := 0; trip < len(w.asked[i].trips); trip++ {
+						x := w.asked[i].trips[trip]
+						switch {
+						case !x.out:
+						case x.server == caches && slow: // it answers nothing any more
+							out++
+						case x.server == caches:
+							w.answer(i, trip, OK)
+						default:
+							if x.server == 0 && started <= x.at {
+								cold = append(cold, x.at)
+							}
+							w.answer(i, trip, Missing)
+						}
+					}
+				}
+				w.step(20 * ms)
+			}
+			if slow && step > 750 {
+				reads += out
+			}
+			can := 200.0 / caches * (0.2 + 0.8*float64(now-started)/float64(8*second))
+			in := 0
+			for _, at := range cold {
+				if at > now-second {
+					in++
+				}
+			}
+			if now > started && float64(in) > 3*can+3 {
+				t.Fatalf("%d sent to a cold server that can do %.1f", in, can)
+			}
+		}
+		if mean := float64(reads) / 150; mean > 74 {
+			t.Fatalf("%.0f reads are out at an origin that answers nothing", mean)
+		}
+	})
+}
