--- a/choice/choice.go
+++ b/choice/choice.go
@@ -467,7 +467,7 @@
 
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
-	ordered := b.strained(now)
+	ordered := b.misses.read(b.seen) > strain*(b.reads.read(b.seen)+1)
 	n := b.rank(r.key, r.width, ordered)
 	mean := float64(b.out)/float64(max(1, len(b.ready))) + b.held.read(b.seen, b.out)/max(1, b.size)
 	limit := overMean*mean + overBy
@@ -498,7 +498,7 @@
 			tried && len(b.ready) > len(r.trips) {
 			continue
 		}
-		if short && h.idleAt < now || b.doubted(now, s) {
+		if short && h.idleAt < now || b.doubted(s) {
 			if last < 0 || h.out < b.servers[last].out {
 				last = s
 			}
@@ -524,28 +524,18 @@
 	return least
 }
 
-func (b *Balancer) strained(now int64) bool {
-	return b.misses.read(b.seen) > strain*(b.reads.read(b.seen)+1)
-}
-
-// doubted draws from the posterior of a server's chance of success.
-func (b *Balancer) doubted(now int64, s int) bool {
-	if h := &b.servers[s]; h.bad.read(b.seen) < 0.5 {
+// doubted draws from the posterior of a server's chance of success, as a part of the chance that all have: an
+// origin in trouble makes all fail alike.
+func (b *Balancer) doubted(s int) bool {
+	h := &b.servers[s]
+	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
+	if bad < 0.6 {
 		return false
 	}
-	mean, spread := b.posterior(now, s)
+	n, all := good+bad, b.good.read(b.seen)+firstGood
 	normal := b.chance.part() + b.chance.part() + b.chance.part() + b.chance.part() - 2 // of variance 1/3
-	return mean+normal*math.Sqrt(3)*spread < doubt
-}
-
-// posterior is the mean and spread of a server's chance of success, as a part of the chance that all have:
-// an origin in trouble makes all fail alike.
-func (b *Balancer) posterior(now int64, s int) (mean, spread float64) {
-	h := &b.servers[s]
-	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
-	all, amiss := b.good.read(b.seen)+firstGood, b.bad.read(b.seen)+firstBad
-	n := good + bad
-	return good / n * (all + amiss) / all, math.Sqrt(good*bad/(n*n*(n+1))) * (all + amiss) / all
+	draw := good/n + normal*math.Sqrt(3*good*bad/(n+1))/n
+	return draw < doubt*all/(all+b.bad.read(b.seen)+firstBad)
 }
 
 func (b *Balancer) cold(now int64, s int) bool {
