--- a/choice/choice.go
+++ b/choice/choice.go
@@ -805,7 +805,7 @@
 		part *= max(leastPart, 1-b.turned.read(b.seen)/(b.asked.read(b.seen)+1))
 	}
 	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
-	return float64(b.out) > room+math.Sqrt(room)/b.pace // The root is slack for chance, more of it in a thin view.
+	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
 // beyondShare draws whether a retrieval is among what its tenant sends beyond its share of what comes in
