--- a/choice/choice.go
+++ b/choice/choice.go
@@ -511,7 +511,7 @@
 		if r.width < len(b.ready) && each > jam*b.all.each(b.seen, 0) {
 			continue // Guards against a key that is more than its three can take: as after a busy answer.
 		}
-		if strict || load <= limit && math.Pow(b.chance.part(), 0.2)*each <= overMean*b.all.each(b.seen, 0) {
+		if strict || load <= limit && math.Pow(b.chance.part(), 0.2)*each <= b.all.each(b.seen, 0) {
 			return s
 		}
 		if least < 0 || load < lightest {
