--- a/choice/choice.go
+++ b/choice/choice.go
@@ -85,7 +85,7 @@
 	health           Health
 	started, idleAt  int64 // when it last started, and when its connection will have been idle for too long
 	kind, zone, cell int
-	listed           bool
+	listed, warm     bool    // by the last list
 	out              int     // trips in flight
 	size             float64 // by the list
 	held             held
@@ -176,6 +176,7 @@
 	kinds                      []kind
 	all                        kind
 	ready                      []int // caches that the list calls ready
+	warm                       int   // how many are not cold by the last list
 	size                       float64
 	best                       []ranked
 	scope                      Scope
@@ -187,7 +188,7 @@
 	meanValue                  float64
 	out                        int // trips in flight at ready caches
 	held                       held
-	good, bad                  sum // of all caches, as a server's
+	good, bad, warmed          sum // of all caches, as a server's; of warm ones
 	reads, misses, fails       sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor                 sum // trips that ended in time, and late or not at all
 	known                      [knownKeys]read
@@ -306,7 +307,7 @@
 func (b *Balancer) Listed(now int64) {
 	b.passes(now)
 	b.held.read(b.seen, b.out)
-	b.ready, b.out, b.origin, b.size = b.ready[:0], 0, -1, 0
+	b.ready, b.out, b.origin, b.size, b.warm = b.ready[:0], 0, -1, 0, 0
 	for s := range b.servers {
 		h := &b.servers[s]
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
@@ -319,6 +320,9 @@
 				b.kinds = append(b.kinds, kind{})
 			}
 			b.ready = append(b.ready, s)
+			if h.warm = !b.cold(now, s); h.warm {
+				b.warm++
+			}
 			b.out += h.out
 			b.size += h.size
 		}
@@ -524,8 +528,8 @@
 	return least
 }
 
-// doubted draws from the posterior of a server's chance of success, as a part of the chance that all have: an
-// origin in trouble makes all fail alike.
+// doubted draws from the posterior of a server's chance of success, as a part of the chance that all have:
+// an origin in trouble makes all fail alike.
 func (b *Balancer) doubted(s int) bool {
 	h := &b.servers[s]
 	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
@@ -543,13 +547,13 @@
 	return h.started > 0 && now < h.started+b.warmUp
 }
 
-// coldRoom is the budget of a cold server here. What a server answers this balancer in the mean tells its
-// part of what one can do (cold ones count in: that errs on the near side); the stated start and warm-up
-// tell how much of it a cold one can.
+// coldRoom is the budget of a cold server here. What a warm server answers this balancer in the mean tells
+// its part of what one can do (warm by the last list); the stated start and warm-up tell how much of it a
+// cold one can.
 func (b *Balancer) coldRoom(now int64, s int) float64 {
 	h := &b.servers[s]
 	part := b.startPart + (1-b.startPart)*max(0, float64(now-h.started)/float64(b.warmUp))
-	rate := b.good.read(b.seen) / float64(memory) * b.pace * float64(second) / float64(max(1, len(b.ready)))
+	rate := b.warmed.read(b.seen) / float64(memory) * b.pace * float64(second) / float64(max(1, b.warm))
 	rate = max(rate, 0.5/b.balancers) * coldPart * b.multiple * part
 	h.room = min(h.room+rate*float64(now-h.roomAt)/float64(second), 1+rate*float64(b.tipAfter)/float64(second)/4)
 	h.roomAt = now
@@ -751,6 +755,9 @@
 	switch {
 	case how == OK || how == Missing:
 		b.good.add(b.seen, 1)
+		if h.warm {
+			b.warmed.add(b.seen, 1)
+		}
 	case how == Full:
 		h.busy.add(b.seen, 1)
 		b.all.busy.add(b.seen, 1)
