--- a/choice/choice.go
+++ b/choice/choice.go
@@ -190,7 +190,6 @@
 	held                       held
 	good, bad, warmed          sum // of all caches, as a server's; of warm ones
 	reads, misses, fails       sum // answers to reads; those that needed the origin or failed; that failed
-	silent                     sum // time of trips that were never answered
 	fine, poor                 sum // trips that ended in time, and late or not at all
 	known                      [knownKeys]read
 	credit                     float64 // for further trips, wherever they go
@@ -765,9 +764,6 @@
 		b.kinds[h.kind].busy.add(b.seen, 1)
 	case how != Unsent:
 		b.bad.add(b.seen, 1)
-		if how != Errored {
-			b.silent.add(b.seen, float64(took))
-		}
 	}
 	if how == OK {
 		b.settled.add(b.seen, 1)
@@ -816,8 +812,7 @@
 		part *= max(leastPart, 1-b.turned.read(b.seen)/(b.asked.read(b.seen)+1))
 	}
 	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
-	silent := b.silent.read(b.seen) / float64(memory) * b.pace                 // in flight at servers that do not answer
-	return float64(b.out)-min(silent, float64(b.out)/2) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
+	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
 // beyondShare draws whether a retrieval is among what its tenant sends beyond its share of what comes in
