The draw by what is settled goes out

It was the first answer to the storms; with further trips paid from the balancer's credit it hardly acts.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,38 +13,37 @@
 )
 
 const (
-	second        = int64(1e9)
-	memory        = 3 * second      // how long what was seen counts
-	margin        = 25 * int64(1e6) // before the hard stop an answer must be out
-	enough        = 60.0            // retrievals: with fewer in it, memory stretches
-	slowest       = 0.1
-	firstWidth    = 3               // candidates of a key
-	widening      = 7               // a busy answer widens so many times
-	firstHold     = 33 * int64(1e6) // the first hold at full width; it doubles
-	overMean      = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
-	overBy        = 0.3
-	likeKind      = 2.0    // what all of its kind tell of a server counts as so many trips of its own
-	jam           = 3.0    // times the mean time of a trip: a server that takes longer is left for others
-	busyCounts    = 2.0    // a busy answer counts as so many in flight
-	strain        = 0.15   // more misses than this part of the reads strain the origin
-	crowd         = 0.15   // of the expected time may be spent by what is in flight
-	beyondSettled = 1.5    // so many retrievals are let in for each one settled in time
-	youngRoom     = 4.0    // trips in flight a server that all balancers may add while they know no rate
-	leastPart     = 0.5    // of the room is left to keys not read lately
-	knownKeys     = 8191   // places for keys read lately
-	usualGrows    = 1.0005 // an answer, so that the usual time is found again when it has risen
-	mostValued    = 3.0    // times that for what has the most value
-	valueOver     = 100    // the mean value is taken over so many retrievals
-	late          = 0.75   // of the expected time: a trip that takes longer is poor
-	mostPoor      = 0.06   // of the trips may be poor before traffic beyond a share is cut
-	doubt         = 0.6    // of the chance of success that all have: under it a server is passed by
-	firstGood     = 2.0    // what is taken of a server before it is known
-	firstBad      = 0.1
-	perAnswer     = 0.2 // credit that an answer earns
-	mostCredit    = 10.0
-	coldPart      = 0.4  // of the cold budget: machines differ, and so do balancers' parts of the traffic
-	leastRoom     = 0.1  // under one, reads are let in by chance
-	firstRoom     = 40.0 // aside: reads all may have out at the origin beyond two each, at first
+	second     = int64(1e9)
+	memory     = 3 * second      // how long what was seen counts
+	margin     = 25 * int64(1e6) // before the hard stop an answer must be out
+	enough     = 60.0            // retrievals: with fewer in it, memory stretches
+	slowest    = 0.1
+	firstWidth = 3               // candidates of a key
+	widening   = 7               // a busy answer widens so many times
+	firstHold  = 33 * int64(1e6) // the first hold at full width; it doubles
+	overMean   = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
+	overBy     = 0.3
+	likeKind   = 2.0    // what all of its kind tell of a server counts as so many trips of its own
+	jam        = 3.0    // times the mean time of a trip: a server that takes longer is left for others
+	busyCounts = 2.0    // a busy answer counts as so many in flight
+	strain     = 0.15   // more misses than this part of the reads strain the origin
+	crowd      = 0.15   // of the expected time may be spent by what is in flight
+	youngRoom  = 4.0    // trips in flight a server that all balancers may add while they know no rate
+	leastPart  = 0.5    // of the room is left to keys not read lately
+	knownKeys  = 8191   // places for keys read lately
+	usualGrows = 1.0005 // an answer, so that the usual time is found again when it has risen
+	mostValued = 3.0    // times that for what has the most value
+	valueOver  = 100    // the mean value is taken over so many retrievals
+	late       = 0.75   // of the expected time: a trip that takes longer is poor
+	mostPoor   = 0.06   // of the trips may be poor before traffic beyond a share is cut
+	doubt      = 0.6    // of the chance of success that all have: under it a server is passed by
+	firstGood  = 2.0    // what is taken of a server before it is known
+	firstBad   = 0.1
+	perAnswer  = 0.2 // credit that an answer earns
+	mostCredit = 10.0
+	coldPart   = 0.4  // of the cold budget: machines differ, and so do balancers' parts of the traffic
+	leastRoom  = 0.1  // under one, reads are let in by chance
+	firstRoom  = 40.0 // aside: reads all may have out at the origin beyond two each, at first
 )
 
 const ( // what a timer is for
@@ -193,7 +192,6 @@
 	fine, poor                 sum // trips that ended in time, and late or not at all
 	known                      [knownKeys]read
 	credit                     float64 // for further trips, wherever they go
-	over, inTime               sum     // retrievals that have had their answer; those settled in time
 	asked, turned              sum     // retrievals that came, and those dismissed for the crowd
 	settled, took              sum     // trips that caches settled, and their times
 	usual                      float64 // time of a trip while nothing is crowded
@@ -354,8 +352,6 @@
 	b.asked.add(b.seen, 1)
 	switch {
 	case b.beyondShare(tenant) && b.chance.part() > b.admit:
-	case b.vain(r):
-		b.over.add(b.seen, 1)
 	case b.crowded(now, r):
 		b.turned.add(b.seen, 1)
 	default:
@@ -610,9 +606,6 @@
 func (b *Balancer) drop(now int64, i, stored int) {
 	r := &b.retrievals[i]
 	r.live = false
-	if len(r.trips) > 0 {
-		b.over.add(b.seen, 1)
-	}
 	last := b.live[len(b.live)-1]
 	b.live[r.place], b.retrievals[last].place = last, r.place
 	b.live = b.live[:len(b.live)-1]
@@ -693,9 +686,6 @@
 	switch {
 	case !r.live:
 	case noMore && how == OK:
-		if now <= r.due {
-			b.inTime.add(b.seen, 1)
-		}
 		b.drop(now, i, r.missed)
 	case noMore:
 		b.drop(now, i, -1)
@@ -789,15 +779,6 @@
 	}
 }
 
-// vain draws whether a retrieval is beyond what the fleet settles in time. Guards against a fleet that all
-// balancers keep jammed: what is let in follows what comes out, by counts that mean the same in a thin view
-// as in a thick one.
-func (b *Balancer) vain(r *retrieval) bool {
-	w, over := &b.workloads[r.workload], b.over.read(b.seen)
-	may := beyondSettled*b.inTime.read(b.seen)*min(mostValued, max(1, w.value/b.meanValue)) + 2*math.Sqrt(over+1)
-	return b.chance.part()*over > may
-}
-
 // crowded tells by Little's law that a new trip would wait too long. Guards against queues that make all
 // answers late: once full they stay full of work that nobody wants. What has most value is let in longest.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
