--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,7 +34,6 @@
 	usualGrows = 1.0005 // an answer, so that the usual time is found again when it has risen
 	mostValued = 3.0    // times that for what has the most value
 	valueOver  = 100    // the mean value is taken over so many retrievals
-	overdue    = 4      // times the mean: a trip that is out for longer is overdue
 	late       = 0.75   // of the expected time: a trip that takes longer is poor
 	mostPoor   = 0.06   // of the trips may be poor before traffic beyond a share is cut
 	doubt      = 0.6    // of the chance of success that all have: under it a server is passed by
@@ -190,7 +189,6 @@
 	held                       held
 	good, bad, warmed          sum // of all caches, as a server's; of warm ones
 	reads, misses, fails       sum // answers to reads; those that needed the origin or failed; that failed
-	lost, came                 sum // overdue trips that were never answered, and those that were
 	fine, poor                 sum // trips that ended in time, and late or not at all
 	known                      [knownKeys]read
 	credit                     float64 // for further trips, wherever they go
@@ -404,11 +402,6 @@
 		}
 	}
 	r.trips = append(r.trips, trip{server: s, sent: now})
-	each := int64(b.all.each(b.seen, 0))
-	if r.heldUntil = now + overdue*each; b.mayCallOff && b.workloads[r.workload].effect != OneShot &&
-		s != b.origin && r.heldUntil+each < r.due {
-		b.host.Wake(tagHeld+i, overdue*each)
-	}
 	h.sent.add(b.seen, 1)
 	b.count(now, r, s, 1)
 	b.host.Send(i, s, r.stop)
@@ -481,7 +474,7 @@
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// order of its ranking, so that it is fetched for one cache and not for three. While the origin fails, one
 	// more fetch is dearer than any queue: the first of the ranking, whatever its load.
-	strict := ordered && b.failing()
+	strict := ordered && b.fails.read(b.seen) > strain*(b.reads.read(b.seen)+1)
 	if last := b.known[r.key%knownKeys]; ordered && !strict && last.key == r.key {
 		for j := range n {
 			if b.best[j].server == last.server {
@@ -531,9 +524,6 @@
 	return least
 }
 
-// failing tells that the origin fails: too many reads fail or come late for want of it.
-func (b *Balancer) failing() bool { return b.fails.read(b.seen) > strain*(b.reads.read(b.seen)+1) }
-
 // doubted draws from the posterior of a server's chance of success, as a part of the chance that all have:
 // an origin in trouble makes all fail alike.
 func (b *Balancer) doubted(s int) bool {
@@ -689,11 +679,6 @@
 	} else if how == Unreached {
 		b.unreached.add(b.seen, 1)
 	}
-	if over := took > overdue*int64(b.all.each(b.seen, 0)); over && how == OK {
-		b.came.add(b.seen, 1)
-	} else if over && how != Missing && how != CalledOff {
-		b.lost.add(b.seen, 1)
-	}
 	b.learn(now, r, s, note, how, took)
 	if how == Missing && r.missed < 0 {
 		r.missed = s
@@ -706,7 +691,7 @@
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
 	case now >= r.stop || s == b.origin && how != Full,
-		how == Errored && b.failing(): // The origin fails all alike.
+		how == Errored && b.fails.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
@@ -846,17 +831,7 @@
 		b.host.Subscribe()
 	case tag-tagHeld < len(b.retrievals):
 		if r := &b.retrievals[tag-tagHeld]; r.live && r.heldUntil > 0 && r.heldUntil <= now {
-			r.heldUntil = 0
-			if last := len(r.trips) - 1; r.out > 0 {
-				// Guards against hung servers: an overdue trip is called off by the chance that it is lost.
-				lost, came := b.lost.read(b.seen), b.came.read(b.seen)
-				if b.credit >= 1 && r.trips[last].ran == running && !b.failing() &&
-					b.chance.part()*(lost+came+2) < lost {
-					b.host.CallOff(tag-tagHeld, last)
-				}
-				return
-			}
-			if r.waiting { // The fetch did not come: its answer may not wait any longer.
+			if r.heldUntil = 0; r.waiting { // The fetch did not come: its answer may not wait any longer.
 				b.finish(now, tag-tagHeld)
 				return
 			}
