--- a/choice/choice.go
+++ b/choice/choice.go
@@ -784,7 +784,7 @@
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: some for each server.
-	free := float64(len(b.ready)) * (1 + youngRoom*young) / b.balancers
+	free := 1 + float64(len(b.ready))*(1+youngRoom*young)/b.balancers
 	seen := 1 - math.Exp(-float64(b.seen+second/4)/float64(memory))
 	rate := b.all.answered.read(b.seen) / seen / float64(memory) * b.pace
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
@@ -793,7 +793,7 @@
 		part *= max(leastPart, 1-b.turned.read(b.seen)/(b.asked.read(b.seen)+1))
 	}
 	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
-	return float64(b.out)+b.chance.part() > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
+	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
 // beyondShare draws whether a retrieval is among what its tenant sends beyond its share of what comes in
