--- a/choice/choice.go
+++ b/choice/choice.go
@@ -157,7 +157,6 @@
 type read struct {
 	key    uint64
 	server int
-	nth    int // of the retrievals that came here
 }
 
 type ranked struct {
@@ -192,7 +191,6 @@
 	reads, misses, fails       sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor                 sum // trips that ended in time, and late or not at all
 	known                      [knownKeys]read
-	nth                        int     // retrievals that came here
 	credit                     float64 // for further trips, wherever they go
 	asked, turned              sum     // retrievals that came, and those dismissed for the crowd
 	settled, took              sum     // trips that caches settled, and their times
@@ -352,7 +350,6 @@
 	b.live = append(b.live, i)
 	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(b.seen, 1)
-	b.nth++
 	switch {
 	case b.beyondShare(tenant) && b.chance.part() > b.admit:
 	case b.crowded(now, r):
@@ -470,9 +467,7 @@
 
 // pick takes a candidate at random and passes over one well above the mean; all over: the least loaded.
 func (b *Balancer) pick(now int64, r *retrieval) int {
-	kept := b.known[r.key%knownKeys] // A key that makes up a server's load by itself stays spread.
-	ordered := (kept.key != r.key || b.nth-kept.nth > len(b.ready)) &&
-		b.misses.read(b.seen) > strain*(b.reads.read(b.seen)+1)
+	ordered := b.misses.read(b.seen) > strain*(b.reads.read(b.seen)+1)
 	n := b.rank(r.key, r.width, ordered)
 	mean := float64(b.out)/float64(max(1, len(b.ready))) + b.held.read(b.seen, b.out)/max(1, b.size)
 	limit := overMean*mean + overBy
@@ -765,7 +760,7 @@
 		b.took.add(b.seen, float64(took))
 		// The least mean of late: what trips take while nothing is crowded.
 		b.usual = min(b.took.read(b.seen)/b.settled.read(b.seen), b.usual*usualGrows)
-		b.known[r.key%knownKeys] = read{r.key, s, b.nth}
+		b.known[r.key%knownKeys] = read{r.key, s}
 	}
 	if answered {
 		for _, k := range [2]*kind{&b.all, &b.kinds[h.kind]} {
