--- a/benchlink/link.go
+++ b/benchlink/link.go
@@ -10,6 +10,7 @@
 	"github.com/tidwall/gjson"
 
 	"hollylever/choice"
+	"hollylever/tables"
 )
 
 var outcomes = map[uint64]choice.Outcome{10: choice.OK, 20: choice.Errored, 30: choice.Full,
@@ -114,39 +115,6 @@
 	n.reply.end()
 }
 
-// flatten turns the settings into a plain map: dotted names to values, a list's length under its own name.
-func flatten(into map[string]any, name string, value gjson.Result) {
-	switch {
-	case value.IsObject():
-		value.ForEach(func(key, inner gjson.Result) bool {
-			if name != "" {
-				flatten(into, name+"."+key.String(), inner)
-			} else {
-				flatten(into, key.String(), inner)
-			}
-			return true
-		})
-	case value.IsArray():
-		list := value.Array()
-		into[name] = float64(len(list))
-		for i, inner := range list {
-			flatten(into, name+"."+strconv.Itoa(i), inner)
-		}
-	default:
-		into[name] = value.Value()
-	}
-}
-
-func names(settings map[string]any, list, inner string) map[string]int {
-	places := map[string]int{}
-	count, _ := settings[list].(float64)
-	for i := range int(count) {
-		name, _ := settings[list+"."+strconv.Itoa(i)+inner].(string)
-		places[name] = i
-	}
-	return places
-}
-
 // Run plays batches until the input ends between two of them.
 func Run(input io.Reader, output io.Writer) error {
 	in := &reader{in: bufio.NewReaderSize(input, 1<<20)}
@@ -270,11 +238,10 @@
 	if in.bad != nil {
 		return
 	}
-	settings := map[string]any{}
-	flatten(settings, "", gjson.ParseBytes(env))
+	settings := tables.Flat(gjson.ParseBytes(env))
 	n := &instance{name: name, reply: reply, hosts: map[string]int{}, ids: map[uint64]int{},
-		workloads: names(settings, "workloads", ".name"), tenants: names(settings, "tenants", ".name"),
-		kinds: names(settings, "hostTypes", ""), zones: names(settings, "zones", "")}
+		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
+		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", "")}
 	instances[name] = n
 	n.module = choice.New(now, seed, settings, n)
 }
--- /dev/null
+++ b/cmd/hollylever/config.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"hollylever/tables"
+)
+
+// given is what the balancer is told at its start.
+type given struct {
+	file, name, listen, discovery string
+	seed                          uint64
+	cores, memory                 float64
+	sockets                       int
+	known                         []byte
+	settings                      map[string]any
+}
+
+// read takes the configuration file that LB_CONFIG names; the other variables, where they are set, go before it.
+// An error names the variable or the field.
+func read() (*given, error) {
+	file := os.Getenv("LB_CONFIG")
+	if file == "" {
+		return nil, errors.New("LB_CONFIG: not set")
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	if !gjson.ValidBytes(text) || !gjson.ParseBytes(text).IsObject() {
+		return nil, fmt.Errorf("LB_CONFIG: %s is not a JSON object", file)
+	}
+	object := gjson.ParseBytes(text)
+	g := &given{file: file, name: object.Get("name").String(), cores: object.Get("limits.cores").Num,
+		memory: object.Get("limits.memory_mb").Num, sockets: int(object.Get("limits.sockets").Num),
+		known: []byte(object.Get("known").Raw), settings: tables.Flat(object.Get("settings"))}
+	if name := os.Getenv("LB_NAME"); name != "" {
+		g.name = name
+	}
+	for _, a := range []struct {
+		into            *string
+		variable, field string
+	}{{&g.listen, "LB_LISTEN", "listen"}, {&g.discovery, "LB_DISCOVERY", "discovery"}} {
+		at := file + ": " + a.field
+		*a.into = object.Get(a.field).String()
+		if value := os.Getenv(a.variable); value != "" {
+			*a.into, at = value, a.variable
+		}
+		if _, err := net.ResolveTCPAddr("tcp", *a.into); err != nil {
+			return nil, fmt.Errorf("%s: %q is not an address and a port", at, *a.into)
+		}
+	}
+	if g.seed, err = strconv.ParseUint(object.Get("seed").String(), 16, 64); err != nil {
+		return nil, fmt.Errorf("%s: seed: not a hexadecimal number of 64 bits", file)
+	}
+	workloads, _ := g.settings["workloads"].(float64)
+	for _, check := range []struct {
+		good       bool
+		field, why string
+	}{
+		{g.name != "", "name", "missing"},
+		{g.cores > 0, "limits.cores", "not a number over 0"},
+		{g.memory >= 32, "limits.memory_mb", "not a number of at least 32"},
+		{g.sockets >= 2*reserve, "limits.sockets", "not a number of at least " + strconv.Itoa(2*reserve)},
+		{object.Get("known").IsObject(), "known", "not a list of servers"},
+		{object.Get("settings").IsObject(), "settings", "not an object"},
+		{workloads > 0, "settings.workloads", "names no workload"},
+	} {
+		if !check.good {
+			return nil, fmt.Errorf("%s: %s: %s", file, check.field, check.why)
+		}
+	}
+	return g, nil
+}
--- /dev/null
+++ b/cmd/hollylever/main.go
@@ -0,0 +1,85 @@
+// Command hollylever is one real balancer: clients in front, cache hosts behind, the decision module between.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollylever/routing"
+	"hollylever/transport"
+)
+
+const (
+	reserve    = 48                     // descriptors that are for neither clients nor hosts
+	stragglers = 500 * time.Millisecond // after SIGTERM new clients go on coming for so long
+	lastAnswer = 3500 * time.Millisecond
+	sweepEvery = 250 * time.Millisecond
+	tellEvery  = 10 * time.Second
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "hollylever:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	told, err := read()
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	runtime.GOMAXPROCS(max(1, int(told.cores)))
+	memory := int64(told.memory * (1 << 20))
+	debug.SetMemoryLimit(memory * 7 / 10)
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("balancer", told.name).Logger()
+
+	hosts := (told.sockets - reserve) / 3
+	idle, _ := told.settings["allowed.connIdle"].(float64)
+	dial, _ := told.settings["allowed.dialTimeout"].(float64)
+	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
+	balancer, err := routing.New(told.settings, told.known, told.seed, pool, memory/4, log)
+	if err != nil {
+		return fmt.Errorf("%s: known: %w", told.file, err)
+	}
+	front := told.sockets - reserve - hosts
+	listener, err := transport.Listen(told.listen, front)
+	if err != nil {
+		return fmt.Errorf("%s: listen: %w", told.file, err)
+	}
+	listener.Odd = func(err error) { log.Warn().Err(err).Msg("accept failed") }
+
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go listener.Serve(balancer.Serve)
+	go balancer.Follow(ctx, told.discovery)
+	log.Info().Str("listen", listener.Address()).Int("clients", front).Int("hosts", hosts).
+		Int64("memory_mb", int64(told.memory)).Msg("serving")
+
+	sweep, summary := time.NewTicker(sweepEvery), time.NewTicker(tellEvery)
+	for {
+		select {
+		case <-sweep.C:
+			pool.Sweep()
+		case <-summary.C:
+			balancer.Summary(listener.Count())
+		case <-stop:
+			log.Info().Int("clients", listener.Count()).Msg("stopping")
+			time.Sleep(stragglers)
+			all := listener.Close(time.Now().Add(lastAnswer - stragglers))
+			balancer.Summary(listener.Count())
+			log.Info().Bool("all_answered", all).Msg("stopped")
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/protocol/answer.go
@@ -0,0 +1,81 @@
+package protocol
+
+import (
+	"bytes"
+
+	"github.com/tidwall/redcon"
+
+	"hollylever/transport"
+)
+
+// Notes of how a read went, as the module counts them.
+const (
+	noteHit = iota + 1
+	noteMiss
+	notePending
+)
+
+// Answer takes a host's answer off what has come: how the trip ended by it, the value or receipt, which aliases
+// what has come, the note on how it went, and its length; Open and 0 while it is not all there.
+func Answer(came []byte) (end transport.End, value []byte, note, length int) {
+	length, err := whole(came)
+	if err != nil {
+		return transport.Garbled, nil, 0, 0
+	}
+	if length == 0 {
+		return transport.Open, nil, 0, 0
+	}
+	n, resp := redcon.ReadNextRESP(came[:length])
+	switch {
+	case n != length:
+		return transport.Garbled, nil, 0, 0
+	case resp.Type == redcon.Error && (bytes.Equal(resp.Data, []byte("BUSY")) || bytes.HasPrefix(resp.Data, []byte("BUSY "))):
+		return transport.TurnedAway, nil, 0, length
+	case resp.Type == redcon.Error:
+		return transport.Failed, nil, 0, length
+	case resp.Type != redcon.Array || resp.Count != 3:
+		return transport.Garbled, nil, 0, 0
+	}
+	part := 0
+	resp.ForEach(func(inner redcon.RESP) bool {
+		switch part++; {
+		case part == 1 && inner.Type == redcon.Bulk:
+			value = inner.Data // nil for a null
+		case part == 2:
+			switch string(inner.Data) {
+			case "hit":
+				note = noteHit
+			case "miss":
+				note = noteMiss
+			case "pending":
+				note = notePending
+			}
+		}
+		return true
+	})
+	if value == nil {
+		return transport.Garbled, nil, 0, 0
+	}
+	return transport.Settled, value, note, length
+}
+
+// AppendSettled, AppendDismissed and AppendGivenUp write a retrieval's final answer.
+func AppendSettled(out, value []byte) []byte { return redcon.AppendBulk(out, value) }
+
+// AppendDismissed tells when to come back, in whole milliseconds, where that is known.
+func AppendDismissed(out []byte, comeBack int64) []byte {
+	if comeBack <= 0 {
+		return redcon.AppendError(out, "BUSY")
+	}
+	out = append(out, "-BUSY "...)
+	return append(appendWhole(out, (comeBack+1e6-1)/1e6), "\r\n"...)
+}
+
+// AppendGivenUp promises nothing.
+func AppendGivenUp(out []byte) []byte { return redcon.AppendError(out, "ERR given up") }
+
+// AppendPong answers a PING.
+func AppendPong(out []byte) []byte { return redcon.AppendString(out, "PONG") }
+
+// AppendWrong answers a command that makes no sense here.
+func AppendWrong(out []byte, why string) []byte { return redcon.AppendError(out, "ERR "+why) }
--- /dev/null
+++ b/protocol/frame.go
@@ -0,0 +1,77 @@
+// Package protocol knows the bytes: clients' commands, hosts' answers and the lines of discovery's list. It
+// turns them into plain fields and back, bounds every length, and decides nothing.
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+
+	"hollylever/transport"
+)
+
+// MostValue is the longest bulk string there may be.
+const MostValue = 64 << 10
+
+const (
+	mostParts = 16
+	mostLine  = 1 << 10
+)
+
+var (
+	errForm   = errors.New("malformed message")
+	errLength = errors.New("length out of bounds")
+)
+
+// whole gives the length of the first message in what has come, 0 if it is not all there yet. It stands before
+// redcon's parsers, which bound no length, take negative ones, and do not tell a part from a malformed whole.
+func whole(came []byte) (int, error) {
+	at, parts := 0, 1
+	for ; parts > 0; parts-- {
+		line := came[at:]
+		end := bytes.IndexByte(line, '\n')
+		switch {
+		case end < 0 && len(line) > mostLine:
+			return 0, errLength
+		case end < 0:
+			if len(line) > 0 && !bytes.ContainsRune([]byte("*$+-:"), rune(line[0])) {
+				return 0, errForm
+			}
+			return 0, nil
+		case end < 2 || end > mostLine || line[end-1] != '\r':
+			return 0, errForm
+		}
+		at += end + 1
+		kind, rest := line[0], line[1:end-1]
+		switch kind {
+		case '+', '-', ':':
+			continue
+		case '*', '$':
+		default:
+			return 0, errForm
+		}
+		n, err := strconv.Atoi(string(rest))
+		if err != nil || n < -1 || rest[0] == '+' || rest[0] == '-' && n != -1 {
+			return 0, errForm
+		}
+		switch {
+		case kind == '*' && (n > mostParts || parts > 1 || at != end+1):
+			return 0, errLength // No message here nests arrays or has many parts.
+		case kind == '*':
+			parts += max(0, n)
+		case n > MostValue:
+			return 0, errLength
+		case n < 0:
+		case len(came) < at+n+2:
+			return 0, nil
+		case came[at+n] != '\r' || came[at+n+1] != '\n':
+			return 0, errForm
+		default:
+			at += n + 2
+		}
+	}
+	if at > transport.MostBuffer {
+		return 0, errLength
+	}
+	return at, nil
+}
--- /dev/null
+++ b/routing/balancer.go
@@ -0,0 +1,230 @@
+// Package routing ties the decision module to connections: the life of a retrieval, the module's Host, its clock
+// and timers, clients in front, and following the list. It decides nothing.
+//
+// One lock stands around the module, and nothing blocks under it. Each retrieval has a goroutine, which is told
+// through a channel of its own what the module decided and how its trips ended.
+package routing
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollylever/choice"
+	"hollylever/protocol"
+	"hollylever/tables"
+	"hollylever/transport"
+)
+
+// outcomes turns how a trip's connection ended into what the module calls it. Refused up to Withdrawn prove that
+// it never ran: its last byte was not handed over.
+var outcomes = map[transport.End]choice.Outcome{
+	transport.Settled:    choice.OK,
+	transport.Failed:     choice.Errored,
+	transport.TurnedAway: choice.Full,
+	transport.Refused:    choice.Unreached,
+	transport.NeverUp:    choice.Unreached,
+	transport.NoRoom:     choice.Unsent,
+	transport.CutShort:   choice.Unreached,
+	transport.Stuck:      choice.Unreached,
+	transport.Withdrawn:  choice.Unsent,
+	transport.Broken:     choice.Reset,
+	transport.Silent:     choice.TimedOut,
+	transport.CalledOff:  choice.CalledOff,
+	transport.Garbled:    choice.Reset,
+}
+
+var healths = map[string]choice.Health{"Ready": choice.Ready, "Terminating": choice.Draining, "Gone": choice.Gone}
+
+// what a retrieval is told.
+type what int
+
+const (
+	send what = iota
+	callOff
+	dismiss
+	giveUp
+	ended
+)
+
+// news is one thing that a retrieval is told: a decision of the module, or the end of a trip.
+type news struct {
+	what         what
+	trip, server int
+	at, until    int64
+	end          transport.End
+	note         int
+	answer       []byte
+}
+
+// slot is a retrieval's place in the tables while it lives.
+type slot struct {
+	told  chan news
+	trips int
+	final bool // it has its final answer, or its client has gone
+}
+
+type server struct {
+	name, address, status string
+}
+
+// Balancer is one real balancer.
+type Balancer struct {
+	log      zerolog.Logger
+	settings map[string]any
+	began    time.Time
+	pool     *transport.Pool
+	follow   chan struct{} // the module wants the list followed
+	index    uint64        // of the list last told
+	mostHeld int
+	mostHeap int64
+
+	mu        sync.Mutex // around all that follows, and the module
+	module    *choice.Balancer
+	servers   []server
+	byName    map[string]int
+	slots     []slot
+	free      []int
+	heap      int64 // bytes of the retrievals held
+	workloads map[string]int
+	tenants   map[string]int
+	kinds     map[string]int
+	zones     map[string]int
+	failing   bool // the list
+	counts    map[string]int
+}
+
+// New makes a balancer that knows a list from before, in discovery's form. It keeps at most so many bytes of
+// retrievals at once.
+func New(settings map[string]any, known []byte, seed uint64, pool *transport.Pool, mostHeap int64,
+	log zerolog.Logger) (*Balancer, error) {
+	b := &Balancer{log: log, settings: settings, began: time.Now(), pool: pool, follow: make(chan struct{}, 1),
+		mostHeld: max(1, int(number(settings, "allowed.mostHeld"))), mostHeap: mostHeap, byName: map[string]int{},
+		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
+		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", ""),
+		counts: map[string]int{}}
+	b.module = choice.New(b.now(), seed, settings, b)
+	return b, b.tell(known, true)
+}
+
+func number(settings map[string]any, name string) float64 { x, _ := settings[name].(float64); return x }
+
+// now is the module's clock: Unix time at the start and what has passed since by the monotonic clock.
+func (b *Balancer) now() int64 { return b.began.UnixNano() + int64(time.Since(b.began)) }
+
+// at turns the module's clock into a time to wait for.
+func (b *Balancer) at(clock int64) time.Time {
+	return b.began.Add(time.Duration(clock - b.began.UnixNano()))
+}
+
+// take finds a small index for a retrieval. Its channel holds all that it can ever be told, so that telling
+// never blocks.
+func (b *Balancer) take() (int, chan news) {
+	told := make(chan news, 3*max(1, int(number(b.settings, "allowed.mostTrips")))+2)
+	i := len(b.slots)
+	if last := len(b.free) - 1; last >= 0 {
+		i, b.free = b.free[last], b.free[:last]
+	} else {
+		b.slots = append(b.slots, slot{})
+	}
+	b.slots[i] = slot{told: told}
+	return i, told
+}
+
+// Send and the methods after it are the module's Host; they are called under the lock.
+func (b *Balancer) Send(i, s int, until int64) {
+	r := &b.slots[i]
+	r.told <- news{what: send, trip: r.trips, server: s, at: b.now(), until: until}
+	r.trips++
+	b.counts["trips"]++
+}
+
+// Dismiss is final.
+func (b *Balancer) Dismiss(i int, comeBack int64) {
+	b.slots[i].final = true
+	b.slots[i].told <- news{what: dismiss, until: comeBack}
+}
+
+// GiveUp is final.
+func (b *Balancer) GiveUp(i int) {
+	b.slots[i].final = true
+	b.slots[i].told <- news{what: giveUp}
+}
+
+// CallOff stops waiting for a trip.
+func (b *Balancer) CallOff(i, trip int) { b.slots[i].told <- news{what: callOff, trip: trip} }
+
+// Wake sets a timer.
+func (b *Balancer) Wake(tag int, after int64) {
+	time.AfterFunc(time.Duration(after), func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.module.Woke(b.now(), tag)
+	})
+}
+
+// Subscribe asks for the list to be followed.
+func (b *Balancer) Subscribe() {
+	select {
+	case b.follow <- struct{}{}:
+	default: // It is asked for already.
+	}
+}
+
+// tell hands a list to the module; saved: it is from before the start.
+func (b *Balancer) tell(line []byte, saved bool) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	err := protocol.List(line, func(index uint64, whole bool) {
+		b.index = index
+		switch {
+		case saved:
+			b.module.Listing(now, choice.Saved)
+		case whole:
+			b.module.Listing(now, choice.Whole)
+		default:
+			b.module.Listing(now, choice.Incremental)
+		}
+	}, func(name, address, status string, started int64, kind, zone string, cell int, weight float64) {
+		s, known := b.byName[name]
+		if !known {
+			s = len(b.servers)
+			b.byName[name] = s
+			b.servers = append(b.servers, server{name: name})
+		}
+		if h := &b.servers[s]; h.status != status && !saved {
+			b.log.Info().Str("server", name).Str("from", h.status).Str("to", status).Msg("server changed")
+		}
+		b.servers[s] = server{name, address, status}
+		k, stated := b.kinds[kind]
+		if !stated {
+			k = len(b.kinds) // Guards against a kind that the settings do not name: all such are one more.
+		}
+		z, stated := b.zones[zone]
+		if !stated {
+			z = -1
+		}
+		b.module.Row(now, s, name, healths[status], started, k, z, cell, weight)
+	})
+	if err == nil {
+		b.module.Listed(now)
+	}
+	return err
+}
+
+// Summary logs what has been counted since the last one.
+func (b *Balancer) Summary(clients int) {
+	b.mu.Lock()
+	line := b.log.Info().Int("clients", clients).Int("hosts_open", b.pool.Count()).
+		Int("held", len(b.slots)-len(b.free)).Int("servers", len(b.servers)).Uint64("index", b.index)
+	for _, name := range slices.Sorted(maps.Keys(b.counts)) {
+		line = line.Int(name, b.counts[name])
+	}
+	clear(b.counts)
+	b.mu.Unlock()
+	line.Msg("summary")
+}
--- /dev/null
+++ b/routing/front.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"hollylever/protocol"
+	"hollylever/transport"
+)
+
+const (
+	pipelined = 64               // commands of one client that are answered side by side
+	halfFor   = 10 * time.Second // how long a command may take to come
+	writeFor  = 10 * time.Second // how long a client may take to read an answer
+)
+
+// Serve serves one client until it goes away. It reads on while retrievals are out, so that its going is seen.
+func (b *Balancer) Serve(c *transport.Client) {
+	left, written := make(chan struct{}), make(chan struct{})
+	answers := make(chan chan []byte, pipelined)
+	go func() {
+		defer close(written)
+		b.write(c, answers, left)
+	}()
+	if end := b.commands(c, answers, left); end != transport.Garbled && end != transport.Spared {
+		close(left)
+	}
+	close(answers)
+	<-written
+}
+
+// commands reads until the client's connection ends, and says how.
+func (b *Balancer) commands(c *transport.Client, answers chan<- chan []byte, left <-chan struct{}) transport.End {
+	var until time.Time // No limit between commands; one for a command that has begun to come.
+	for {
+		words, length, err := protocol.Command(c.Unread())
+		if err != nil {
+			c.Begin()
+			answers <- ready(protocol.AppendWrong(nil, "protocol: "+err.Error()))
+			return transport.Garbled
+		}
+		if length == 0 {
+			if len(c.Unread()) == 0 {
+				until = time.Time{}
+			} else if until.IsZero() {
+				until = time.Now().Add(halfFor)
+			}
+			if end := c.Fill(until); end != transport.Open {
+				return end
+			}
+			continue
+		}
+		until = time.Time{}
+		c.Begin()
+		is, write, wrong := protocol.Retrieval(words)
+		switch {
+		case wrong != "":
+			answers <- ready(protocol.AppendWrong(nil, wrong))
+		case is:
+			own, _, _ := protocol.Command(bytes.Clone(c.Unread()[:length]))
+			answer := make(chan []byte, 1)
+			answers <- answer
+			go b.retrieve(own, write, answer, left)
+		case bytes.EqualFold(words[0], []byte("PING")) && b.knowsAny():
+			answers <- ready(protocol.AppendPong(nil))
+		case bytes.EqualFold(words[0], []byte("PING")):
+			answers <- ready(protocol.AppendWrong(nil, "no server is known yet"))
+		default:
+			name := words[0][:min(len(words[0]), 32)]
+			answers <- ready(protocol.AppendWrong(nil, "unknown command "+strconv.Quote(string(name))))
+		}
+		c.Skip(length)
+	}
+}
+
+func ready(answer []byte) chan []byte {
+	r := make(chan []byte, 1)
+	r <- answer
+	return r
+}
+
+// write gives the client its answers in the order of its commands.
+func (b *Balancer) write(c *transport.Client, answers <-chan chan []byte, left <-chan struct{}) {
+	for answer := range answers {
+		select {
+		case message := <-answer:
+			if c.Hand(message, time.Now().Add(writeFor)) != transport.Open {
+				c.Conn.Close() // The reader sees it and tells all that is out.
+			}
+		case <-left:
+		}
+		c.End()
+	}
+}
+
+func (b *Balancer) knowsAny() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.servers) > 0
+}
--- /dev/null
+++ b/transport/end.go
@@ -0,0 +1,68 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+)
+
+// End is how what went over a connection came to its end, one value for each way. routing turns it into the
+// module's outcome, in one place.
+type End int
+
+// The ways to end. Answers come first; the rest are the connection's own.
+const (
+	Open       End = iota // it has not ended
+	Settled               // a value or receipt came
+	Failed                // an error came
+	TurnedAway            // the host would not begin
+	Refused               // no connection: the other side said no at once
+	NeverUp               // no connection within the time for it
+	NoRoom                // no connection: no descriptor is left for one here
+	CutShort              // it broke before the last byte was handed over
+	Stuck                 // the time ran out before the last byte was handed over
+	Withdrawn             // called off before the last byte was handed over
+	Broken                // it broke or ended after that
+	Silent                // nothing whole came until the time ran out
+	CalledOff             // called off after the last byte was handed over
+	Garbled               // what came breaks the protocol's form
+	Left                  // front: the client closed it
+	Spared                // front: closed between retrievals, for room or at the end
+)
+
+var names = [...]string{"open", "settled", "failed", "turned away", "refused", "never up", "no room", "cut short",
+	"stuck", "withdrawn", "broken", "silent", "called off", "garbled", "left", "spared"}
+
+func (e End) String() string { return names[e] }
+
+// endOf tells what an error of the net package means; handed: the last byte had been handed over.
+func endOf(err error, handed bool) End {
+	switch {
+	case err == nil:
+		return Open
+	case errors.Is(err, os.ErrDeadlineExceeded) && handed:
+		return Silent
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Stuck
+	case errors.Is(err, io.EOF) && !handed:
+		return Left
+	case handed:
+		return Broken
+	}
+	return CutShort
+}
+
+// dialEnd tells what it means that no connection came up.
+func dialEnd(err error) End {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
+		errors.Is(err, syscall.EADDRNOTAVAIL), errors.Is(err, syscall.ENOMEM):
+		return NoRoom
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return NeverUp
+	}
+	return Refused
+}
--- /dev/null
+++ b/transport/listener.go
@@ -0,0 +1,180 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Listener accepts clients and keeps them within a number of descriptors.
+type Listener struct {
+	listener net.Listener
+	most     int
+	mu       sync.Mutex
+	clients  map[*Client]bool
+	all      sync.WaitGroup
+	Odd      func(err error) // told of accepts that went wrong
+}
+
+// Client is a client's connection. It is busy while something of it is being answered.
+type Client struct {
+	Conn
+	owner *Listener
+	busy  int
+	going bool
+	since time.Time // idle since
+}
+
+// Listen listens on one address. It allows addresses to be used again at once, as a restart needs.
+func Listen(address string, most int) (*Listener, error) {
+	listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{listener: listener, most: most, clients: map[*Client]bool{}, Odd: func(error) {}}, nil
+}
+
+// Address is where it listens.
+func (l *Listener) Address() string { return l.listener.Addr().String() }
+
+// Serve accepts until Close, and serves each client in a goroutine of its own. An accept that goes wrong ends
+// nothing: while descriptors are short it makes room and waits a little, so that it does not spin.
+func (l *Listener) Serve(serve func(*Client)) {
+	pause := time.Millisecond
+	for {
+		inner, err := l.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+			l.Odd(err)
+			l.spare()
+			time.Sleep(pause)
+			pause = min(2*pause, 50*time.Millisecond)
+			continue
+		case err != nil:
+			l.Odd(err)
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		pause = time.Millisecond
+		c := &Client{Conn: Conn{Conn: inner}, owner: l, since: time.Now()}
+		l.mu.Lock()
+		full := len(l.clients) >= l.most
+		l.mu.Unlock()
+		if full && !l.spare() {
+			inner.Close() // All are at work: this one has to come again.
+			continue
+		}
+		l.mu.Lock()
+		l.clients[c] = true
+		l.mu.Unlock()
+		l.all.Add(1)
+		go func() {
+			defer l.all.Done()
+			serve(c)
+			c.Close()
+			l.mu.Lock()
+			delete(l.clients, c)
+			l.mu.Unlock()
+		}()
+	}
+}
+
+// spare asks the client that has been idle longest to go; it may lose its connection between retrievals.
+func (l *Listener) spare() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var oldest *Client
+	for c := range l.clients {
+		if c.busy == 0 && !c.going && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.goSoon()
+	delete(l.clients, oldest)
+	return true
+}
+
+// goSoon wakes the client's reader, which alone closes the connection: nothing that was read is dropped.
+func (c *Client) goSoon() {
+	c.going = true
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Begin marks the client busy with one thing more.
+func (c *Client) Begin() {
+	c.owner.mu.Lock()
+	c.busy++
+	c.owner.mu.Unlock()
+}
+
+// End marks one thing as answered. A client that is to go does so with its last answer.
+func (c *Client) End() {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.busy--; c.busy == 0 {
+		c.since = time.Now()
+		if c.going {
+			c.goSoon()
+		}
+	}
+}
+
+// Fill reads once more. Spared: the connection is to go, nothing is being answered and nothing waits to be read.
+func (c *Client) Fill(until time.Time) End {
+	for {
+		if end := c.room(); end != Open {
+			return end
+		}
+		c.owner.mu.Lock()
+		going := c.going
+		waits, ended := c.pending()
+		if going && c.busy == 0 && !waits && !ended {
+			c.owner.mu.Unlock()
+			return Spared
+		}
+		c.SetReadDeadline(until)
+		c.owner.mu.Unlock()
+		if end := c.read(false); end != Stuck || time.Now().After(until) && !going {
+			return end
+		}
+	}
+}
+
+// Close stops accepting, closes clients between retrievals, and waits until all are gone or the time is over.
+func (l *Listener) Close(until time.Time) bool {
+	l.listener.Close()
+	gone := make(chan struct{})
+	go func() { l.all.Wait(); close(gone) }()
+	for {
+		l.mu.Lock()
+		for c := range l.clients {
+			if !c.going {
+				c.goSoon()
+			}
+		}
+		l.mu.Unlock()
+		select {
+		case <-gone:
+			return true
+		case <-time.After(20 * time.Millisecond):
+			if time.Now().After(until) {
+				return false
+			}
+		}
+	}
+}
+
+// Count tells how many clients are connected.
+func (l *Listener) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.clients)
+}
