Answers count as held memory until read; trips decided as a client goes are always ended

Found by reading the life of a retrieval: when a client went away between the module's decision to send and the goroutine's hearing of it, the loop in routing/life.go could end with that decision unread; the module then counted a trip in flight for ever. The loop now runs until all trips the module decided on have ended. Values waiting for a slow client are held against the memory for retrievals. The log's counts told settled trips twice; now once.

Parsers are fuzzed on fixed seeds; each way a trip's connection can end has a case against a plain peer.

--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -20,7 +21,7 @@
 const (
 	reserve    = 48                     // descriptors that are for neither clients nor hosts
 	stragglers = 500 * time.Millisecond // after SIGTERM new clients go on coming for so long
-	lastAnswer = 3500 * time.Millisecond
+	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
 	sweepEvery = 250 * time.Millisecond
 	tellEvery  = 10 * time.Second
 )
@@ -42,6 +43,7 @@
 	runtime.GOMAXPROCS(max(1, int(told.cores)))
 	memory := int64(told.memory * (1 << 20))
 	debug.SetMemoryLimit(memory * 7 / 10)
+	debug.SetGCPercent(200)
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("balancer", told.name).Logger()
 
 	hosts := (told.sockets - reserve) / 3
@@ -75,11 +77,22 @@
 			balancer.Summary(listener.Count())
 		case <-stop:
 			log.Info().Int("clients", listener.Count()).Msg("stopping")
+			until := time.Now().Add(lastAnswer + longest(told.settings))
 			time.Sleep(stragglers)
-			all := listener.Close(time.Now().Add(lastAnswer - stragglers))
+			all := listener.Close(until)
 			balancer.Summary(listener.Count())
 			log.Info().Bool("all_answered", all).Msg("stopped")
 			return nil
 		}
 	}
 }
+
+// longest is the longest hard stop of all workloads.
+func longest(settings map[string]any) time.Duration {
+	most, count := 0.0, settings["workloads"].(float64)
+	for i := range int(count) {
+		stop, _ := settings["workloads."+strconv.Itoa(i)+".hardStop"].(float64)
+		most = max(most, stop)
+	}
+	return time.Duration(most * 1e6)
+}
--- /dev/null
+++ b/protocol/protocol_test.go
@@ -0,0 +1,119 @@
+package protocol
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"hollylever/transport"
+)
+
+const get = "*4\r\n$5\r\nC.GET\r\n$3\r\nkey\r\n$2\r\nid\r\n$22\r\nc=read,t=acme,d=480.5,\r\n"
+
+func FuzzCommand(f *testing.F) {
+	for _, seed := range []string{get, get + get, "*1\r\n$4\r\nPING\r\n", "PING\r\n", "*-1\r\n", "*0\r\n", "*1\r\n$-1\r\n",
+		"*1\r\n$-5\r\n\r\n", "*1\r\n$99999999999999999999\r\n", "*2000000000\r\n", "*1\r\n*1\r\n$1\r\na\r\n", "*1\r\n$1\r\nabc",
+		"*1\n", "\r\n", "$3\r\nabc\r\n", "*1\r\n$65537\r\n", "*+1\r\n$1\r\na\r\n", strings.Repeat("*", 2000)} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, came []byte) {
+		words, length, err := Command(came)
+		if err != nil || length == 0 {
+			if words != nil || length != 0 {
+				t.Fatalf("%q: %d words and length %d beside %v", came, len(words), length, err)
+			}
+			return
+		}
+		if length > len(came) || len(words) == 0 {
+			t.Fatalf("%q: length %d, %d words", came, length, len(words))
+		}
+		for n := range length { // A part is never taken for a whole, nor for malformed.
+			if _, part, err := Command(came[:n]); part != 0 || err != nil {
+				t.Fatalf("%q: the first %d bytes give %d, %v", came, n, part, err)
+			}
+		}
+		if is, _, wrong := Retrieval(words); is && wrong == "" {
+			if _, _, patience, predicted, err := Fields(words[3]); err == nil {
+				if patience < 0 || predicted < 0 {
+					t.Fatalf("%q: times under 0", words[3])
+				}
+				again, n, err := Command(AppendRetrieval(nil, words, patience))
+				if err != nil && len(words[3]) < mostName-20 || err == nil && n > 0 && !bytes.Equal(again[1], words[1]) {
+					t.Fatalf("%q does not go on: %v", words, err)
+				}
+			}
+		}
+	})
+}
+
+func FuzzAnswer(f *testing.F) {
+	for _, seed := range []string{"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n", "-BUSY\r\n", "-BUSY inflight=1\r\n", "-ERR failed\r\n",
+		"*3\r\n$-1\r\n$-1\r\n$-1\r\n", "*3\r\n:1\r\n:2\r\n:3\r\n", "*2\r\n$1\r\nv\r\n", "+OK\r\n", "$1\r\nv\r\n", "*-1\r\n", ":\r\n",
+		"*3\r\n$1\r\nv\r\n*1\r\n$1\r\nx\r\n$-1\r\n", "*3\r\n$70000\r\n", "HTTP/1.1 400\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, came []byte) {
+		end, value, note, length := Answer(came)
+		if length > len(came) || (end == transport.Settled) != (value != nil) || note < 0 || note > 3 ||
+			(end == transport.Open || end == transport.Garbled) != (length == 0) {
+			t.Fatalf("%q: %v, %q, %d, %d", came, end, value, note, length)
+		}
+	})
+}
+
+func FuzzList(f *testing.F) {
+	for _, seed := range []string{list(`"Ready"`, 0), list(`"Gone"`, 1.5e12), list(`"Up"`, 0), list(`3`, -1), "", "{}", "[]",
+		`{"index":1,"snapshot":true,"endpoints":[3,null]}`, list(`"Ready"`, 0)[:40]} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		begun, rows := 0, 0
+		err := List(line, func(uint64, bool) { begun++ },
+			func(name, address, status string, started int64, kind, zone string, cell int, weight float64) {
+				if rows++; name == "" || status == "" || weight < 0 || begun != 1 {
+					t.Fatalf("%q: row %q %q %g", line, name, status, weight)
+				}
+			})
+		if (err == nil) != (begun == 1) || err != nil && rows > 0 {
+			t.Fatalf("%q: %v after %d rows", line, err, rows)
+		}
+	})
+}
+
+func list(status string, since float64) string {
+	return fmt.Sprintf(`{"index":7,"snapshot":false,"endpoints":[{"name":"a","address":"127.0.0.1:1","zone":"z","type":"m",`+
+		`"group":3,"status":%s,"weight":1.0,"since_ms":%f}]}`, status, since)
+}
+
+func TestFields(t *testing.T) {
+	workload, tenant, patience, predicted, err := Fields([]byte("c=read,t=acme,d=480.5,k=5c,r=1,h=2500,size=9"))
+	if string(workload) != "read" || string(tenant) != "acme" || patience != 480.5e6 || predicted != 2.5e6 || err != nil {
+		t.Fatal(string(workload), string(tenant), patience, predicted, err)
+	}
+	for _, bad := range []string{"", "c=read", "d=5", "c=read,d", "c=read,d=-1", "c=read,d=NaN", "c=read,d=x", "c=read,d=5,h=x"} {
+		if _, _, _, _, err := Fields([]byte(bad)); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
+
+func TestKeyIsANumberOrAHash(t *testing.T) {
+	if Key([]byte("00000000000000ff")) != 255 || Key([]byte("ff")) == 255 || Key([]byte("ff")) == Key([]byte("fe")) {
+		t.Fatal("16 hex digits are a number, all else is hashed")
+	}
+}
+
+func TestRetrievalGoesOnAsItCameButForItsTime(t *testing.T) {
+	words := [][]byte{[]byte("C.SET"), []byte("key"), []byte("id"), []byte("c=put,d=480,k=5c,x=9"), []byte("v\r\n")}
+	want := "*5\r\n$5\r\nC.SET\r\n$3\r\nkey\r\n$2\r\nid\r\n$20\r\nc=put,d=101,k=5c,x=9\r\n$3\r\nv\r\n\r\n"
+	if out := AppendRetrieval(nil, words, 100.2e6); string(out) != want {
+		t.Fatalf("%q, want %q", out, want)
+	}
+}
+
+func TestDismissedTellsWholeMilliseconds(t *testing.T) {
+	if a, b := string(AppendDismissed(nil, 0)), string(AppendDismissed(nil, 1.2e6)); a != "-BUSY\r\n" || b != "-BUSY 2\r\n" {
+		t.Fatalf("%q %q", a, b)
+	}
+}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -79,6 +79,7 @@
 	pool     *transport.Pool
 	follow   chan struct{} // the module wants the list followed
 	index    uint64        // of the list last told
+	failing  bool          // the list can't be followed
 	mostHeld int
 	mostHeap int64
 
@@ -93,7 +94,6 @@
 	tenants   map[string]int
 	kinds     map[string]int
 	zones     map[string]int
-	failing   bool // the list
 	counts    map[string]int
 }
 
@@ -145,12 +145,14 @@
 // Dismiss is final.
 func (b *Balancer) Dismiss(i int, comeBack int64) {
 	b.slots[i].final = true
+	b.counts["dismissed"]++
 	b.slots[i].told <- news{what: dismiss, until: comeBack}
 }
 
 // GiveUp is final.
 func (b *Balancer) GiveUp(i int) {
 	b.slots[i].final = true
+	b.counts["given_up"]++
 	b.slots[i].told <- news{what: giveUp}
 }
 
@@ -176,6 +178,12 @@
 
 // tell hands a list to the module; saved: it is from before the start.
 func (b *Balancer) tell(line []byte, saved bool) error {
+	var changed []string
+	defer func() { // Not under the lock: whoever reads the log may be slow.
+		for n := 0; n < len(changed); n += 3 {
+			b.log.Info().Str("server", changed[n]).Str("from", changed[n+1]).Str("to", changed[n+2]).Msg("server changed")
+		}
+	}()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -197,7 +205,7 @@
 			b.servers = append(b.servers, server{name: name})
 		}
 		if h := &b.servers[s]; h.status != status && !saved {
-			b.log.Info().Str("server", name).Str("from", h.status).Str("to", status).Msg("server changed")
+			changed = append(changed, name, h.status, status)
 		}
 		b.servers[s] = server{name, address, status}
 		k, stated := b.kinds[kind]
@@ -222,7 +230,7 @@
 	line := b.log.Info().Int("clients", clients).Int("hosts_open", b.pool.Count()).
 		Int("held", len(b.slots)-len(b.free)).Int("servers", len(b.servers)).Uint64("index", b.index)
 	for _, name := range slices.Sorted(maps.Keys(b.counts)) {
-		line = line.Int(name, b.counts[name])
+		line = line.Int(name, b.counts[name]) // Only what happened is named.
 	}
 	clear(b.counts)
 	b.mu.Unlock()
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -34,12 +34,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		b.mu.Lock()
 		if !b.failing {
 			b.log.Warn().Err(err).Msg("list lost")
 		}
 		b.failing = true
-		b.counts["lists failed"]++
+		b.mu.Lock()
+		b.counts["lists_failed"]++
 		b.module.Listing(b.now(), choice.Failed)
 		b.module.Listed(b.now())
 		b.mu.Unlock()
@@ -76,12 +76,10 @@
 		if err := b.tell(line, false); err != nil {
 			return err
 		}
-		b.mu.Lock()
 		if b.failing {
 			b.failing = false
 			b.log.Info().Uint64("index", b.index).Msg("list followed again")
 		}
-		b.mu.Unlock()
 	}
 	if err := lines.Err(); err != nil {
 		return errors.Join(err, context.Cause(ctx))
--- a/routing/front.go
+++ b/routing/front.go
@@ -15,10 +15,16 @@
 	writeFor  = 10 * time.Second // how long a client may take to read an answer
 )
 
+// turn is the place of a command among its client's: the answer when it is there, and when that was written.
+type turn struct {
+	answer  chan []byte
+	written chan struct{}
+}
+
 // Serve serves one client until it goes away. It reads on while retrievals are out, so that its going is seen.
 func (b *Balancer) Serve(c *transport.Client) {
 	left, written := make(chan struct{}), make(chan struct{})
-	answers := make(chan chan []byte, pipelined)
+	answers := make(chan turn, pipelined)
 	go func() {
 		defer close(written)
 		b.write(c, answers, left)
@@ -31,7 +37,7 @@
 }
 
 // commands reads until the client's connection ends, and says how.
-func (b *Balancer) commands(c *transport.Client, answers chan<- chan []byte, left <-chan struct{}) transport.End {
+func (b *Balancer) commands(c *transport.Client, answers chan<- turn, left <-chan struct{}) transport.End {
 	var until time.Time // No limit between commands; one for a command that has begun to come.
 	for {
 		words, length, err := protocol.Command(c.Unread())
@@ -59,9 +65,9 @@
 			answers <- ready(protocol.AppendWrong(nil, wrong))
 		case is:
 			own, _, _ := protocol.Command(bytes.Clone(c.Unread()[:length]))
-			answer := make(chan []byte, 1)
-			answers <- answer
-			go b.retrieve(own, write, answer, left)
+			t := turn{make(chan []byte, 1), make(chan struct{})}
+			answers <- t
+			go b.retrieve(own, write, t, left)
 		case bytes.EqualFold(words[0], []byte("PING")) && b.knowsAny():
 			answers <- ready(protocol.AppendPong(nil))
 		case bytes.EqualFold(words[0], []byte("PING")):
@@ -74,22 +80,24 @@
 	}
 }
 
-func ready(answer []byte) chan []byte {
-	r := make(chan []byte, 1)
-	r <- answer
-	return r
+// ready is the turn of a command that has its answer at once.
+func ready(answer []byte) turn {
+	t := turn{make(chan []byte, 1), make(chan struct{})}
+	t.answer <- answer
+	return t
 }
 
 // write gives the client its answers in the order of its commands.
-func (b *Balancer) write(c *transport.Client, answers <-chan chan []byte, left <-chan struct{}) {
-	for answer := range answers {
+func (b *Balancer) write(c *transport.Client, answers <-chan turn, left <-chan struct{}) {
+	for t := range answers {
 		select {
-		case message := <-answer:
+		case message := <-t.answer:
 			if c.Hand(message, time.Now().Add(writeFor)) != transport.Open {
 				c.Conn.Close() // The reader sees it and tells all that is out.
 			}
 		case <-left:
 		}
+		close(t.written)
 		c.End()
 	}
 }
--- a/routing/life.go
+++ b/routing/life.go
@@ -10,10 +10,10 @@
 
 // retrieve is the life of a retrieval, from its words at the door over its trips to its one final answer, and on
 // until its last trip has ended. left is closed when its client goes away.
-func (b *Balancer) retrieve(words [][]byte, write bool, answer chan<- []byte, left <-chan struct{}) {
+func (b *Balancer) retrieve(words [][]byte, write bool, t turn, left <-chan struct{}) {
 	workload, tenant, patience, predicted, err := protocol.Fields(words[3])
 	if err != nil {
-		answer <- protocol.AppendWrong(nil, err.Error())
+		t.answer <- protocol.AppendWrong(nil, err.Error())
 		return
 	}
 	size := int64(0)
@@ -23,29 +23,30 @@
 
 	b.mu.Lock()
 	w, known := b.workloads[string(workload)]
-	t, stated := b.tenants[string(tenant)]
+	owner, stated := b.tenants[string(tenant)]
 	if !stated {
-		t = -1
+		owner = -1
 	}
 	full := len(b.slots)-len(b.free) >= b.mostHeld || b.heap+size > b.mostHeap
 	if !known || full {
+		b.counts["sent_back"]++
 		b.mu.Unlock()
 		if !known {
-			answer <- protocol.AppendWrong(nil, "unknown workload")
+			t.answer <- protocol.AppendWrong(nil, "unknown workload")
 		} else {
-			answer <- protocol.AppendDismissed(nil, 0) // Guards memory; it was never begun.
+			t.answer <- protocol.AppendDismissed(nil, 0) // Guards memory; it was never begun.
 		}
 		return
 	}
 	b.heap += size
 	b.counts["retrievals"]++
 	i, told := b.take()
-	b.module.Asked(b.now(), i, patience, w, t, protocol.Key(words[1]), true, write, predicted)
+	b.module.Asked(b.now(), i, patience, w, owner, protocol.Key(words[1]), true, write, predicted)
 	b.mu.Unlock()
 
 	var lines []*transport.Line
-	out := 0
-	for answered := false; !answered || out > 0; {
+	over := 0 // trips that have ended
+	for answered := false; !answered || over < b.trips(i); {
 		select {
 		case <-left:
 			left, answered = nil, true
@@ -56,13 +57,18 @@
 				b.module.Aborted(b.now(), i)
 			}
 			b.mu.Unlock()
+			for _, line := range lines {
+				line.Withdraw()
+			}
 		case n := <-told:
 			var final []byte
 			switch n.what {
 			case send:
 				line := b.pool.Line()
 				lines = append(lines, line)
-				out++
+				if answered {
+					line.Cut() // Its client went away between the decision and this.
+				}
 				go b.trip(line, words, n, told)
 			case callOff:
 				lines[n.trip].Cut()
@@ -71,21 +77,32 @@
 			case giveUp:
 				final = protocol.AppendGivenUp(nil)
 			case ended:
-				out--
-				if b.ended(i, n) {
+				over++
+				b.mu.Lock()
+				now, how := b.now(), outcomes[n.end]
+				if how == choice.OK && !b.slots[i].final {
+					b.slots[i].final = true
 					final = n.answer
+					size += int64(len(final))
+					b.heap += int64(len(final))
+					b.counts["settled"]++
+				} else if how != choice.OK {
+					b.counts["trip_"+n.end.String()]++
 				}
+				b.module.Ended(now, i, n.trip, n.server, n.note, how, now-n.at, b.slots[i].final)
+				b.mu.Unlock()
 			}
 			if final != nil && !answered {
 				for _, line := range lines {
 					line.Withdraw() // Nothing is sent for it from now on.
 				}
-				answer <- final
+				t.answer <- final
 				answered = true
 			}
 		}
 	}
 
+	<-t.written // Until then its answer takes memory.
 	b.mu.Lock()
 	b.heap -= size
 	b.slots[i].told = nil
@@ -93,19 +110,11 @@
 	b.mu.Unlock()
 }
 
-// ended tells the module how a trip ended, and whether that was the retrieval's final answer.
-func (b *Balancer) ended(i int, n news) bool {
+// trips is how many trips the module has decided on for a retrieval.
+func (b *Balancer) trips(i int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now, how := b.now(), outcomes[n.end]
-	settles := how == choice.OK && !b.slots[i].final
-	if settles {
-		b.slots[i].final = true
-		b.counts["settled"]++
-	}
-	b.counts[n.end.String()]++
-	b.module.Ended(now, i, n.trip, n.server, n.note, how, now-n.at, b.slots[i].final)
-	return settles
+	return b.slots[i].trips
 }
 
 // trip sends a retrieval to a server once and waits for how that ends.
--- a/transport/end.go
+++ b/transport/end.go
@@ -32,8 +32,8 @@
 	Spared                // front: closed between retrievals, for room or at the end
 )
 
-var names = [...]string{"open", "settled", "failed", "turned away", "refused", "never up", "no room", "cut short",
-	"stuck", "withdrawn", "broken", "silent", "called off", "garbled", "left", "spared"}
+var names = [...]string{"open", "settled", "failed", "turned_away", "refused", "never_up", "no_room", "cut_short",
+	"stuck", "withdrawn", "broken", "silent", "called_off", "garbled", "left", "spared"}
 
 func (e End) String() string { return names[e] }
 
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,218 @@
+package transport
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func soon() time.Time { return time.Now().Add(5 * time.Second) }
+
+// peer listens on a free port and hands over what it accepts.
+func peer(t *testing.T) (string, <-chan *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	accepted := make(chan *net.TCPConn, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c.(*net.TCPConn)
+		}
+	}()
+	return l.Addr().String(), accepted
+}
+
+func connected(t *testing.T, p *Pool, address string) *Line {
+	line := p.Line()
+	if end := line.Connect(address, soon()); end != Open {
+		t.Fatalf("no connection: %v", end)
+	}
+	return line
+}
+
+func TestNoConnection(t *testing.T) {
+	address, _ := peer(t)
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	closed := l.Addr().String()
+	l.Close()
+	p := NewPool(1, time.Minute, 50*time.Millisecond)
+	if end := p.Line().Connect(closed, soon()); end != Refused {
+		t.Errorf("a closed port: %v", end)
+	}
+	// A listener that accepts nothing and whose queue is full lets no connection come up.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	syscall.Listen(fd, 0)
+	at, _ := syscall.Getsockname(fd)
+	full := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: at.(*syscall.SockaddrInet4).Port}).String()
+	end := Open
+	many := NewPool(8, time.Minute, 50*time.Millisecond)
+	for n := 0; n < 8 && end == Open; n++ {
+		end = many.Line().Connect(full, soon())
+	}
+	if end != NeverUp {
+		t.Errorf("a full queue: %v", end)
+	}
+	connected(t, p, address)
+	if end := p.Line().Connect(address, soon()); end != NoRoom {
+		t.Errorf("the second of one connection: %v", end)
+	}
+	cut := p.Line()
+	cut.Cut()
+	p.release()
+	if end := cut.Connect(address, soon()); end != Withdrawn {
+		t.Errorf("called off before it began: %v", end)
+	}
+}
+
+func TestBreaks(t *testing.T) {
+	address, accepted := peer(t)
+	p := NewPool(16, time.Minute, time.Second)
+	big := make([]byte, 32<<20) // more than the system's buffers take
+	for _, c := range []struct {
+		name    string
+		message []byte
+		until   time.Duration
+		then    func(*Line, *net.TCPConn)
+		want    End
+	}{
+		{"resets before the last byte", big, time.Minute, func(_ *Line, c *net.TCPConn) { c.SetLinger(0); c.Close() }, CutShort},
+		{"reads nothing", big, 50 * time.Millisecond, func(*Line, *net.TCPConn) {}, Stuck},
+		{"called off before the last byte", big, time.Minute, func(l *Line, _ *net.TCPConn) { l.Cut() }, Withdrawn},
+		{"withdrawn before the last byte", big, time.Minute, func(l *Line, _ *net.TCPConn) { l.Withdraw() }, Withdrawn},
+		{"resets after it", []byte("x"), time.Minute, func(_ *Line, c *net.TCPConn) { read(c); c.SetLinger(0); c.Close() }, Broken},
+		{"ends after it", []byte("x"), time.Minute, func(_ *Line, c *net.TCPConn) { read(c); c.Close() }, Broken},
+		{"is silent", []byte("x"), 50 * time.Millisecond, func(*Line, *net.TCPConn) {}, Silent},
+		{"called off after it", []byte("x"), time.Minute, func(l *Line, c *net.TCPConn) { read(c); l.Cut() }, CalledOff},
+	} {
+		line := connected(t, p, address)
+		other := <-accepted
+		go c.then(line, other)
+		until := time.Now().Add(c.until)
+		end := line.Hand(c.message, until)
+		if end == Open {
+			end = line.Fill(until)
+		}
+		if end != c.want {
+			t.Errorf("%s: %v, want %v", c.name, end, c.want)
+		}
+		line.Done(false)
+		other.Close()
+	}
+	if n := p.Count(); n != 0 {
+		t.Errorf("%d connections are still counted", n)
+	}
+}
+
+func read(c *net.TCPConn) { c.Read(make([]byte, 1)) }
+
+// Guards one-shots: a write to a connection that the host has closed would end as a reset.
+func TestStaleIdleConnectionIsNotUsed(t *testing.T) {
+	address, accepted := peer(t)
+	p := NewPool(2, time.Minute, time.Second)
+	line := connected(t, p, address)
+	first := <-accepted
+	line.Done(true)
+	line = connected(t, p, address)
+	if len(accepted) != 0 || p.Count() != 1 {
+		t.Fatal("an idle connection that stands is not used again")
+	}
+	conn := line.Conn
+	line.Done(true)
+	first.Close()
+	for ended := false; !ended; _, ended = conn.pending() {
+	}
+	line = connected(t, p, address)
+	if line.Conn == conn || p.Count() != 1 {
+		t.Fatal("a connection that the host has closed is used again")
+	}
+	second := <-accepted
+	if line.Hand([]byte("x"), soon()) != Open {
+		t.Fatal("the new one does not take anything")
+	}
+	read(second)
+	line.Done(true)
+	p.keep = 0
+	p.Sweep()
+	if p.Count() != 0 {
+		t.Fatal("idle for too long, and still open")
+	}
+}
+
+// Guards trips that share nothing: a call-off that comes late must not close what is another's by now.
+func TestLateCallOffHurtsNoOther(t *testing.T) {
+	address, accepted := peer(t)
+	p := NewPool(2, time.Minute, time.Second)
+	first := connected(t, p, address)
+	host := <-accepted
+	first.Done(true)
+	second := connected(t, p, address)
+	first.Cut()
+	if end := second.Hand([]byte("x"), soon()); end != Open {
+		t.Fatal(end)
+	}
+	host.Write([]byte("y"))
+	if end := second.Fill(soon()); end != Open || string(second.Unread()) != "y" {
+		t.Fatal(end)
+	}
+}
+
+func TestOldestIdleConnectionMakesRoom(t *testing.T) {
+	a, fromA := peer(t)
+	b, _ := peer(t)
+	p := NewPool(1, time.Minute, time.Second)
+	connected(t, p, a).Done(true)
+	connected(t, p, b)
+	host := <-fromA
+	host.SetReadDeadline(soon())
+	if n, err := host.Read(make([]byte, 1)); n != 0 || err == nil || p.Count() != 1 {
+		t.Fatal("the idle one still stands")
+	}
+}
+
+func TestBufferGrowsAndIsCompacted(t *testing.T) {
+	address, accepted := peer(t)
+	line := connected(t, NewPool(1, time.Minute, time.Second), address)
+	host := <-accepted
+	text := make([]byte, MostBuffer+1)
+	for i := range text {
+		text[i] = byte(i * 7)
+	}
+	go host.Write(text)
+	for done := 0; done < firstBuffer; {
+		if end := line.Fill(soon()); end != Open {
+			t.Fatal(end)
+		}
+		n := min(100, len(line.Unread()))
+		for i, c := range line.Unread()[:n] {
+			if c != text[done+i] {
+				t.Fatalf("byte %d differs", done+i)
+			}
+		}
+		line.Skip(n)
+		done += n
+	}
+	go host.Write(text)
+	for end := Open; end != Garbled; end = line.Fill(soon()) {
+		if end != Open || len(line.buffer) > MostBuffer {
+			t.Fatal(end, len(line.buffer))
+		}
+	}
+	line.Skip(len(line.Unread()))
+	if line.buffer != nil {
+		t.Fatal("an empty large buffer is kept")
+	}
+}
