A client that is asked to go keeps its connection until its last answer

Seen in a new test of SIGTERM: a client with a retrieval out lost its connection at the end of the stragglers' time. transport/listener.go read whether the client was asked to go before it waited for bytes, not after, so that the wake-up looked like a time that had run out.

Also: an accept that is just under way at the end is waited for, a watch that only has empty lines counts as followed, and integration tests start the program and speak to it over loopback.

--- /dev/null
+++ b/cmd/hollylever/main_test.go
@@ -0,0 +1,680 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+)
+
+// The tests start the program itself (this binary, by a variable) and speak to it over loopback, between clients,
+// cache hosts and a discovery of their own.
+const asProgram = "HOLLYLEVER_TEST_AS_PROGRAM"
+
+const patience = 20 * time.Second // for anything that has to come
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const settings = `{"allowed":{"cancelling":true,"connIdle":5000,"dialTimeout":200,"mostHeld":20000,"mostTrips":3,
+"secondCopies":true,"retryAfter":false},"balancers":1,"hostTypes":["std"],"zones":["z"],"registryMode":"subscribe",
+"tenants":[{"name":"acme","quotaRps":100000}],"extra":{"mode":"through"},
+"invariants":{"askEvery":10000,"drainGrace":2500,"startCapacity":0.2,"warmUp":20000,"fallMultiple":2.5,"tipAfter":3000},
+"workloads":[
+{"name":"read","effect":"free","group":"all","expectedTime":5000,"hardStop":3000,"value":1,"tardyValue":0.2},
+{"name":"report","effect":"guarded","group":"all","dedupWindow":4000,"expectedTime":5000,"hardStop":3000,"value":1,"tardyValue":0.2},
+{"name":"book","effect":"single_shot","group":"all","expectedTime":5000,"hardStop":3000,"value":1,"tardyValue":0.2}]}`
+
+// command is what a host was sent, and the connection to answer on.
+type command struct {
+	words []string
+	*net.TCPConn
+	ended <-chan struct{} // the program has closed it
+}
+
+func (c command) say(text string) { io.WriteString(c, text) }
+
+func settled(value string) string {
+	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
+}
+
+// host is a stand-in for a cache host: it hands over each command that it has got whole.
+func host(t *testing.T) (string, <-chan command) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	came := make(chan command, 10000)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				ended := make(chan struct{})
+				defer close(ended)
+				for in := bufio.NewReader(c); ; {
+					words, err := message(in)
+					if err != nil {
+						return
+					}
+					came <- command{words, c.(*net.TCPConn), ended}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), came
+}
+
+// message reads one message: its words, or the one line or string that it is.
+func message(in *bufio.Reader) ([]string, error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	line = strings.TrimRight(line, "\r\n")
+	n, _ := strconv.Atoi(line[1:])
+	switch line[0] {
+	case '$':
+		text := make([]byte, n+2)
+		_, err := io.ReadFull(in, text)
+		return []string{string(text[:n])}, err
+	case '*':
+		var words []string
+		for range n {
+			word, err := message(in)
+			if err != nil {
+				return nil, err
+			}
+			words = append(words, word...)
+		}
+		return words, nil
+	}
+	return []string{line}, nil
+}
+
+func next[T any](t *testing.T, from <-chan T, what string) T {
+	t.Helper()
+	select {
+	case x := <-from:
+		return x
+	case <-time.After(patience):
+		t.Fatalf("%s does not come", what)
+		panic("unreachable")
+	}
+}
+
+// call is a watch that the program asked for at the stand-in for discovery: what it is to say, line by line.
+type call struct {
+	since string
+	lines chan string
+}
+
+const unavailable = "503" // in place of the first line
+
+func (c call) say(line string) { c.lines <- line }
+func (c call) end()            { close(c.lines) }
+
+func discovery(t *testing.T) (string, <-chan call) {
+	calls := make(chan call, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := call{r.URL.Query().Get("since"), make(chan string, 100)}
+		calls <- c
+		for {
+			select {
+			case line, more := <-c.lines:
+				if line == unavailable {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+				if line == unavailable || !more {
+					return
+				}
+				io.WriteString(w, line+"\n")
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s.Listener.Addr().String(), calls
+}
+
+func entry(name, address, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"z","type":"std","group":0,"status":%q,"weight":1.0,"since_ms":0}`,
+		name, address, status)
+}
+
+func list(index int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, whole, strings.Join(entries, ","))
+}
+
+type program struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	address string
+	log     chan string
+	ended   chan error
+}
+
+// config is a good configuration with changes; a nil takes a field out.
+func config(t *testing.T, changes map[string]any) string {
+	all := map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"settings": json.RawMessage(settings), "known": json.RawMessage(list(0, true))}
+	for field, value := range changes {
+		if all[field] = value; value == nil {
+			delete(all, field)
+		}
+	}
+	text, err := json.Marshal(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func run1(file string, variables ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+	cmd.Env = append(cmd.Env, variables...)
+	return cmd
+}
+
+func start(t *testing.T, known string, changes map[string]any) *program {
+	t.Helper()
+	all := map[string]any{"known": json.RawMessage(known)}
+	for field, value := range changes {
+		all[field] = value
+	}
+	p := &program{t: t, cmd: run1(config(t, all)), log: make(chan string, 10000), ended: make(chan error, 1)}
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			p.log <- lines.Text()
+		}
+		p.ended <- p.cmd.Wait()
+	}()
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	var line struct{ Listen string }
+	json.Unmarshal([]byte(p.logged(`"message":"serving"`)), &line)
+	p.address = line.Listen
+	return p
+}
+
+// logged waits for a line of the log that holds the text.
+func (p *program) logged(text string) string {
+	p.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		if line := next(p.t, p.log, "the log line "+text); strings.Contains(line, text) {
+			return line
+		}
+	}
+	p.t.Fatalf("the log line %s does not come", text)
+	return ""
+}
+
+type client struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func (p *program) client() client {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.address)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	p.t.Cleanup(func() { c.Close() })
+	return client{p.t, c, bufio.NewReader(c)}
+}
+
+func words(list ...string) string {
+	out := fmt.Sprintf("*%d\r\n", len(list))
+	for _, word := range list {
+		out += fmt.Sprintf("$%d\r\n%s\r\n", len(word), word)
+	}
+	return out
+}
+
+func (c client) ask(list ...string) client { io.WriteString(c, words(list...)); return c }
+
+func (c client) answers(want string) {
+	c.t.Helper()
+	got, err := message(c.in)
+	if err != nil || len(got) != 1 || got[0] != want {
+		c.t.Fatalf("the answer is %.60q, %v; want %.60q", got, err, want)
+	}
+}
+
+func (c client) ends() {
+	c.t.Helper()
+	if rest, err := io.ReadAll(c.in); err != nil && !strings.Contains(err.Error(), "reset") || len(rest) > 0 {
+		c.t.Fatalf("the connection does not end: %q, %v", rest, err)
+	}
+}
+
+func none(t *testing.T, came <-chan command) {
+	t.Helper()
+	select {
+	case c := <-came:
+		t.Fatalf("a host is sent %q again", c.words)
+	default:
+	}
+}
+
+func TestServes(t *testing.T) {
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), nil)
+	c := p.client().ask("PING")
+	c.answers("+PONG")
+	c.ask("C.GET", "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41", "c=read,t=acme,d=3000,r=1,h=250,size=7")
+	h := next(t, came, "the retrieval")
+	wait, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimPrefix(h.words[3], "c=read,t=acme,d="), ",r=1,h=250,size=7"))
+	if h.words[0] != "C.GET" || h.words[1] != "7f3a9c21e0b4d655" || h.words[2] != "9b1f03aa5c7e2d41" || wait < 1 || wait > 3000 {
+		t.Fatalf("the host is sent %q", h.words)
+	}
+	h.say(settled("a value"))
+	c.answers("a value")
+	big := strings.Repeat("v", 64<<10)
+	c.ask("C.SET", "not hex", "id2", "c=report,t=nobody,d=3000,k=5c0f", big)
+	h = next(t, came, "the write")
+	if len(h.words) != 5 || h.words[4] != big || !strings.HasSuffix(h.words[3], ",k=5c0f") {
+		t.Fatalf("the host is sent %.100q", h.words)
+	}
+	h.say(settled(big))
+	c.answers(big)
+	for _, bad := range []struct{ command, want string }{
+		{words("HELLO", "3"), `-ERR unknown command "HELLO"`},
+		{words("C.GET", "k", "id"), "-ERR wrong number of words"},
+		{words("C.GET", "k", "id", "c=novel,d=5"), "-ERR unknown workload"},
+		{words("C.GET", "k", "id", "c=read,d=soon"), "-ERR the list of names and values is malformed"},
+		{words("C.GET", "k", "id", "c=read"), "-ERR the list needs a workload in c and a time in d"},
+		{words("C.GET", strings.Repeat("k", 1000), "id", "c=read,d=5"), "-ERR a key, an id or a list is too long"},
+	} {
+		io.WriteString(c, bad.command)
+		c.answers(bad.want)
+	}
+	c.ask("PING").answers("+PONG")
+	for _, bad := range []struct{ bytes, want string }{
+		{"PING\r\n", "-ERR protocol: a command is an array of bulk strings"},
+		{"*1\r\n$-7\r\nx\r\n", "-ERR protocol: malformed message"},
+		{"*3\r\n$65537\r\n", "-ERR protocol: length out of bounds"},
+		{"*1000\r\n", "-ERR protocol: length out of bounds"},
+		{"*1\r\n:5\r\n", "-ERR protocol: a command is an array of bulk strings"},
+	} {
+		c := p.client()
+		io.WriteString(c, bad.bytes)
+		c.answers(bad.want)
+		c.ends()
+	}
+	none(t, came)
+}
+
+func TestAnswersKeepTheOrderOfCommands(t *testing.T) {
+	at, came := host(t)
+	c := start(t, list(0, true, entry("s", at, "Ready")), nil).client()
+	const many = 200 // more than are answered side by side
+	go func() {
+		for n := range many {
+			c.ask("C.GET", "k"+strconv.Itoa(n), "id"+strconv.Itoa(n), "c=read,t=acme,d=10000")
+		}
+	}()
+	var first []command
+	for range 5 { // What is asked side by side is answered the other way round.
+		first = append(first, next(t, came, "a pipelined retrieval"))
+	}
+	slices.Reverse(first)
+	for _, h := range first {
+		h.say(settled(h.words[1]))
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case h := <-came:
+				h.say(settled(h.words[1]))
+			case <-done:
+				return
+			}
+		}
+	}()
+	for n := range many {
+		got, err := message(c.in)
+		if err != nil || got[0] != "k"+strconv.Itoa(n) && got[0] != "-BUSY" {
+			t.Fatalf("answer %d is %q, %v", n, got, err)
+		}
+	}
+}
+
+// Every row of the outcome table, with a one-shot: it may be tried again, or dismissed, only if it never ran.
+func TestOutcomes(t *testing.T) {
+	for _, row := range []struct {
+		name, list, want string
+		answer           func(command)
+		trips            int // 0: any number
+	}{
+		{"settled", "c=book,t=acme,d=3000", "v", func(c command) { c.say(settled("v")) }, 1},
+		{"error", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("-ERR failed inflight=1,util=0.5\r\n") }, 1},
+		{"turned away", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.say("-BUSY\r\n") }, 0},
+		{"turned away with a report", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.say("-BUSY inflight=1,util=0.5\r\n") }, 0},
+		{"reset", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.SetLinger(0); c.Close() }, 1},
+		{"ends", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Close() }, 1},
+		{"ends amid the answer", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$5\r\nab"); c.Close() }, 1},
+		{"garbled", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("HTTP/1.1 400 Bad Request\r\n") }, 1},
+		{"a null for a value", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n") }, 1},
+		{"too long", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$65537\r\n") }, 1},
+		{"silent", "c=book,t=acme,d=100", "-ERR given up", func(c command) {}, 1},
+		{"a silent read", "c=read,t=acme,d=100", "-BUSY", func(c command) {}, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			at, came := host(t)
+			p := start(t, list(0, true, entry("s", at, "Ready")), nil)
+			c := p.client().ask("C.SET", "k", "id", row.list, "v")
+			answered := make(chan struct{})
+			trips := make(chan int, 1)
+			go func() {
+				n := 0
+				for {
+					select {
+					case h := <-came:
+						n++
+						row.answer(h)
+					case <-answered:
+						trips <- n
+						return
+					}
+				}
+			}()
+			c.answers(row.want)
+			close(answered)
+			if n := <-trips; n == 0 || row.trips > 0 && n != row.trips {
+				t.Errorf("%d trips", n)
+			}
+			none(t, came)
+		})
+	}
+	t.Run("refused", func(t *testing.T) {
+		l, _ := net.Listen("tcp", "127.0.0.1:0")
+		l.Close()
+		p := start(t, list(0, true, entry("s", l.Addr().String(), "Ready")), nil)
+		p.client().ask("C.SET", "k", "id", "c=book,t=acme,d=100", "v").answers("-BUSY")
+	})
+}
+
+// Guards one-shots against connections that the host closed while they were idle.
+func TestStaleConnection(t *testing.T) {
+	at, came := host(t)
+	c := start(t, list(0, true, entry("s", at, "Ready")), nil).client()
+	for n := range 20 {
+		c.ask("C.SET", "k", strconv.Itoa(n), "c=book,t=acme,d=3000", "v")
+		h := next(t, came, "the write")
+		h.say(settled("v"))
+		h.Close()
+		c.answers("v")
+	}
+}
+
+func TestClientLeaves(t *testing.T) {
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), nil)
+	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
+	h := next(t, came, "the retrieval")
+	c.Close()
+	next(t, h.ended, "the end of the connection of a trip whose client has gone")
+	none(t, came)
+	p.client().ask("PING").answers("+PONG")
+}
+
+func TestHalfACommandAndSlowReaders(t *testing.T) {
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), nil)
+	whole := words("C.GET", "k", "1", "c=read,t=acme,d=3000")
+	c := p.client()
+	io.WriteString(c, whole[:len(whole)-5])
+	p.client().ask("PING").answers("+PONG")
+	none(t, came)
+	io.WriteString(c, whole[len(whole)-5:])
+	next(t, came, "the retrieval").say(settled("v"))
+	c.answers("v")
+
+	// Clients that ask for large values and read none of them until all have asked.
+	big := settled(strings.Repeat("v", 64<<10))
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case h := <-came:
+				go h.say(big)
+			case <-done:
+				return
+			}
+		}
+	}()
+	var slow []client
+	const each = 60
+	for range 60 {
+		c := p.client()
+		slow = append(slow, c)
+		for n := range each {
+			c.ask("C.GET", "k", strconv.Itoa(n), "c=read,t=acme,d=3000")
+		}
+	}
+	for _, c := range slow {
+		for range each {
+			got, err := message(c.in)
+			if err != nil || len(got[0]) != 64<<10 && got[0] != "-BUSY" {
+				t.Fatalf("%.60q, %v", got, err)
+			}
+		}
+	}
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	_, peak, _ := bytes.Cut(status, []byte("VmHWM:"))
+	kb, _ := strconv.Atoi(strings.Fields(string(peak))[0])
+	if kb == 0 || kb > 192<<10 {
+		t.Fatalf("the most memory was %d kB", kb)
+	}
+}
+
+func TestListIsFollowed(t *testing.T) {
+	a, fromA := host(t)
+	b, fromB := host(t)
+	d, calls := discovery(t)
+	p := start(t, list(4, true, entry("a", a, "Ready")), map[string]any{"discovery": d})
+	next(t, calls, "the first watch").say(unavailable) // Down at the start: the known list serves.
+	p.logged("list lost")
+	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
+	next(t, fromA, "the retrieval").say(settled("v"))
+	c.answers("v")
+	w := next(t, calls, "the second watch")
+	if w.since != "4" {
+		t.Fatalf("it is asked for since %s", w.since)
+	}
+	w.say(list(5, true, entry("a", a, "Ready"), entry("b", b, "Ready")))
+	p.logged("list followed again")
+	w.say("")
+	w.say(list(6, false, entry("a", a, "Terminating")))
+	p.logged(`"server":"a","from":"Ready","to":"Terminating"`)
+	drained := func() {
+		t.Helper()
+		for n := range 20 {
+			c.ask("C.GET", strconv.Itoa(n), "id", "c=read,t=acme,d=3000")
+			next(t, fromB, "the retrieval").say(settled("v"))
+			c.answers("v")
+		}
+		none(t, fromA)
+	}
+	drained()
+	w.say(list(7, false, entry("a", a, "Ready"))[:60]) // A damaged line changes nothing.
+	p.logged("list lost")
+	drained()
+	w = next(t, calls, "the third watch")
+	if w.since != "6" {
+		t.Fatalf("it is asked for since %s", w.since)
+	}
+	w.say(list(8, false, entry("b", b, "Gone"), entry("a", a, "Ready")))
+	p.logged(`"server":"a","from":"Terminating","to":"Ready"`)
+	c.ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
+	next(t, fromA, "the retrieval").say(settled("v"))
+	c.answers("v")
+	w.end() // It ends.
+	p.logged("list lost")
+	w = next(t, calls, "the fourth watch") // It is silent, after its head or before.
+	w.say("")
+	p.logged("list followed again")
+	p.logged("discovery is silent")
+	next(t, calls, "the fifth watch")
+}
+
+func TestStop(t *testing.T) {
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), nil)
+	busy, idle, half := p.client(), p.client(), p.client()
+	idle.ask("PING").answers("+PONG")
+	io.WriteString(half, "*4\r\n$5\r\nC.G")
+	busy.ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
+	first := next(t, came, "the retrieval")
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.logged("stopping")
+	late := p.client().ask("C.GET", "k", "2", "c=read,t=acme,d=3000")
+	second := next(t, came, "the straggler's retrieval")
+	idle.ends()
+	half.ends()
+	first.say(settled("1"))
+	second.say(settled("2"))
+	busy.answers("1")
+	late.answers("2")
+	busy.ends()
+	late.ends()
+	if err := next(t, p.ended, "the end"); err != nil {
+		t.Fatal(err)
+	}
+	p.logged(`"all_answered":true`)
+}
+
+func TestKilledAndStartedAgain(t *testing.T) {
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), nil)
+	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
+	next(t, came, "the retrieval")
+	p.cmd.Process.Kill()
+	next(t, p.ended, "the end")
+	c.ends()
+	p = start(t, list(0, true, entry("gone", "127.0.0.1:1", "Gone"), entry("s", at, "Ready")), map[string]any{"listen": p.address})
+	c = p.client().ask("C.GET", "k", "2", "c=read,t=acme,d=3000")
+	next(t, came, "the retrieval").say(settled("v"))
+	c.answers("v")
+}
+
+func TestDescriptorsNearlyUsedUp(t *testing.T) {
+	for _, limit := range []int{0, 60} { // by its own count, and by the system's word
+		at, came := host(t)
+		p := start(t, list(0, true, entry("s", at, "Ready")),
+			map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 150}})
+		if limit > 0 {
+			if err := limitFiles(p.cmd.Process.Pid, limit); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range 300 {
+			p.client()
+		}
+		c := p.client().ask("PING")
+		c.answers("+PONG")
+		c.ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
+		next(t, came, "the retrieval").say(settled("v"))
+		c.answers("v")
+		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+		if len(open) > 150 {
+			t.Errorf("%d descriptors are open", len(open))
+		}
+	}
+}
+
+func TestBadStart(t *testing.T) {
+	good := config(t, map[string]any{"known": json.RawMessage(list(0, true))})
+	for _, c := range []struct {
+		change   map[string]any
+		variable string
+		want     string
+	}{
+		{nil, "LB_CONFIG=", "LB_CONFIG: not set"},
+		{nil, "LB_CONFIG=/nowhere", "LB_CONFIG: open /nowhere"},
+		{nil, "LB_LISTEN=here", `LB_LISTEN: "here" is not an address`},
+		{nil, "LB_DISCOVERY=there", `LB_DISCOVERY: "there" is not an address`},
+		{map[string]any{"name": nil}, "", "name: missing"},
+		{map[string]any{"listen": 5}, "", `listen: "5" is not an address`},
+		{map[string]any{"listen": "192.0.2.1:1"}, "", "listen: "},
+		{map[string]any{"seed": "none"}, "", "seed: not a hexadecimal number"},
+		{map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 192}}, "", "limits.sockets: not a number"},
+		{map[string]any{"limits": map[string]any{"cores": 1, "sockets": 1024}}, "", "limits.memory_mb: not a number"},
+		{map[string]any{"limits": nil}, "", "limits.cores: not a number"},
+		{map[string]any{"known": nil}, "", "known: not a list"},
+		{map[string]any{"known": json.RawMessage(list(0, true, entry("s", "127.0.0.1:1", "Fine")))}, "", "known: entry 0 of the list: bad status"},
+		{map[string]any{"settings": nil}, "", "settings: not an object"},
+		{map[string]any{"settings": map[string]any{}}, "", "settings.workloads: names no workload"},
+	} {
+		file := good
+		if c.change != nil {
+			file = config(t, c.change)
+		}
+		cmd := run1(file)
+		if c.variable != "" {
+			cmd = run1(file, c.variable)
+		}
+		var out bytes.Buffer
+		cmd.Stderr = &out
+		err := cmd.Run()
+		text := out.String()
+		if err == nil || !strings.Contains(text, c.want) || strings.Count(text, "\n") != 1 {
+			t.Errorf("%v %s: %v, wrote %q, want %q", c.change, c.variable, err, text, c.want)
+		}
+	}
+}
+
+// limitFiles takes descriptors away from a program that runs.
+func limitFiles(pid, most int) error {
+	limit := syscall.Rlimit{Cur: uint64(most), Max: uint64(most)}
+	_, _, failed := syscall.Syscall6(syscall.SYS_PRLIMIT64, uintptr(pid), syscall.RLIMIT_NOFILE,
+		uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+	if failed != 0 {
+		return failed
+	}
+	return nil
+}
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -69,12 +69,10 @@
 	lines.Buffer(nil, mostList)
 	for lines.Scan() {
 		quiet.Reset(silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
-		if err := b.tell(line, false); err != nil {
-			return err
+		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
+			if err := b.tell(line, false); err != nil {
+				return err
+			}
 		}
 		if b.failing {
 			b.failing = false
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -34,7 +34,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{listener: listener, most: most, clients: map[*Client]bool{}, Odd: func(error) {}}, nil
+	l := &Listener{listener: listener, most: most, clients: map[*Client]bool{}, Odd: func(error) {}}
+	l.all.Add(1) // Serve counts too: Close must wait for a client that is just being accepted.
+	return l, nil
 }
 
 // Address is where it listens.
@@ -43,6 +45,7 @@
 // Serve accepts until Close, and serves each client in a goroutine of its own. An accept that goes wrong ends
 // nothing: while descriptors are short it makes room and waits a little, so that it does not spin.
 func (l *Listener) Serve(serve func(*Client)) {
+	defer l.all.Done()
 	pause := time.Millisecond
 	for {
 		inner, err := l.listener.Accept()
@@ -134,15 +137,22 @@
 			return end
 		}
 		c.owner.mu.Lock()
-		going := c.going
-		waits, ended := c.pending()
-		if going && c.busy == 0 && !waits && !ended {
-			c.owner.mu.Unlock()
-			return Spared
+		if c.going && c.busy == 0 {
+			if waits, ended := c.pending(); !waits && !ended {
+				c.owner.mu.Unlock()
+				return Spared
+			}
 		}
 		c.SetReadDeadline(until)
 		c.owner.mu.Unlock()
-		if end := c.read(false); end != Stuck || time.Now().After(until) && !going {
+		end := c.read(false)
+		if end != Stuck {
+			return end
+		}
+		c.owner.mu.Lock()
+		woken := c.going // Guards what is being answered: being asked to go is no end of the client's time.
+		c.owner.mu.Unlock()
+		if !woken || !until.IsZero() && time.Now().After(until) {
 			return end
 		}
 	}
