--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -50,7 +50,7 @@
 	idle, _ := told.settings["allowed.connIdle"].(float64)
 	dial, _ := told.settings["allowed.dialTimeout"].(float64)
 	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
-	balancer, err := routing.New(told.settings, told.known, told.seed, pool, memory/4, log)
+	balancer, err := routing.New(told.settings, told.known, told.seed, pool, memory/6, log)
 	if err != nil {
 		return fmt.Errorf("%s: known: %w", told.file, err)
 	}
--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -507,6 +507,7 @@
 	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	_, peak, _ := bytes.Cut(status, []byte("VmHWM:"))
 	kb, _ := strconv.Atoi(strings.Fields(string(peak))[0])
+	t.Logf("the most memory was %d kB", kb)
 	if kb == 0 || kb > 192<<10 {
 		t.Fatalf("the most memory was %d kB", kb)
 	}
