--- a/routing/front.go
+++ b/routing/front.go
@@ -90,12 +90,17 @@
 // write gives the client its answers in the order of its commands.
 func (b *Balancer) write(c *transport.Client, answers <-chan turn, left <-chan struct{}) {
 	for t := range answers {
+		var message []byte
 		select {
-		case message := <-t.answer:
-			if c.Hand(message, time.Now().Add(writeFor)) != transport.Open {
-				c.Conn.Close() // The reader sees it and tells all that is out.
-			}
+		case message = <-t.answer:
 		case <-left:
+			select {
+			case message = <-t.answer: // The client may only have ended its sending.
+			default:
+			}
+		}
+		if c.Hand(message, time.Now().Add(writeFor)) != transport.Open {
+			c.Conn.Close() // The reader sees it and tells all that is out.
 		}
 		close(t.written)
 		c.End()
