The list is followed whatever the registry mode; bounds on trips, one log line a run of accept errors

Found by going through the settings: where changes are to come unasked the module never asks, and nothing would have followed the list on sockets. A bound on mostTrips guards the room of a retrieval's channel. The way to end that was called Failed is Errored, as the module has it.

--- a/cmd/hollylever/config.go
+++ b/cmd/hollylever/given.go
@@ -60,6 +60,7 @@
 		return nil, fmt.Errorf("%s: seed: not a hexadecimal number of 64 bits", file)
 	}
 	workloads, _ := g.settings["workloads"].(float64)
+	trips, _ := g.settings["allowed.mostTrips"].(float64)
 	for _, check := range []struct {
 		good       bool
 		field, why string
@@ -71,6 +72,7 @@
 		{object.Get("known").IsObject(), "known", "not a list of servers"},
 		{object.Get("settings").IsObject(), "settings", "not an object"},
 		{workloads > 0, "settings.workloads", "names no workload"},
+		{trips >= 1 && trips <= 1000, "settings.allowed.mostTrips", "not a number from 1 to 1000"},
 	} {
 		if !check.good {
 			return nil, fmt.Errorf("%s: %s: %s", file, check.field, check.why)
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -43,7 +43,7 @@
 	runtime.GOMAXPROCS(max(1, int(told.cores)))
 	memory := int64(told.memory * (1 << 20))
 	debug.SetMemoryLimit(memory * 7 / 10)
-	debug.SetGCPercent(200)
+	debug.SetGCPercent(int(min(400, max(50, told.memory)))) // A small machine collects sooner.
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("balancer", told.name).Logger()
 
 	hosts := (told.sockets - reserve) / 3
--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -178,8 +178,8 @@
 	ended   chan error
 }
 
-// config is a good configuration with changes; a nil takes a field out.
-func config(t *testing.T, changes map[string]any) string {
+// fileWith writes a good configuration with changes; a nil takes a field out.
+func fileWith(t *testing.T, changes map[string]any) string {
 	all := map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"settings": json.RawMessage(settings), "known": json.RawMessage(list(0, true))}
@@ -199,7 +199,7 @@
 	return file
 }
 
-func run1(file string, variables ...string) *exec.Cmd {
+func programWith(file string, variables ...string) *exec.Cmd {
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
 	cmd.Env = append(cmd.Env, variables...)
@@ -212,7 +212,7 @@
 	for field, value := range changes {
 		all[field] = value
 	}
-	p := &program{t: t, cmd: run1(config(t, all)), log: make(chan string, 10000), ended: make(chan error, 1)}
+	p := &program{t: t, cmd: programWith(fileWith(t, all)), log: make(chan string, 10000), ended: make(chan error, 1)}
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -629,7 +629,7 @@
 }
 
 func TestBadStart(t *testing.T) {
-	good := config(t, map[string]any{"known": json.RawMessage(list(0, true))})
+	good := fileWith(t, map[string]any{"known": json.RawMessage(list(0, true))})
 	for _, c := range []struct {
 		change   map[string]any
 		variable string
@@ -650,14 +650,16 @@
 		{map[string]any{"known": json.RawMessage(list(0, true, entry("s", "127.0.0.1:1", "Fine")))}, "", "known: entry 0 of the list: bad status"},
 		{map[string]any{"settings": nil}, "", "settings: not an object"},
 		{map[string]any{"settings": map[string]any{}}, "", "settings.workloads: names no workload"},
+		{map[string]any{"settings": json.RawMessage(strings.Replace(settings, `"mostTrips":3`, `"mostTrips":1e9`, 1))}, "",
+			"settings.allowed.mostTrips: not a number from 1 to 1000"},
 	} {
 		file := good
 		if c.change != nil {
-			file = config(t, c.change)
+			file = fileWith(t, c.change)
 		}
-		cmd := run1(file)
+		cmd := programWith(file)
 		if c.variable != "" {
-			cmd = run1(file, c.variable)
+			cmd = programWith(file, c.variable)
 		}
 		var out bytes.Buffer
 		cmd.Stderr = &out
--- a/protocol/answer.go
+++ b/protocol/answer.go
@@ -32,7 +32,7 @@
 	case resp.Type == redcon.Error && (bytes.Equal(resp.Data, []byte("BUSY")) || bytes.HasPrefix(resp.Data, []byte("BUSY "))):
 		return transport.TurnedAway, nil, 0, length
 	case resp.Type == redcon.Error:
-		return transport.Failed, nil, 0, length
+		return transport.Errored, nil, 0, length
 	case resp.Type != redcon.Array || resp.Count != 3:
 		return transport.Garbled, nil, 0, 0
 	}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -19,11 +19,11 @@
 	"hollylever/transport"
 )
 
-// outcomes turns how a trip's connection ended into what the module calls it. Refused up to Withdrawn prove that
+// outcomes turns how a trip's connection ended into what the module calls it. TurnedAway up to Withdrawn prove that
 // it never ran: its last byte was not handed over.
 var outcomes = map[transport.End]choice.Outcome{
 	transport.Settled:    choice.OK,
-	transport.Failed:     choice.Errored,
+	transport.Errored:    choice.Errored,
 	transport.TurnedAway: choice.Full,
 	transport.Refused:    choice.Unreached,
 	transport.NeverUp:    choice.Unreached,
@@ -107,6 +107,9 @@
 		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", ""),
 		counts: map[string]int{}}
 	b.module = choice.New(b.now(), seed, settings, b)
+	if settings["registryMode"] != "subscribe" {
+		b.Subscribe() // Where changes are to come unasked: here they come by a watch all the same.
+	}
 	return b, b.tell(known, true)
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -107,3 +107,9 @@
 		t.Errorf("%q, %v", answer, b.counts)
 	}
 }
+
+func TestListIsFollowedWhereChangesAreToComeUnasked(t *testing.T) {
+	if len(begin(t, 1<<20).follow) != 1 {
+		t.Fatal("the settings ask for no subscription, and nobody follows the list")
+	}
+}
--- a/transport/end.go
+++ b/transport/end.go
@@ -16,7 +16,7 @@
 const (
 	Open       End = iota // it has not ended
 	Settled               // a value or receipt came
-	Failed                // an error came
+	Errored               // an error came
 	TurnedAway            // the host would not begin
 	Refused               // no connection: the other side said no at once
 	NeverUp               // no connection within the time for it
@@ -32,7 +32,7 @@
 	Spared                // front: closed between retrievals, for room or at the end
 )
 
-var names = [...]string{"open", "settled", "failed", "turned_away", "refused", "never_up", "no_room", "cut_short",
+var names = [...]string{"open", "settled", "errored", "turned_away", "refused", "never_up", "no_room", "cut_short",
 	"stuck", "withdrawn", "broken", "silent", "called_off", "garbled", "left", "spared"}
 
 func (e End) String() string { return names[e] }
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -46,24 +46,25 @@
 // nothing: while descriptors are short it makes room and waits a little, so that it does not spin.
 func (l *Listener) Serve(serve func(*Client)) {
 	defer l.all.Done()
-	pause := time.Millisecond
+	pause, odd := time.Millisecond, false
 	for {
 		inner, err := l.listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
-			l.Odd(err)
-			l.spare()
+		case err != nil:
+			if !odd {
+				l.Odd(err) // Once for a run of them.
+			}
+			odd = true
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				l.spare()
+			}
 			time.Sleep(pause)
 			pause = min(2*pause, 50*time.Millisecond)
 			continue
-		case err != nil:
-			l.Odd(err)
-			time.Sleep(time.Millisecond)
-			continue
 		}
-		pause = time.Millisecond
+		pause, odd = time.Millisecond, false
 		c := &Client{Conn: Conn{Conn: inner}, owner: l, since: time.Now()}
 		l.mu.Lock()
 		full := len(l.clients) >= l.most
