--- a/benchlink/link.go
+++ b/benchlink/link.go
@@ -37,7 +37,7 @@
 	addresses []string
 	ids       map[uint64]int
 	slots     []slot
-	free      []int
+	indices   tables.Indices
 	workloads map[string]int
 	tenants   map[string]int
 	kinds     map[string]int
@@ -45,10 +45,8 @@
 }
 
 func (n *instance) take(id uint64) int {
-	i := len(n.slots)
-	if last := len(n.free) - 1; last >= 0 {
-		i, n.free = n.free[last], n.free[:last]
-	} else {
+	i := n.indices.Take()
+	if i == len(n.slots) {
 		n.slots = append(n.slots, slot{})
 	}
 	n.slots[i] = slot{id: id}
@@ -60,7 +58,7 @@
 	s := &n.slots[i]
 	if at, held := n.ids[s.id]; held && at == i && s.ended && s.out == 0 {
 		delete(n.ids, s.id)
-		n.free = append(n.free, i)
+		n.indices.Give(i)
 	}
 }
 
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -88,7 +88,7 @@
 	servers   []server
 	byName    map[string]int
 	slots     []slot
-	free      []int
+	held      tables.Indices // of retrievals
 	heap      int64 // bytes of the retrievals held
 	workloads map[string]int
 	tenants   map[string]int
@@ -127,10 +127,8 @@
 // never blocks.
 func (b *Balancer) take() (int, chan news) {
 	told := make(chan news, 3*max(1, int(number(b.settings, "allowed.mostTrips")))+2)
-	i := len(b.slots)
-	if last := len(b.free) - 1; last >= 0 {
-		i, b.free = b.free[last], b.free[:last]
-	} else {
+	i := b.held.Take()
+	if i == len(b.slots) {
 		b.slots = append(b.slots, slot{})
 	}
 	b.slots[i] = slot{told: told}
@@ -231,7 +229,7 @@
 func (b *Balancer) Summary(clients int) {
 	b.mu.Lock()
 	line := b.log.Info().Int("clients", clients).Int("hosts_open", b.pool.Count()).
-		Int("held", len(b.slots)-len(b.free)).Int("servers", len(b.servers)).Uint64("index", b.index)
+		Int("held", b.held.Out()).Int("servers", len(b.servers)).Uint64("index", b.index)
 	for _, name := range slices.Sorted(maps.Keys(b.counts)) {
 		line = line.Int(name, b.counts[name]) // Only what happened is named.
 	}
--- a/routing/life.go
+++ b/routing/life.go
@@ -27,7 +27,7 @@
 	if !stated {
 		owner = -1
 	}
-	full := len(b.slots)-len(b.free) >= b.mostHeld || b.heap+size > b.mostHeap
+	full := b.held.Out() >= b.mostHeld || b.heap+size > b.mostHeap
 	if !known || full {
 		b.counts["sent_back"]++
 		b.mu.Unlock()
@@ -106,7 +106,7 @@
 	b.mu.Lock()
 	b.heap -= size
 	b.slots[i].told = nil
-	b.free = append(b.free, i)
+	b.held.Give(i)
 	b.mu.Unlock()
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -61,8 +61,8 @@
 			ended += n
 		}
 	}
-	if b.counts["trips"] == 0 || ended != b.counts["trips"] || len(b.free) != len(b.slots) || b.heap != 0 {
-		t.Fatalf("%v, %d of %d free, %d bytes held", b.counts, len(b.free), len(b.slots), b.heap)
+	if b.counts["trips"] == 0 || ended != b.counts["trips"] || b.held.Out() != 0 || b.heap != 0 {
+		t.Fatalf("%v, %d held, %d bytes", b.counts, b.held.Out(), b.heap)
 	}
 }
 
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -1,5 +1,5 @@
-// Package tables holds what every driver of the decision module needs: the settings as a plain map, and the
-// tables that turn names into small indices at the door.
+// Package tables holds what every driver of the decision module needs: the settings as a plain map, the tables
+// that turn names into small indices at the door, and small indices for what comes and goes.
 package tables
 
 import (
@@ -47,3 +47,26 @@
 	}
 	return places
 }
+
+// Indices gives out small indices; those given back are used again first.
+type Indices struct {
+	next int
+	free []int
+}
+
+// Take gives out an index. One that was never out before is the next higher number.
+func (x *Indices) Take() int {
+	if last := len(x.free) - 1; last >= 0 {
+		i := x.free[last]
+		x.free = x.free[:last]
+		return i
+	}
+	x.next++
+	return x.next - 1
+}
+
+// Give takes an index back.
+func (x *Indices) Give(i int) { x.free = append(x.free, i) }
+
+// Out tells how many are given out.
+func (x *Indices) Out() int { return x.next - len(x.free) }
