--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -89,7 +89,7 @@
 	byName    map[string]int
 	slots     []slot
 	held      tables.Indices // of retrievals
-	heap      int64 // bytes of the retrievals held
+	heap      int64          // bytes of the retrievals held
 	workloads map[string]int
 	tenants   map[string]int
 	kinds     map[string]int
