--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -514,6 +514,7 @@
 }
 
 func TestListIsFollowed(t *testing.T) {
+	t.Parallel()
 	a, fromA := host(t)
 	b, fromB := host(t)
 	d, calls := discovery(t)
@@ -556,13 +557,26 @@
 	c.answers("v")
 	w.end() // It ends.
 	p.logged("list lost")
-	w = next(t, calls, "the fourth watch") // It is silent, after its head or before.
+	w = next(t, calls, "the fourth watch") // It falls silent.
 	w.say("")
 	p.logged("list followed again")
 	p.logged("discovery is silent")
 	next(t, calls, "the fifth watch")
 }
 
+func TestDiscoveryThatTakesCallsAndAnswersNone(t *testing.T) {
+	t.Parallel()
+	at, came := host(t)
+	d, calls := discovery(t)
+	p := start(t, list(4, true, entry("s", at, "Ready")), map[string]any{"discovery": d})
+	next(t, calls, "the first watch")
+	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
+	next(t, came, "the retrieval").say(settled("v"))
+	c.answers("v")
+	p.logged("discovery is silent")
+	next(t, calls, "the second watch")
+}
+
 func TestStop(t *testing.T) {
 	at, came := host(t)
 	p := start(t, list(0, true, entry("s", at, "Ready")), nil)
