Clients leave descriptors to hosts where there are fewer than told; a new one waits for room

Seen in a trial with 60 descriptors where 150 were told: an accept failed for each client that came (251 of 300), one descriptor at a time being freed for clients and hosts alike. transport/listener.go now makes the clients' part smaller at the first such failure. And with all clients at work a new one was cut off, though it may already have sent a retrieval; it now waits until one has its answer.

--- a/transport/listener.go
+++ b/transport/listener.go
@@ -19,6 +19,7 @@
 type Listener struct {
 	listener net.Listener
 	most     int
+	least    int
 	mu       sync.Mutex
 	clients  map[*Client]bool
 	all      sync.WaitGroup
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Listener{listener: listener, most: most, clients: map[*Client]bool{}, Odd: func(error) {}}
+	l := &Listener{listener: listener, most: most, least: max(1, most/2), clients: map[*Client]bool{}, Odd: func(error) {}}
 	l.all.Add(1) // Serve counts too: Close must wait for a client that is just being accepted.
 	return l, nil
 }
@@ -64,6 +65,7 @@
 			}
 			odd = true
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				l.shrink()
 				l.spare()
 			}
 			time.Sleep(pause)
@@ -72,12 +74,8 @@
 		}
 		pause, odd = time.Millisecond, false
 		c := &Client{Conn: Conn{Conn: inner}, owner: l, since: time.Now()}
-		l.mu.Lock()
-		full := len(l.clients) >= l.most
-		l.mu.Unlock()
-		if full && !l.spare() {
-			inner.Close() // All are at work: this one has to come again.
-			continue
+		for l.full() && !l.spare() {
+			time.Sleep(time.Millisecond) // All are at work: the first that has its answer makes room.
 		}
 		l.mu.Lock()
 		l.clients[c] = true
@@ -94,6 +92,20 @@
 	}
 }
 
+func (l *Listener) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.clients) >= l.most
+}
+
+// shrink guards connections to hosts against clients that take every descriptor where there are fewer than was
+// told: the clients' part becomes a tenth less than are connected, at least half of what it was at first.
+func (l *Listener) shrink() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = min(l.most, max(l.least, len(l.clients)*9/10))
+}
+
 // spare asks the client that has been idle longest to go; it may lose its connection between retrievals.
 func (l *Listener) spare() bool {
 	l.mu.Lock()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -1,7 +1,9 @@
 package transport
 
 import (
+	"errors"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -216,3 +218,40 @@
 		t.Fatal("an empty large buffer is kept")
 	}
 }
+
+// Guards what is under way at clients: with all at work a new one waits for room, and is not cut off.
+func TestNewClientWaitsForRoom(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun, release := make(chan struct{}, 2), make(chan struct{})
+	go l.Serve(func(c *Client) {
+		c.Begin()
+		begun <- struct{}{}
+		<-release
+		c.Hand([]byte("x"), soon())
+		c.End()
+		for c.Fill(soon()) == Open {
+		}
+	})
+	first, _ := net.Dial("tcp", l.Address())
+	<-begun
+	second, _ := net.Dial("tcp", l.Address())
+	second.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	if _, err := second.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the second of one client: %v", err)
+	}
+	close(release)
+	for _, c := range []net.Conn{first, second} {
+		c.SetReadDeadline(soon())
+		if n, err := c.Read(make([]byte, 1)); n != 1 {
+			t.Fatal(err)
+		}
+	}
+	first.Close()
+	second.Close()
+	if !l.Close(soon()) {
+		t.Fatal("it does not end")
+	}
+}
