SIGHUP reads the configuration again and follows discovery at its new address

Checked: the log ends without a line and the exit code is that of an uncaught SIGHUP, so nothing of the watch is to blame. At fault: cmd/hollylever/main.go caught SIGTERM and SIGINT only; routing/follow.go knew one address for good, and LB_DISCOVERY went before the file at every reading.

Now the file is read and checked again (known list too), a bad one changes nothing and is logged, a new address lets go of the old watch at once and is asked for all.

Test: TestConfigurationIsReadAgain fails (program ends) without the Notify line.

--- a/cmd/hollylever/given.go
+++ b/cmd/hollylever/given.go
@@ -9,6 +9,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"hollylever/protocol"
 	"hollylever/tables"
 )
 
@@ -22,9 +23,10 @@
 	settings                      map[string]any
 }
 
-// read takes the configuration file that LB_CONFIG names; the other variables, where they are set, go before it.
+// read takes the configuration file that LB_CONFIG names; the other variables, where they are set, go before it,
+// but not when it is read again: the variables are those of the start, the file is new.
 // An error names the variable or the field.
-func read() (*given, error) {
+func read(again bool) (*given, error) {
 	file := os.Getenv("LB_CONFIG")
 	if file == "" {
 		return nil, errors.New("LB_CONFIG: not set")
@@ -49,7 +51,7 @@
 	}{{&g.listen, "LB_LISTEN", "listen"}, {&g.discovery, "LB_DISCOVERY", "discovery"}} {
 		at := file + ": " + a.field
 		*a.into = object.Get(a.field).String()
-		if value := os.Getenv(a.variable); value != "" {
+		if value := os.Getenv(a.variable); value != "" && !again {
 			*a.into, at = value, a.variable
 		}
 		if _, err := net.ResolveTCPAddr("tcp", *a.into); err != nil {
@@ -59,6 +61,9 @@
 	if g.seed, err = strconv.ParseUint(object.Get("seed").String(), 16, 64); err != nil {
 		return nil, fmt.Errorf("%s: seed: not a hexadecimal number of 64 bits", file)
 	}
+	if err := protocol.List(g.known, func(uint64, bool) {}, func(_, _, _ string, _ int64, _, _ string, _ int, _ float64) {}); err != nil {
+		return nil, fmt.Errorf("%s: known: %w", file, err)
+	}
 	workloads, _ := g.settings["workloads"].(float64)
 	trips, _ := g.settings["allowed.mostTrips"].(float64)
 	for _, check := range []struct {
@@ -69,7 +74,6 @@
 		{g.cores > 0, "limits.cores", "not a number over 0"},
 		{g.memory >= 32, "limits.memory_mb", "not a number of at least 32"},
 		{g.sockets >= 2*reserve, "limits.sockets", "not a number of at least " + strconv.Itoa(2*reserve)},
-		{object.Get("known").IsObject(), "known", "not a list of servers"},
 		{object.Get("settings").IsObject(), "settings", "not an object"},
 		{workloads > 0, "settings.workloads", "names no workload"},
 		{trips >= 1 && trips <= 1000, "settings.allowed.mostTrips", "not a number from 1 to 1000"},
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -34,12 +34,13 @@
 }
 
 func run() error {
-	told, err := read()
+	stop, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(again, syscall.SIGHUP) // First of all: uncaught it ends the program.
+	told, err := read(false)
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	runtime.GOMAXPROCS(max(1, int(told.cores)))
 	memory := int64(told.memory * (1 << 20))
 	debug.SetMemoryLimit(memory * 7 / 10)
@@ -50,7 +51,7 @@
 	idle, _ := told.settings["allowed.connIdle"].(float64)
 	dial, _ := told.settings["allowed.dialTimeout"].(float64)
 	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
-	balancer, err := routing.New(told.settings, told.known, told.seed, pool, memory/6, log)
+	balancer, err := routing.New(told.settings, told.known, told.discovery, told.seed, pool, memory/6, log)
 	if err != nil {
 		return fmt.Errorf("%s: known: %w", told.file, err)
 	}
@@ -64,10 +65,11 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	go listener.Serve(balancer.Serve)
-	go balancer.Follow(ctx, told.discovery)
+	go balancer.Follow(ctx)
 	log.Info().Str("listen", listener.Address()).Int("clients", front).Int("hosts", hosts).
 		Int64("memory_mb", int64(told.memory)).Msg("serving")
 
+	hardStop := longest(told.settings)
 	sweep, summary := time.NewTicker(sweepEvery), time.NewTicker(tellEvery)
 	for {
 		select {
@@ -75,9 +77,20 @@
 			pool.Sweep()
 		case <-summary.C:
 			balancer.Summary(listener.Count())
+		case <-again:
+			now, err := read(true)
+			if err != nil {
+				log.Warn().Err(err).Msg("configuration not taken") // What is in force stays.
+				continue
+			}
+			log.Info().Str("discovery", now.discovery).Str("before", told.discovery).Msg("configuration read again")
+			if now.discovery != told.discovery {
+				balancer.Move(now.discovery)
+			}
+			told = now
 		case <-stop:
 			log.Info().Int("clients", listener.Count()).Msg("stopping")
-			until := time.Now().Add(lastAnswer + longest(told.settings))
+			until := time.Now().Add(lastAnswer + hardStop)
 			time.Sleep(stragglers)
 			all := listener.Close(until)
 			balancer.Summary(listener.Count())
--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -172,6 +172,7 @@
 
 type program struct {
 	t       *testing.T
+	file    string
 	cmd     *exec.Cmd
 	address string
 	log     chan string
@@ -206,13 +207,14 @@
 	return cmd
 }
 
-func start(t *testing.T, known string, changes map[string]any) *program {
+func start(t *testing.T, known string, changes map[string]any, variables ...string) *program {
 	t.Helper()
 	all := map[string]any{"known": json.RawMessage(known)}
 	for field, value := range changes {
 		all[field] = value
 	}
-	p := &program{t: t, cmd: programWith(fileWith(t, all)), log: make(chan string, 10000), ended: make(chan error, 1)}
+	file := fileWith(t, all)
+	p := &program{t: t, file: file, cmd: programWith(file, variables...), log: make(chan string, 10000), ended: make(chan error, 1)}
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -581,6 +583,57 @@
 	next(t, calls, "the second watch")
 }
 
+func TestConfigurationIsReadAgain(t *testing.T) {
+	t.Parallel()
+	at, came := host(t)
+	moved, fromMoved := host(t)
+	first, calls := discovery(t)
+	second, callsThere := discovery(t)
+	p := start(t, list(4, true, entry("s", at, "Ready")), nil, "LB_DISCOVERY="+first)
+	old := next(t, calls, "the first watch")
+	old.say("")
+	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
+	h := next(t, came, "the retrieval")
+	good, _ := os.ReadFile(p.file)
+	with := func(address string) string {
+		return strings.Replace(string(good), `"discovery":"127.0.0.1:1"`, fmt.Sprintf(`"discovery":%q`, address), 1)
+	}
+	for _, bad := range []string{"", with(second)[:300], with("nowhere"), strings.Replace(with(second), `"known":`, `"other":`, 1)} {
+		os.WriteFile(p.file, []byte(bad), 0o600)
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.logged("configuration not taken")
+	}
+	os.Remove(p.file)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.logged("configuration not taken")
+	old.say(list(5, false, entry("s", at, "Ready"))) // It is followed still.
+	os.WriteFile(p.file, []byte(with(second)), 0o600)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	next(t, callsThere, "a watch at the new address").say(unavailable)
+	w := next(t, callsThere, "another watch there")
+	if w.since != "0" {
+		t.Errorf("it is asked for since %s", w.since)
+	}
+	old.say(list(9, true, entry("s", at, "Gone"))) // The old one counts no more.
+	w.say(list(2, true, entry("n", moved, "Ready")))
+	p.logged(`"server":"n"`)
+	h.say(settled("v"))
+	c.answers("v")
+	c.ask("C.GET", "k", "2", "c=read,t=acme,d=3000")
+	next(t, fromMoved, "the retrieval").say(settled("v"))
+	c.answers("v")
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.logged("stopping")
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	if err := next(t, p.ended, "the end"); err != nil {
+		t.Fatal(err)
+	}
+	if len(calls) > 0 {
+		t.Error("the old address is called again")
+	}
+}
+
 func TestStop(t *testing.T) {
 	at, came := host(t)
 	p := start(t, list(0, true, entry("s", at, "Ready")), nil)
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -6,6 +6,7 @@
 package routing
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -78,13 +79,15 @@
 	began    time.Time
 	pool     *transport.Pool
 	follow   chan struct{} // the module wants the list followed
-	index    uint64        // of the list last told
 	failing  bool          // the list can't be followed
 	mostHeld int
 	mostHeap int64
 
 	mu        sync.Mutex // around all that follows, and the module
 	module    *choice.Balancer
+	discovery string                  // where the list is
+	index     uint64                  // of the list last told
+	letGo     context.CancelCauseFunc // ends the watch that stands
 	servers   []server
 	byName    map[string]int
 	slots     []slot
@@ -99,9 +102,9 @@
 
 // New makes a balancer that knows a list from before, in discovery's form. It keeps at most so many bytes of
 // retrievals at once.
-func New(settings map[string]any, known []byte, seed uint64, pool *transport.Pool, mostHeap int64,
+func New(settings map[string]any, known []byte, discovery string, seed uint64, pool *transport.Pool, mostHeap int64,
 	log zerolog.Logger) (*Balancer, error) {
-	b := &Balancer{log: log, settings: settings, began: time.Now(), pool: pool, follow: make(chan struct{}, 1),
+	b := &Balancer{log: log, discovery: discovery, letGo: func(error) {}, settings: settings, began: time.Now(), pool: pool, follow: make(chan struct{}, 1),
 		mostHeld: max(1, int(number(settings, "allowed.mostHeld"))), mostHeap: mostHeap, byName: map[string]int{},
 		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
 		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", ""),
@@ -110,7 +113,7 @@
 	if settings["registryMode"] != "subscribe" {
 		b.Subscribe() // Where changes are to come unasked: here they come by a watch all the same.
 	}
-	return b, b.tell(known, true)
+	return b, b.tell(context.Background(), known, true)
 }
 
 func number(settings map[string]any, name string) float64 { x, _ := settings[name].(float64); return x }
@@ -177,8 +180,8 @@
 	}
 }
 
-// tell hands a list to the module; saved: it is from before the start.
-func (b *Balancer) tell(line []byte, saved bool) error {
+// tell hands a list to the module, unless its watch has been let go; saved: it is from before the start.
+func (b *Balancer) tell(watching context.Context, line []byte, saved bool) error {
 	var changed []string
 	defer func() { // Not under the lock: whoever reads the log may be slow.
 		for n := 0; n < len(changed); n += 3 {
@@ -187,6 +190,9 @@
 	}()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if err := watching.Err(); err != nil {
+		return err
+	}
 	now := b.now()
 	err := protocol.List(line, func(index uint64, whole bool) {
 		b.index = index
