Usual clients go last, connections belong to servers, one-shots go fresh, places are given back

Ruled out: descriptors (no_room never logged), CPU (0.1 of a core at most), memory (5 to 9 MB of 48 to 192).

At fault: transport/listener.go took the one idle longest whoever it was, counted it as gone while its descriptor was open, and kept silent clients for good; protocol/command.go read times by ParseFloat; protocol/answer.go kept a connection after any error line; transport/pool.go kept connections by address; routing/balancer.go kept a place for each server ever listed.

Tests, each seen to fail without its change: TestUsualClientsGoLast, TestBadClients, TestAnIdIsOpenOnce, TestSpoiltAnswers, TestConnectionIsUsedAgainOnlyForItsServerAndRested, TestPlacesOfServersAreGivenBack, TestAnAddressBelongsToWhoStartedLast, TestOneShotsGoOnFreshConnections.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -285,13 +285,16 @@
 func (b *Balancer) Row(now int64, s int, address string, health Health, started int64, kind, zone, cell int,
 	size float64) {
 	if s == len(b.servers) {
+		b.servers = append(b.servers, server{})
+	}
+	h := &b.servers[s]
+	if h.hash == 0 { // Its place is new, or was another's.
 		hash := uint64(14695981039346656037)
 		for i := range len(address) {
 			hash = (hash ^ uint64(address[i])) * 1099511628211
 		}
-		b.servers = append(b.servers, server{hash: hash, credit: 1, roomAt: now})
+		*h = server{hash: hash, credit: 1, roomAt: now}
 	}
-	h := &b.servers[s]
 	if started > h.started {
 		h.started, h.room, h.roomAt = started, b.chance.part(), now // Else all wait, then come at once.
 	}
@@ -301,6 +304,16 @@
 	}
 }
 
+// Forget frees the place of a server that is gone, once no retrieval has a trip there.
+func (b *Balancer) Forget(s int) {
+	b.servers[s] = server{health: Gone}
+	for k := range b.known {
+		if b.known[k].server == s {
+			b.known[k] = read{} // Guards the order of keys: whoever gets the place has none of them.
+		}
+	}
+}
+
 // Listed ends the list.
 func (b *Balancer) Listed(now int64) {
 	b.passes(now)
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	reserve    = 48                     // descriptors that are for neither clients nor hosts
+	reserve    = 32                     // descriptors that are for neither clients nor hosts
 	stragglers = 500 * time.Millisecond // after SIGTERM new clients go on coming for so long
 	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
 	sweepEvery = 250 * time.Millisecond
@@ -47,7 +47,7 @@
 	debug.SetGCPercent(int(min(400, max(50, told.memory)))) // A small machine collects sooner.
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("balancer", told.name).Logger()
 
-	hosts := (told.sockets - reserve) / 3
+	hosts := (told.sockets - reserve) / 2
 	idle, _ := told.settings["allowed.connIdle"].(float64)
 	dial, _ := told.settings["allowed.dialTimeout"].(float64)
 	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
@@ -75,6 +75,7 @@
 		select {
 		case <-sweep.C:
 			pool.Sweep()
+			listener.Sweep()
 		case <-summary.C:
 			balancer.Summary(listener.Count())
 		case <-again:
--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -325,6 +326,8 @@
 		{words("C.GET", "k", "id", "c=novel,d=5"), "-ERR unknown workload"},
 		{words("C.GET", "k", "id", "c=read,d=soon"), "-ERR the list of names and values is malformed"},
 		{words("C.GET", "k", "id", "c=read"), "-ERR the list needs a workload in c and a time in d"},
+		{words("C.GET", "k", "", "c=read,d=5"), "-ERR a key or an id is missing"},
+		{words("C.GET", "k", "id", "c=read,d=inf"), "-ERR the list of names and values is malformed"},
 		{words("C.GET", strings.Repeat("k", 1000), "id", "c=read,d=5"), "-ERR a key, an id or a list is too long"},
 	} {
 		io.WriteString(c, bad.command)
@@ -350,6 +353,50 @@
 	none(t, came)
 }
 
+// Each kind of bad client is owed an error or a close and gets no value; a usual client is served beside them.
+func TestBadClients(t *testing.T) {
+	t.Parallel()
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), map[string]any{"limits": map[string]any{"cores": 0.3, "memory_mb": 32, "sockets": 256}})
+	usual := p.client().ask("C.GET", "k", "open", "c=read,t=acme,d=20000")
+	h := next(t, came, "the retrieval")
+	good := words("C.GET", "k", "id", "c=read,t=acme,d=3000")
+	done := make(chan string)
+	for name, text := range map[string]string{
+		"silence": "", "half a command": good[:40], "a line without end": strings.Repeat("k", 1<<20),
+		"noise": "\x89?d\xfcD\r\n\xcb%mq", "nested": strings.Repeat("*1\r\n", 5000), "a negative number": "*-3\r\n",
+		"a huge number": "*1000000000\r\n", "a wrong length": "*4\r\n$5\r\nC.GET\r\n$1\r\nabcdefgh\r\n",
+		"a negative length":   "*4\r\n$5\r\nC.GET\r\n$-4\r\nabcd\r\n",
+		"60 MB":               "*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$10\r\nc=read,d=5\r\n$62914560\r\n" + strings.Repeat("v", 60<<20),
+		"an unknown workload": words("C.GET", "k", "id", "c=novel,d=5"), "a time that is none": words("C.GET", "k", "id", "c=read,d=soon"),
+		"a time that is too long": words("C.GET", "k", "id", "c=read,d=99999999999999999999"), "no id": words("C.GET", "k"),
+		"an open id": words("C.GET", "k", "open", "c=read,d=3000"), "hundreds at once": strings.Repeat(words("C.GET", "k", "id", "c=novel,d=5"), 500),
+	} {
+		go func() {
+			for range 3 { // The same again as soon as it is turned away.
+				c := p.client()
+				go io.WriteString(c, text)
+				line, err := c.in.ReadString('\n')
+				if err == nil && !strings.HasPrefix(line, "-ERR ") {
+					t.Errorf("%s is answered %q", name, line)
+				}
+				if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("%s has neither an error nor a close", name)
+				}
+				c.Close()
+			}
+			done <- name
+		}()
+	}
+	for range 16 {
+		next(t, done, "the end of a bad client")
+	}
+	none(t, came)
+	h.say(settled("v"))
+	usual.answers("v")
+	usual.ask("PING").answers("+PONG")
+}
+
 func TestAnswersKeepTheOrderOfCommands(t *testing.T) {
 	at, came := host(t)
 	c := start(t, list(0, true, entry("s", at, "Ready")), nil).client()
@@ -401,6 +448,8 @@
 		{"reset", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.SetLinger(0); c.Close() }, 1},
 		{"ends", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Close() }, 1},
 		{"ends amid the answer", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$5\r\nab"); c.Close() }, 1},
+		{"begins and does not end", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$50\r\nab") }, 1},
+		{"an error line of its own", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("-SYNTAX\r\n") }, 1},
 		{"garbled", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("HTTP/1.1 400 Bad Request\r\n") }, 1},
 		{"a null for a value", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n") }, 1},
 		{"too long", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$65537\r\n") }, 1},
@@ -456,6 +505,29 @@
 	}
 }
 
+// Guards one-shots against connections that end, or a host that has vanished, while they are written.
+func TestOneShotsGoOnFreshConnections(t *testing.T) {
+	at, came := host(t)
+	c := start(t, list(0, true, entry("s", at, "Ready")), nil).client()
+	used := map[string]bool{}
+	again := func(workload string, n int) bool {
+		c.ask("C.SET", "k", fmt.Sprint(workload, n), "c="+workload+",t=acme,d=3000", "v")
+		h := next(t, came, "the write")
+		h.say(settled("v"))
+		c.answers("v")
+		from := h.RemoteAddr().String()
+		defer func() { used[from] = true }()
+		return used[from]
+	}
+	for n := range 20 {
+		for m := 0; !again("read", 1000*n+m); m++ { // Until one has rested and is used again.
+		}
+		if again("book", n) {
+			t.Fatal("a one-shot goes on a connection that was used before")
+		}
+	}
+}
+
 func TestClientLeaves(t *testing.T) {
 	at, came := host(t)
 	p := start(t, list(0, true, entry("s", at, "Ready")), nil)
@@ -499,7 +571,7 @@
 		c := p.client()
 		slow = append(slow, c)
 		for n := range each {
-			c.ask("C.GET", "k", strconv.Itoa(n), "c=read,t=acme,d=3000")
+			c.ask("C.GET", "k", fmt.Sprint(len(slow), "-", n), "c=read,t=acme,d=3000")
 		}
 	}
 	for _, c := range slow {
--- a/protocol/answer.go
+++ b/protocol/answer.go
@@ -29,9 +29,9 @@
 	switch {
 	case n != length:
 		return transport.Garbled, nil, 0, 0
-	case resp.Type == redcon.Error && (bytes.Equal(resp.Data, []byte("BUSY")) || bytes.HasPrefix(resp.Data, []byte("BUSY "))):
+	case resp.Type == redcon.Error && says(resp.Data, "BUSY"):
 		return transport.TurnedAway, nil, 0, length
-	case resp.Type == redcon.Error:
+	case resp.Type == redcon.Error && says(resp.Data, "ERR failed"):
 		return transport.Errored, nil, 0, length
 	case resp.Type != redcon.Array || resp.Count != 3:
 		return transport.Garbled, nil, 0, 0
@@ -59,6 +59,12 @@
 	return transport.Settled, value, note, length
 }
 
+// says tells whether an error line is the one named, alone or with a load report behind it. Any other is noise.
+func says(line []byte, what string) bool {
+	rest, is := bytes.CutPrefix(line, []byte(what))
+	return is && (len(rest) == 0 || rest[0] == ' ')
+}
+
 // AppendSettled, AppendDismissed and AppendGivenUp write a retrieval's final answer.
 func AppendSettled(out, value []byte) []byte { return redcon.AppendBulk(out, value) }
 
--- a/protocol/command.go
+++ b/protocol/command.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"math"
 	"strconv"
 
 	"github.com/tidwall/redcon"
@@ -67,13 +66,19 @@
 	return workload, tenant, patience, predicted, nil
 }
 
-// span reads a time in some unit, an hour at most.
+// span reads a time in some unit: digits, with a fraction perhaps, and an hour at most. Guards against what else
+// passes for a number, such as inf or 0x1p4, and against hosts that turn away a time that nobody can wait for.
 func span(value []byte, unit float64) (int64, error) {
+	for i, c := range value {
+		if (c < '0' || c > '9') && (c != '.' || i == 0) {
+			return 0, errList
+		}
+	}
 	x, err := strconv.ParseFloat(string(value), 64)
-	if err != nil || math.IsNaN(x) || x < 0 {
+	if err != nil || x*unit > 3600e9 {
 		return 0, errList
 	}
-	return int64(min(x*unit, 3600e9)), nil
+	return int64(x * unit), nil
 }
 
 // Key reads a key of 16 hex digits as a number; any other is hashed.
@@ -125,6 +130,8 @@
 		return true, write, "wrong number of words"
 	case len(words[1]) > mostName, len(words[2]) > mostName, len(words[3]) > mostName:
 		return true, write, "a key, an id or a list is too long"
+	case len(words[1]) == 0, len(words[2]) == 0:
+		return true, write, "a key or an id is missing"
 	}
 	return true, write, ""
 }
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -86,12 +86,35 @@
 		`"group":3,"status":%s,"weight":1.0,"since_ms":%f}]}`, status, since)
 }
 
+// Guards hosts' connections: what is not said in the protocol's own words tells nothing of a trip.
+func TestSpoiltAnswers(t *testing.T) {
+	for spoilt, want := range map[string]transport.End{"-ERR failed\r\n": transport.Errored,
+		"-ERR failed inflight=7,queue=\x00?\r\n": transport.Errored, "-BUSY util=\xff\r\n": transport.TurnedAway,
+		"-ERR failedX\r\n": transport.Garbled, "-ERR\r\n": transport.Garbled, "-BUSYX\r\n": transport.Garbled, "-\xf8\x15\"\r\n": transport.Garbled,
+		"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$4\r\n\xff\r\n?\r\n": transport.Settled, // An unreadable report spoils nothing.
+		"*3\r\n$4\r\nabcdefgh\r\n$-1\r\n$-1\r\n":            transport.Garbled, "*3\r\n$-7\r\n$-1\r\n$-1\r\n": transport.Garbled,
+		"*3\r\n$3000000000\r\nab": transport.Garbled, "*1000000000\r\n": transport.Garbled, "*3\r\n*3\r\n*3\r\n": transport.Garbled,
+		":5\r\n": transport.Garbled, "\xd8@~\xec\r\n\r\n": transport.Garbled, "+PONG\r\n": transport.Garbled,
+		"*3\r\n$" + strings.Repeat("9", 2000): transport.Garbled, strings.Repeat("x", 5): transport.Garbled} {
+		for n := range len(spoilt) { // In any split of bytes it never settles, and what is good never counts as spoilt.
+			if end, _, _, _ := Answer([]byte(spoilt[:n])); end != transport.Open && end != transport.Garbled || end != transport.Open && want != transport.Garbled {
+				t.Fatalf("%.40q: the first %d bytes are %v", spoilt, n, end)
+			}
+		}
+		if end, _, _, _ := Answer([]byte(spoilt)); end != want {
+			t.Errorf("%.40q is %v, not %v", spoilt, end, want)
+		}
+	}
+}
+
 func TestFields(t *testing.T) {
 	workload, tenant, patience, predicted, err := Fields([]byte("c=read,t=acme,d=480.5,k=5c,r=1,h=2500,size=9"))
 	if string(workload) != "read" || string(tenant) != "acme" || patience != 480.5e6 || predicted != 2.5e6 || err != nil {
 		t.Fatal(string(workload), string(tenant), patience, predicted, err)
 	}
-	for _, bad := range []string{"", "c=read", "d=5", "c=read,d", "c=read,d=-1", "c=read,d=NaN", "c=read,d=x", "c=read,d=5,h=x"} {
+	for _, bad := range []string{"", "c=read", "d=5", "c=read,d", "c=read,d=-1", "c=read,d=NaN", "c=read,d=x", "c=read,d=5,h=x",
+		"c=read,d=", "c=read,d=inf", "c=read,d=0x1p4", "c=read,d=1e3", "c=read,d=+5", "c=read,d=.", "c=read,d=5.5.5",
+		"c=read,d=99999999999999999999", "c=read,d=3600001"} {
 		if _, _, _, _, err := Fields([]byte(bad)); err == nil {
 			t.Errorf("%q is taken", bad)
 		}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -9,6 +9,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 
 var healths = map[string]choice.Health{"Ready": choice.Ready, "Terminating": choice.Draining, "Gone": choice.Gone}
 
+var names = map[choice.Health]string{choice.Ready: "Ready", choice.Draining: "Terminating", choice.Gone: "Gone"}
+
 // what a retrieval is told.
 type what int
 
@@ -55,6 +58,7 @@
 type news struct {
 	what         what
 	trip, server int
+	address      string // of the server when the trip was decided on
 	at, until    int64
 	end          transport.End
 	note         int
@@ -64,12 +68,19 @@
 // slot is a retrieval's place in the tables while it lives.
 type slot struct {
 	told  chan news
-	trips int
-	final bool // it has its final answer, or its client has gone
+	at    []int // the servers of its trips
+	final bool  // it has its final answer, or its client has gone
 }
 
+// server is what the list says of one, and how many trips are held that went there.
 type server struct {
-	name, address, status string
+	name, address    string
+	health           choice.Health
+	started          int64
+	kind, zone, cell int
+	weight           float64
+	listed           bool // by the list that is being told
+	trips            int
 }
 
 // Balancer is one real balancer.
@@ -89,11 +100,15 @@
 	index     uint64                  // of the list last told
 	letGo     context.CancelCauseFunc // ends the watch that stands
 	servers   []server
+	places    tables.Indices // of servers
 	byName    map[string]int
+	knew      bool            // a server was known once
+	open      map[string]bool // ids of retrievals that have no final answer yet
 	slots     []slot
 	held      tables.Indices // of retrievals
 	heap      int64          // bytes of the retrievals held
 	workloads map[string]int
+	oneShot   map[int]bool // workloads that must not run twice
 	tenants   map[string]int
 	kinds     map[string]int
 	zones     map[string]int
@@ -106,9 +121,13 @@
 	log zerolog.Logger) (*Balancer, error) {
 	b := &Balancer{log: log, discovery: discovery, letGo: func(error) {}, settings: settings, began: time.Now(), pool: pool, follow: make(chan struct{}, 1),
 		mostHeld: max(1, int(number(settings, "allowed.mostHeld"))), mostHeap: mostHeap, byName: map[string]int{},
+		open: map[string]bool{}, oneShot: map[int]bool{},
 		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
 		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", ""),
 		counts: map[string]int{}}
+	for _, w := range b.workloads {
+		b.oneShot[w] = settings["workloads."+strconv.Itoa(w)+".effect"] == "single_shot"
+	}
 	b.module = choice.New(b.now(), seed, settings, b)
 	if settings["registryMode"] != "subscribe" {
 		b.Subscribe() // Where changes are to come unasked: here they come by a watch all the same.
@@ -141,8 +160,9 @@
 // Send and the methods after it are the module's Host; they are called under the lock.
 func (b *Balancer) Send(i, s int, until int64) {
 	r := &b.slots[i]
-	r.told <- news{what: send, trip: r.trips, server: s, at: b.now(), until: until}
-	r.trips++
+	r.told <- news{what: send, trip: len(r.at), server: s, address: b.servers[s].address, at: b.now(), until: until}
+	r.at = append(r.at, s)
+	b.servers[s].trips++
 	b.counts["trips"]++
 }
 
@@ -193,10 +213,18 @@
 	if err := watching.Err(); err != nil {
 		return err
 	}
-	now := b.now()
+	now, all := b.now(), saved
+	is := func(s int, from string, health choice.Health) {
+		h := &b.servers[s]
+		if to := names[health]; to != from && !saved {
+			changed = append(changed, h.name, from, to)
+		}
+		h.health = health
+		b.module.Row(now, s, h.name, health, h.started, h.kind, h.zone, h.cell, h.weight)
+	}
 	err := protocol.List(line, func(index uint64, whole bool) {
 		b.index = index
-		switch {
+		switch all = all || whole; {
 		case saved:
 			b.module.Listing(now, choice.Saved)
 		case whole:
@@ -204,17 +232,23 @@
 		default:
 			b.module.Listing(now, choice.Incremental)
 		}
+		for s := range b.servers {
+			b.servers[s].listed = false
+		}
 	}, func(name, address, status string, started int64, kind, zone string, cell int, weight float64) {
 		s, known := b.byName[name]
-		if !known {
-			s = len(b.servers)
-			b.byName[name] = s
-			b.servers = append(b.servers, server{name: name})
+		if !known && healths[status] == choice.Gone {
+			return
 		}
-		if h := &b.servers[s]; h.status != status && !saved {
-			changed = append(changed, name, h.status, status)
+		from := ""
+		if known {
+			from = names[b.servers[s].health]
+			if old := b.servers[s].address; old != address {
+				b.pool.Drop(transport.Peer{Server: s, Address: old})
+			}
+		} else if s = b.places.Take(); s == len(b.servers) {
+			b.servers = append(b.servers, server{})
 		}
-		b.servers[s] = server{name, address, status}
 		k, stated := b.kinds[kind]
 		if !stated {
 			k = len(b.kinds) // Guards against a kind that the settings do not name: all such are one more.
@@ -223,19 +257,59 @@
 		if !stated {
 			z = -1
 		}
-		b.module.Row(now, s, name, healths[status], started, k, z, cell, weight)
+		b.byName[name], b.knew = s, true
+		b.servers[s] = server{name, address, healths[status], started, k, z, cell, weight, true, b.servers[s].trips}
+		is(s, from, healths[status])
 	})
-	if err == nil {
-		b.module.Listed(now)
+	if err != nil {
+		return err
+	}
+	holders := map[string]int{}
+	for s := range b.servers {
+		h := &b.servers[s]
+		if h.name == "" || h.health == choice.Gone {
+			continue
+		}
+		if all && !h.listed {
+			is(s, names[h.health], choice.Gone)
+			continue
+		}
+		// Guards a new server against trips that are meant for the one that had its address: the list is late, and
+		// that one is gone. Who started last has it.
+		if other, shared := holders[h.address]; !shared {
+			holders[h.address] = s
+		} else if b.servers[other].started < h.started {
+			is(other, names[b.servers[other].health], choice.Gone)
+			holders[h.address] = s
+		} else if b.servers[other].started > h.started {
+			is(s, names[h.health], choice.Gone)
+		}
 	}
-	return err
+	b.module.Listed(now)
+	for s := range b.servers {
+		if h := &b.servers[s]; h.name != "" && h.health == choice.Gone && h.trips == 0 {
+			b.forget(s)
+		}
+	}
+	return nil
+}
+
+// forget frees the place of a server that is gone and where no trip is held. Guards memory on long days, on which
+// servers are ever new.
+func (b *Balancer) forget(s int) {
+	h := &b.servers[s]
+	b.pool.Drop(transport.Peer{Server: s, Address: h.address})
+	delete(b.byName, h.name)
+	b.servers[s] = server{health: choice.Gone}
+	b.module.Forget(s)
+	b.places.Give(s)
 }
 
 // Summary logs what has been counted since the last one.
 func (b *Balancer) Summary(clients int) {
 	b.mu.Lock()
 	line := b.log.Info().Int("clients", clients).Int("hosts_open", b.pool.Count()).
-		Int("held", b.held.Out()).Int("servers", len(b.servers)).Uint64("index", b.index)
+		Int("held", b.held.Out()).Int("servers", len(b.byName)).Uint64("index", b.index)
 	for _, name := range slices.Sorted(maps.Keys(b.counts)) {
 		line = line.Int(name, b.counts[name]) // Only what happened is named.
 	}
--- a/routing/front.go
+++ b/routing/front.go
@@ -11,7 +11,6 @@
 
 const (
 	pipelined = 64               // commands of one client that are answered side by side
-	halfFor   = 10 * time.Second // how long a command may take to come
 	writeFor  = 10 * time.Second // how long a client may take to read an answer
 )
 
@@ -54,7 +53,7 @@
 			if len(c.Unread()) == 0 {
 				until = time.Time{}
 			} else if until.IsZero() {
-				until = time.Now().Add(halfFor)
+				until = c.Whole()
 			}
 			if end := c.Fill(until); end != transport.Open {
 				return end
@@ -71,8 +70,9 @@
 			own, _, _ := protocol.Command(bytes.Clone(c.Unread()[:length]))
 			t := turn{make(chan []byte, 1), make(chan struct{})}
 			answers <- t
-			go b.retrieve(own, write, t, left)
+			go b.retrieve(own, write, t, c.Good, left)
 		case bytes.EqualFold(words[0], []byte("PING")) && b.knowsAny():
+			c.Good()
 			answers <- ready(protocol.AppendPong(nil))
 		case bytes.EqualFold(words[0], []byte("PING")):
 			answers <- ready(protocol.AppendWrong(nil, "no server is known yet"))
@@ -114,5 +114,5 @@
 func (b *Balancer) knowsAny() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.servers) > 0
+	return b.knew
 }
--- a/routing/life.go
+++ b/routing/life.go
@@ -8,9 +8,11 @@
 	"hollylever/transport"
 )
 
+const tailFor = 500 * time.Millisecond // how long the rest of an answer may take once more of it has come
+
 // retrieve is the life of a retrieval, from its words at the door over its trips to its one final answer, and on
-// until its last trip has ended. left is closed when its client goes away.
-func (b *Balancer) retrieve(words [][]byte, write bool, t turn, left <-chan struct{}) {
+// until its last trip has ended. good is called once it is begun, left is closed when its client goes away.
+func (b *Balancer) retrieve(words [][]byte, write bool, t turn, good func(), left <-chan struct{}) {
 	workload, tenant, patience, predicted, err := protocol.Fields(words[3])
 	if err != nil {
 		t.answer <- protocol.AppendWrong(nil, err.Error())
@@ -27,22 +29,29 @@
 	if !stated {
 		owner = -1
 	}
+	id := string(words[2])
 	full := b.held.Out() >= b.mostHeld || b.heap+size > b.mostHeap
-	if !known || full {
+	if !known || b.open[id] || full {
 		b.counts["sent_back"]++
+		twice := b.open[id]
 		b.mu.Unlock()
-		if !known {
+		switch {
+		case !known:
 			t.answer <- protocol.AppendWrong(nil, "unknown workload")
-		} else {
+		case twice: // Guards the one that is out: a host takes this for the same and could answer either.
+			t.answer <- protocol.AppendWrong(nil, "a retrieval of this id is open")
+		default:
 			t.answer <- protocol.AppendDismissed(nil, 0) // Guards memory; it was never begun.
 		}
 		return
 	}
+	b.open[id] = true
 	b.heap += size
 	b.counts["retrievals"]++
 	i, told := b.take()
 	b.module.Asked(b.now(), i, patience, w, owner, protocol.Key(words[1]), true, write, predicted)
 	b.mu.Unlock()
+	good()
 
 	var lines []*transport.Line
 	over := 0 // trips that have ended
@@ -51,6 +60,7 @@
 		case <-left:
 			left, answered = nil, true
 			b.mu.Lock()
+			delete(b.open, id)
 			if !b.slots[i].final {
 				b.slots[i].final = true
 				b.counts["left"]++
@@ -69,7 +79,7 @@
 				if answered {
 					line.Cut() // Its client went away between the decision and this.
 				}
-				go b.trip(line, words, n, told)
+				go b.trip(line, words, b.oneShot[w], n, told)
 			case callOff:
 				lines[n.trip].Cut()
 			case dismiss:
@@ -96,6 +106,9 @@
 				for _, line := range lines {
 					line.Withdraw() // Nothing is sent for it from now on.
 				}
+				b.mu.Lock()
+				delete(b.open, id)
+				b.mu.Unlock()
 				t.answer <- final
 				answered = true
 			}
@@ -105,7 +118,12 @@
 	<-t.written // Until then its answer takes memory.
 	b.mu.Lock()
 	b.heap -= size
-	b.slots[i].told = nil
+	for _, s := range b.slots[i].at {
+		if b.servers[s].trips--; b.servers[s].trips == 0 && b.servers[s].health == choice.Gone {
+			b.forget(s)
+		}
+	}
+	b.slots[i] = slot{}
 	b.held.Give(i)
 	b.mu.Unlock()
 }
@@ -114,16 +132,13 @@
 func (b *Balancer) trips(i int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.slots[i].trips
+	return len(b.slots[i].at)
 }
 
-// trip sends a retrieval to a server once and waits for how that ends.
-func (b *Balancer) trip(line *transport.Line, words [][]byte, n news, told chan<- news) {
-	b.mu.Lock()
-	address := b.servers[n.server].address
-	b.mu.Unlock()
+// trip sends a retrieval to a server once, on a fresh connection or any, and waits for how that ends.
+func (b *Balancer) trip(line *transport.Line, words [][]byte, fresh bool, n news, told chan<- news) {
 	until := b.at(n.until)
-	end := line.Connect(address, until)
+	end := line.Connect(transport.Peer{Server: n.server, Address: n.address}, fresh, until)
 	if end == transport.Open {
 		end = line.Hand(protocol.AppendRetrieval(nil, words, int64(time.Until(until))), until)
 	}
@@ -131,7 +146,13 @@
 		var value []byte
 		var length int
 		if end, value, n.note, length = protocol.Answer(line.Unread()); end == transport.Open {
-			end = line.Fill(until)
+			begun := len(line.Unread()) > 0
+			if begun && until.Sub(time.Now()) > tailFor {
+				until = time.Now().Add(tailFor) // Guards against an answer that begins and does not end.
+			}
+			if end = line.Fill(until); end == transport.Silent && begun {
+				end = transport.Garbled
+			}
 			continue
 		}
 		if end == transport.Settled {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -53,7 +55,7 @@
 	for range 40 {
 		r := turn{make(chan []byte, 1), make(chan struct{})}
 		close(r.written)
-		b.retrieve(words("c=read,d=1000"), false, r, left)
+		b.retrieve(words("c=read,d=1000"), false, r, func() {}, left)
 	}
 	ended := 0
 	for name, n := range b.counts {
@@ -80,7 +82,7 @@
 		b.mu.Unlock()
 		r := turn{make(chan []byte, 1), make(chan struct{})}
 		close(r.written)
-		b.retrieve(words("c=read,d=100"), false, r, nil)
+		b.retrieve(words("c=read,d=100"), false, r, func() {}, nil)
 		if answer := string(<-r.answer); answer != "-BUSY\r\n" || b.counts["trips"] != 0 {
 			t.Errorf("%q after %d trips", answer, b.counts["trips"])
 		}
@@ -98,11 +100,81 @@
 	}
 }
 
+// Guards the retrieval that is out: its host takes the second for the same.
+func TestAnIdIsOpenOnce(t *testing.T) {
+	b := begin(t, 1<<20)
+	b.open["id"] = true
+	r := turn{make(chan []byte, 1), make(chan struct{})}
+	b.retrieve(words("c=read,d=50"), false, r, func() { t.Error("it counts as a good command") }, nil)
+	if answer := string(<-r.answer); !strings.HasPrefix(answer, "-ERR") || b.counts["trips"] != 0 || !b.open["id"] {
+		t.Errorf("%q after %d trips", answer, b.counts["trips"])
+	}
+	delete(b.open, "id")
+	close(r.written)
+	b.retrieve(words("c=read,d=50"), false, r, func() {}, nil)
+	if answer := string(<-r.answer); !strings.HasPrefix(answer, "-BUSY") || len(b.open) != 0 {
+		t.Errorf("%q, open after its answer: %v", answer, b.open)
+	}
+}
+
+func (b *Balancer) told(t *testing.T, line string) {
+	if err := b.tell(context.Background(), []byte(line), false); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func row(name, address, status string, started int) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"status":%q,"type":"std","zone":"z","since_ms":%d}`, name, address, status, started)
+}
+
+func changes(rows ...string) string {
+	return `{"index":9,"snapshot":false,"endpoints":[` + strings.Join(rows, ",") + `]}`
+}
+
+// Guards memory on long days, and trips that are held against a place that is another server's by now.
+func TestPlacesOfServersAreGivenBack(t *testing.T) {
+	b := begin(t, 1<<20)
+	for n := range 500 {
+		name := fmt.Sprint("new-", n)
+		b.told(t, changes(row(name, fmt.Sprint("127.0.0.1:", 1000+n), "Ready", 1)))
+		s := b.byName[name]
+		if n == 7 {
+			b.servers[s].trips = 1 // One is held.
+		}
+		b.told(t, changes(row(name, fmt.Sprint("127.0.0.1:", 1000+n), "Gone", 1)))
+		if b.servers[s].name == "" == (n == 7) {
+			t.Fatalf("%d: the place of a server that is gone is %+v", n, b.servers[s])
+		}
+	}
+	if len(b.servers) != 3 || len(b.byName) != 2 {
+		t.Fatalf("%d places, %d names", len(b.servers), len(b.byName))
+	}
+	b.told(t, strings.Replace(changes(row("last", "127.0.0.1:9", "Ready", 1)), "false", "true", 1)) // a whole list without the first
+	if len(b.byName) != 2 || b.servers[0].name == "s" {
+		t.Fatalf("%v", b.byName)
+	}
+}
+
+// Guards a new server against what is meant for the one that had its address, while the list still has that one.
+func TestAnAddressBelongsToWhoStartedLast(t *testing.T) {
+	for _, rows := range [][]string{
+		{row("old", "127.0.0.1:9", "Ready", 5), row("new", "127.0.0.1:9", "Ready", 8)},
+		{row("new", "127.0.0.1:9", "Ready", 8), row("old", "127.0.0.1:9", "Ready", 5)},
+	} {
+		b := begin(t, 1<<20)
+		b.told(t, changes(rows[0]))
+		b.told(t, changes(rows[1]))
+		if _, stays := b.byName["new"]; !stays || len(b.byName) != 2 {
+			t.Errorf("after %v: %v", rows, b.byName)
+		}
+	}
+}
+
 func TestDismissedSaysWhenToComeBack(t *testing.T) {
 	b := begin(t, 1<<20)
 	r := turn{make(chan []byte, 1), make(chan struct{})}
 	close(r.written)
-	b.retrieve(words("c=read,d=50"), false, r, nil)
+	b.retrieve(words("c=read,d=50"), false, r, func() {}, nil)
 	if answer := string(<-r.answer); answer != "-BUSY 500\r\n" || b.counts["dismissed"] != 1 || b.counts["trip_refused"] == 0 {
 		t.Errorf("%q, %v", answer, b.counts)
 	}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -20,7 +20,7 @@
 	net.Conn
 	buffer   []byte
 	from, to int
-	address  string
+	peer     Peer
 	idleAt   time.Time // pool: since when it has been idle
 }
 
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -13,6 +13,12 @@
 const (
 	lingerFor  = time.Second
 	mostLinger = 1 << 20
+
+	keepSilent = 2 * time.Second // from when it connected, with no good command
+	keepOnce   = 5 * time.Second // after one
+	keepUsual  = time.Minute
+	halfFirst  = 2700 * time.Millisecond // from when it connected
+	halfUsual  = 10 * time.Second
 )
 
 // Listener accepts clients and keeps them within a number of descriptors.
@@ -21,6 +27,8 @@
 	most     int
 	least    int
 	mu       sync.Mutex
+	room     sync.Cond // a client has gone, or is between commands
+	closed   bool
 	clients  map[*Client]bool
 	all      sync.WaitGroup
 	Odd      func(err error) // told of accepts that went wrong
@@ -31,10 +39,19 @@
 	Conn
 	owner *Listener
 	busy  int
+	good  int // commands that made sense
 	going bool
+	half  bool      // a part of a command has come
+	came  time.Time // when it connected
 	since time.Time // idle since
 }
 
+// keeps is how long a client is kept between commands. Guards descriptors and memory against those that connect and
+// say nothing, or ask once and stay; usual clients, which ask again, keep their connections.
+func (c *Client) keeps() time.Duration {
+	return [...]time.Duration{keepSilent, keepOnce, keepUsual}[min(c.good, 2)]
+}
+
 // Listen listens on one address. It allows addresses to be used again at once, as a restart needs.
 func Listen(address string, most int) (*Listener, error) {
 	listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", address)
@@ -42,6 +59,7 @@
 		return nil, err
 	}
 	l := &Listener{listener: listener, most: most, least: max(1, most/2), clients: map[*Client]bool{}, Odd: func(error) {}}
+	l.room.L = &l.mu
 	l.all.Add(1) // Serve counts too: Close must wait for a client that is just being accepted.
 	return l, nil
 }
@@ -66,18 +84,18 @@
 			odd = true
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 				l.shrink()
-				l.spare()
 			}
 			time.Sleep(pause)
 			pause = min(2*pause, 50*time.Millisecond)
 			continue
 		}
 		pause, odd = time.Millisecond, false
-		c := &Client{Conn: Conn{Conn: inner}, owner: l, since: time.Now()}
-		for l.full() && !l.spare() {
-			time.Sleep(time.Millisecond) // All are at work: the first that has its answer makes room.
-		}
+		c := &Client{Conn: Conn{Conn: inner}, owner: l, came: time.Now(), since: time.Now()}
 		l.mu.Lock()
+		for len(l.clients) >= l.most && !l.closed {
+			l.spare()
+			l.room.Wait() // All may be at work: the first that has its answer makes room.
+		}
 		l.clients[c] = true
 		l.mu.Unlock()
 		l.all.Add(1)
@@ -86,42 +104,50 @@
 			serve(c)
 			c.Close()
 			l.mu.Lock()
-			delete(l.clients, c)
+			delete(l.clients, c) // Only now: until here it had its descriptor.
+			l.room.Signal()
 			l.mu.Unlock()
 		}()
 	}
 }
 
-func (l *Listener) full() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.clients) >= l.most
-}
-
 // shrink guards connections to hosts against clients that take every descriptor where there are fewer than was
 // told: the clients' part becomes a tenth less than are connected, at least half of what it was at first.
 func (l *Listener) shrink() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.most = min(l.most, max(l.least, len(l.clients)*9/10))
+	l.spare()
+}
+
+// spare asks a client to go that is between commands: those that never sent a good one first, then those that sent
+// one, usual clients last, of like ones the one idle longest. One at a time: who was asked still has to go.
+func (l *Listener) spare() {
+	var first *Client
+	for c := range l.clients {
+		switch {
+		case c.busy > 0, c.half && c.good > 0:
+		case c.going:
+			return
+		case first == nil, min(c.good, 2) < min(first.good, 2),
+			min(c.good, 2) == min(first.good, 2) && c.since.Before(first.since):
+			first = c
+		}
+	}
+	if first != nil {
+		first.goSoon()
+	}
 }
 
-// spare asks the client that has been idle longest to go; it may lose its connection between retrievals.
-func (l *Listener) spare() bool {
+// Sweep asks those to go that have been idle too long.
+func (l *Listener) Sweep() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var oldest *Client
 	for c := range l.clients {
-		if c.busy == 0 && !c.going && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+		if c.busy == 0 && !c.going && !c.half && time.Since(c.since) > c.keeps() {
+			c.goSoon()
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	oldest.goSoon()
-	delete(l.clients, oldest)
-	return true
 }
 
 // goSoon wakes the client's reader, which alone closes the connection: nothing that was read is dropped.
@@ -130,13 +156,28 @@
 	c.SetReadDeadline(time.Unix(1, 0))
 }
 
+// Whole is until when a command that has begun to come has to be whole. Usual clients may write slowly; from one
+// that never sent a good command an end is owed soon after it came.
+func (c *Client) Whole() time.Time {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.good > 0 {
+		return time.Now().Add(halfUsual)
+	}
+	return c.came.Add(halfFirst)
+}
+
 // Linger ends the connection after a last word to a client that may still be sending: closed at once, what it sends
 // would reset the connection and take the word with it.
 func (c *Client) Linger() {
 	if half, ok := c.Conn.Conn.(*net.TCPConn); ok {
 		half.CloseWrite()
 	}
-	c.SetReadDeadline(time.Now().Add(lingerFor))
+	c.owner.mu.Lock()
+	if !c.going {
+		c.SetReadDeadline(time.Now().Add(lingerFor))
+	}
+	c.owner.mu.Unlock()
 	io.CopyN(io.Discard, c, mostLinger)
 }
 
@@ -147,26 +188,39 @@
 	c.owner.mu.Unlock()
 }
 
+// Good tells that a command of the client made sense.
+func (c *Client) Good() {
+	c.owner.mu.Lock()
+	c.good++
+	c.owner.mu.Unlock()
+}
+
 // End marks one thing as answered. A client that is to go does so with its last answer.
 func (c *Client) End() {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	if c.busy--; c.busy == 0 {
-		c.since = time.Now()
+		if c.good > 0 { // Else its time runs from when it connected: noise does not make it last.
+			c.since = time.Now()
+		}
 		if c.going {
 			c.goSoon()
 		}
+		c.owner.room.Signal()
 	}
 }
 
-// Fill reads once more. Spared: the connection is to go, nothing is being answered and nothing waits to be read.
+// Fill reads once more. Spared: the connection is to go, nothing is being answered and nothing waits to be read. A
+// command that has begun to come is let come, within its time, but where a client that never sent a good one has to
+// make room.
 func (c *Client) Fill(until time.Time) End {
 	for {
 		if end := c.room(); end != Open {
 			return end
 		}
 		c.owner.mu.Lock()
-		if c.going && c.busy == 0 {
+		c.half = len(c.Unread()) > 0
+		if c.going && c.busy == 0 && !(c.half && (c.good > 0 || len(c.owner.clients) < c.owner.most)) {
 			if waits, ended := c.pending(); !waits && !ended {
 				c.owner.mu.Unlock()
 				return Spared
@@ -190,6 +244,10 @@
 // Close stops accepting, closes clients between retrievals, and waits until all are gone or the time is over.
 func (l *Listener) Close(until time.Time) bool {
 	l.listener.Close()
+	l.mu.Lock()
+	l.closed = true
+	l.room.Signal()
+	l.mu.Unlock()
 	gone := make(chan struct{})
 	go func() { l.all.Wait(); close(gone) }()
 	for {
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -3,24 +3,37 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
 
-// Pool keeps idle connections to servers, by address, and counts all that are open. One trip at a time is on
+// restFor is how long a connection stands idle before it is used again. Guards the next trip against what comes right
+// behind a good answer: a second copy would be taken for its own.
+const restFor = 5 * time.Millisecond
+
+// Peer is a server at an address. An address alone is not enough: a new server may have an old one's, whose open
+// connections stay silent or end at it.
+type Peer struct {
+	Server  int
+	Address string
+}
+
+// Pool keeps idle connections by server and address, and counts all that are open. One trip at a time is on
 // a connection, so that calling it off hurts no other. The pool sends nothing by itself.
 type Pool struct {
 	mu     sync.Mutex
-	idle   map[string][]*Conn // the newest last
+	idle   map[Peer][]*Conn // the newest last
 	open   int
 	most   int
 	keep   time.Duration
+	rest   time.Duration
 	dialer net.Dialer
 }
 
 // NewPool makes a pool of at most so many connections, idle ones kept so long.
 func NewPool(most int, keep, dialFor time.Duration) *Pool {
-	return &Pool{idle: map[string][]*Conn{}, most: most, keep: keep,
+	return &Pool{idle: map[Peer][]*Conn{}, most: most, keep: keep, rest: restFor,
 		dialer: net.Dialer{Timeout: dialFor, KeepAlive: -1}}
 }
 
@@ -38,9 +51,16 @@
 // Line begins a hold; Connect, Hand and Fill follow, and Done ends it.
 func (p *Pool) Line() *Line { return &Line{pool: p} }
 
-// Connect takes the newest idle connection that still stands, or dials.
-func (l *Line) Connect(address string, until time.Time) End {
-	c := l.pool.take(address)
+// Connect takes the newest idle connection that has rested and still stands, or dials. Fresh: it dials in any case,
+// in that one's place. A host may close an idle connection, or have vanished behind it, while something is written
+// to it; nobody can tell then whether that ran. Where no connection comes up nothing has run.
+func (l *Line) Connect(to Peer, fresh bool, until time.Time) End {
+	c := l.pool.take(to)
+	if c != nil && fresh {
+		c.Close()
+		l.pool.release()
+		c = nil
+	}
 	if c == nil {
 		if !l.pool.reserve() {
 			return NoRoom
@@ -54,7 +74,7 @@
 		if cut {
 			stop()
 		}
-		inner, err := l.pool.dialer.DialContext(ctx, "tcp", address)
+		inner, err := l.pool.dialer.DialContext(ctx, "tcp", to.Address)
 		if err != nil {
 			l.pool.release()
 			l.mu.Lock()
@@ -64,7 +84,7 @@
 			}
 			return dialEnd(err)
 		}
-		c = &Conn{Conn: inner, address: address}
+		c = &Conn{Conn: inner, peer: to}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -138,13 +158,18 @@
 
 // take guards against a host that closed an idle connection: a write to it would end as a reset, after which
 // a one-shot may not be sent again.
-func (p *Pool) take(address string) *Conn {
+func (p *Pool) take(to Peer) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for list := p.idle[address]; len(list) > 0; list = p.idle[address] {
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		if waits, ended := c.pending(); !waits && !ended && time.Since(c.idleAt) < p.keep {
+	list := p.idle[to]
+	for n := len(list) - 1; n >= 0; n-- {
+		c, idle := list[n], time.Since(list[n].idleAt)
+		if idle < p.rest {
+			continue
+		}
+		list = slices.Delete(list, n, n+1)
+		p.idle[to] = list
+		if waits, ended := c.pending(); !waits && !ended && idle < p.keep {
 			return c
 		}
 		c.Close()
@@ -153,11 +178,22 @@
 	return nil
 }
 
+// Drop closes the idle connections to a server that is gone.
+func (p *Pool) Drop(to Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[to] {
+		c.Close()
+		p.open--
+	}
+	delete(p.idle, to)
+}
+
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.idleAt = time.Now()
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.peer] = append(p.idle[c.peer], c)
 }
 
 // reserve makes room for one more connection, at the cost of the one that has been idle longest.
@@ -165,17 +201,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open >= p.most {
-		oldest := ""
-		for address, list := range p.idle {
-			if len(list) > 0 && (oldest == "" || list[0].idleAt.Before(p.idle[oldest][0].idleAt)) {
-				oldest = address
+		var oldest *Conn
+		for _, list := range p.idle {
+			if len(list) > 0 && (oldest == nil || list[0].idleAt.Before(oldest.idleAt)) {
+				oldest = list[0]
 			}
 		}
-		if oldest == "" {
+		if oldest == nil {
 			return false
 		}
-		p.idle[oldest][0].Close()
-		p.idle[oldest] = p.idle[oldest][1:]
+		oldest.Close()
+		p.idle[oldest.peer] = slices.Delete(p.idle[oldest.peer], 0, 1)
 		p.open--
 	}
 	p.open++
@@ -192,15 +228,15 @@
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, list := range p.idle {
+	for peer, list := range p.idle {
 		n := 0
 		for n < len(list) && time.Since(list[n].idleAt) >= p.keep {
 			list[n].Close()
 			p.open--
 			n++
 		}
-		if p.idle[address] = list[n:]; n == len(list) {
-			delete(p.idle, address)
+		if p.idle[peer] = slices.Delete(list, 0, n); n == len(list) {
+			delete(p.idle, peer)
 		}
 	}
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -33,7 +34,7 @@
 
 func connected(t *testing.T, p *Pool, address string) *Line {
 	line := p.Line()
-	if end := line.Connect(address, soon()); end != Open {
+	if end := line.Connect(Peer{0, address}, false, soon()); end != Open {
 		t.Fatalf("no connection: %v", end)
 	}
 	return line
@@ -45,7 +46,7 @@
 	closed := l.Addr().String()
 	l.Close()
 	p := NewPool(1, time.Minute, 50*time.Millisecond)
-	if end := p.Line().Connect(closed, soon()); end != Refused {
+	if end := p.Line().Connect(Peer{0, closed}, false, soon()); end != Refused {
 		t.Errorf("a closed port: %v", end)
 	}
 	// A listener that accepts nothing and whose queue is full lets no connection come up.
@@ -63,19 +64,19 @@
 	end := Open
 	many := NewPool(8, time.Minute, 50*time.Millisecond)
 	for n := 0; n < 8 && end == Open; n++ {
-		end = many.Line().Connect(full, soon())
+		end = many.Line().Connect(Peer{0, full}, false, soon())
 	}
 	if end != NeverUp {
 		t.Errorf("a full queue: %v", end)
 	}
 	connected(t, p, address)
-	if end := p.Line().Connect(address, soon()); end != NoRoom {
+	if end := p.Line().Connect(Peer{0, address}, false, soon()); end != NoRoom {
 		t.Errorf("the second of one connection: %v", end)
 	}
 	cut := p.Line()
 	cut.Cut()
 	p.release()
-	if end := cut.Connect(address, soon()); end != Withdrawn {
+	if end := cut.Connect(Peer{0, address}, false, soon()); end != Withdrawn {
 		t.Errorf("called off before it began: %v", end)
 	}
 }
@@ -125,6 +126,7 @@
 func TestStaleIdleConnectionIsNotUsed(t *testing.T) {
 	address, accepted := peer(t)
 	p := NewPool(2, time.Minute, time.Second)
+	p.rest = 0
 	line := connected(t, p, address)
 	first := <-accepted
 	line.Done(true)
@@ -158,6 +160,7 @@
 func TestLateCallOffHurtsNoOther(t *testing.T) {
 	address, accepted := peer(t)
 	p := NewPool(2, time.Minute, time.Second)
+	p.rest = 0
 	first := connected(t, p, address)
 	host := <-accepted
 	first.Done(true)
@@ -185,6 +188,49 @@
 	}
 }
 
+// Guards trips against what belongs to others: what comes right behind an answer, an address that has a new server.
+func TestConnectionIsUsedAgainOnlyForItsServerAndRested(t *testing.T) {
+	address, accepted := peer(t)
+	p := NewPool(8, time.Minute, time.Second)
+	p.rest = time.Minute
+	first := connected(t, p, address)
+	conn := first.Conn
+	first.Done(true)
+	if second := connected(t, p, address); second.Conn == conn {
+		t.Fatal("a connection that has not rested is used again")
+	}
+	p.rest = 0
+	other := p.Line()
+	if end := other.Connect(Peer{1, address}, false, soon()); end != Open || other.Conn == conn {
+		t.Fatal("another server's connection is used", end)
+	}
+	anew := p.Line()
+	if end := anew.Connect(Peer{1, address}, true, soon()); end != Open || anew.Conn == other.Conn {
+		t.Fatal("a fresh connection was asked for", end)
+	}
+	if third := connected(t, p, address); third.Conn != conn {
+		t.Fatal("a connection that has rested is not used again")
+	} else {
+		third.Done(true)
+		fourth := p.Line()
+		fourth.Connect(Peer{0, address}, true, soon())
+		if fourth.Conn == conn || p.Count() != 4 {
+			t.Fatal("a fresh connection does not take the place of an idle one", p.Count())
+		}
+		fourth.Done(true)
+	}
+	<-accepted // The first three, and the one that replaced the first.
+	<-accepted
+	<-accepted
+	<-accepted
+	host := <-accepted
+	p.Drop(Peer{0, address})
+	host.SetReadDeadline(soon())
+	if _, err := host.Read(make([]byte, 1)); !errors.Is(err, io.EOF) || p.Count() != 3 {
+		t.Fatal("a connection to a server that is gone stands", err, p.Count())
+	}
+}
+
 func TestBufferGrowsAndIsCompacted(t *testing.T) {
 	address, accepted := peer(t)
 	line := connected(t, NewPool(1, time.Minute, time.Second), address)
@@ -255,3 +301,66 @@
 		t.Fatal("it does not end")
 	}
 }
+
+// Guards usual clients: over the bound, those that never sent a good command go first, then those that sent one.
+func TestUsualClientsGoLast(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan string, 100)
+	ready := make(chan *Client, 100)
+	go l.Serve(func(c *Client) {
+		for c.Fill(time.Time{}) == Open {
+			for _, letter := range c.Unread() {
+				c.Begin()
+				if letter == 'g' {
+					c.Good()
+				}
+				c.End()
+			}
+			c.Skip(len(c.Unread()))
+			ready <- c
+		}
+		ended <- c.RemoteAddr().String()
+	})
+	dial := func(text string) net.Conn {
+		c, err := net.Dial("tcp", l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if _, err := io.WriteString(c, text); text != "" && err == nil {
+			<-ready
+		}
+		return c
+	}
+	usual := dial("gg")
+	once := dial("g")
+	silent, noisy := dial("x"), dial("xxxxx")
+	for i, first := range []net.Conn{silent, noisy, once} {
+		dial("gg")
+		if went := <-ended; went != first.LocalAddr().String() {
+			t.Fatalf("%d: %s went, not %s", i, went, first.LocalAddr())
+		}
+	}
+	dial("gg")
+	if went := <-ended; went != usual.LocalAddr().String() {
+		t.Fatal("with usual clients only, the one idle longest does not go")
+	}
+	l.mu.Lock()
+	n := 0
+	for c := range l.clients {
+		if n++; n < 4 {
+			c.since = c.since.Add(-keepUsual)
+		}
+	}
+	l.mu.Unlock()
+	l.Sweep()
+	for range 3 {
+		<-ended
+	}
+	if l.Sweep(); len(ended) > 0 || !l.Close(soon()) {
+		t.Fatal("it does not end, or a client went too early")
+	}
+}
