--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,37 +13,38 @@
 )
 
 const (
-	second     = int64(1e9)
-	memory     = 3 * second      // how long what was seen counts
-	margin     = 25 * int64(1e6) // before the hard stop an answer must be out
-	enough     = 60.0            // retrievals: with fewer in it, memory stretches
-	slowest    = 0.1
-	firstWidth = 3               // candidates of a key
-	widening   = 7               // a busy answer widens so many times
-	firstHold  = 33 * int64(1e6) // the first hold at full width; it doubles
-	overMean   = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
-	overBy     = 0.3
-	likeKind   = 2.0    // what all of its kind tell of a server counts as so many trips of its own
-	jam        = 3.0    // times the mean time of a trip: a server that takes longer is left for others
-	busyCounts = 2.0    // a busy answer counts as so many in flight
-	strain     = 0.15   // more misses than this part of the reads strain the origin
-	crowd      = 0.15   // of the expected time may be spent by what is in flight
-	youngRoom  = 4.0    // trips in flight a server that all balancers may add while they know no rate
-	leastPart  = 0.5    // of the room is left to keys not read lately
-	knownKeys  = 8191   // places for keys read lately
-	usualGrows = 1.0005 // an answer, so that the usual time is found again when it has risen
-	mostValued = 3.0    // times that for what has the most value
-	valueOver  = 100    // the mean value is taken over so many retrievals
-	late       = 0.75   // of the expected time: a trip that takes longer is poor
-	mostPoor   = 0.06   // of the trips may be poor before traffic beyond a share is cut
-	doubt      = 0.6    // of the chance of success that all have: under it a server is passed by
-	firstGood  = 2.0    // what is taken of a server before it is known
-	firstBad   = 0.1
-	perAnswer  = 0.2 // credit that an answer earns
-	mostCredit = 10.0
-	coldPart   = 0.4  // of the cold budget: machines differ, and so do balancers' parts of the traffic
-	leastRoom  = 0.1  // under one, reads are let in by chance
-	firstRoom  = 40.0 // aside: reads all may have out at the origin beyond two each, at first
+	second      = int64(1e9)
+	memory      = 3 * second      // how long what was seen counts
+	margin      = 25 * int64(1e6) // before the hard stop an answer must be out
+	enough      = 60.0            // retrievals: with fewer in it, memory stretches
+	slowest     = 0.1
+	firstWidth  = 3               // candidates of a key
+	widening    = 7               // a busy answer widens so many times
+	firstHold   = 33 * int64(1e6) // the first hold at full width; it doubles
+	overMean    = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
+	overBy      = 0.3
+	likeKind    = 2.0    // what all of its kind tell of a server counts as so many trips of its own
+	jam         = 3.0    // times the mean time of a trip: a server that takes longer is left for others
+	busyCounts  = 2.0    // a busy answer counts as so many in flight
+	strain      = 0.15   // more misses than this part of the reads strain the origin
+	crowd       = 0.15   // of the expected time may be spent by what is in flight
+	youngRoom   = 4.0    // trips in flight a server that all balancers may add while they know no rate
+	leastPart   = 0.5    // of the room is left to keys not read lately
+	knownKeys   = 8191   // places for keys read lately
+	usualGrows  = 1.0005 // an answer, so that the usual time is found again when it has risen
+	mostValued  = 3.0    // times that for what has the most value
+	valueOver   = 100    // the mean value is taken over so many retrievals
+	late        = 0.75   // of the expected time: a trip that takes longer is poor
+	mostPoor    = 0.06   // of the trips may be poor before traffic beyond a share is cut
+	mostOverdue = 0.08   // of the retrievals may be overdue and get copies; more: origin or fleet is slow
+	doubt       = 0.6    // of the chance of success that all have: under it a server is passed by
+	firstGood   = 2.0    // what is taken of a server before it is known
+	firstBad    = 0.1
+	perAnswer   = 0.2 // credit that an answer earns
+	mostCredit  = 10.0
+	coldPart    = 0.4  // of the cold budget: machines differ, and so do balancers' parts of the traffic
+	leastRoom   = 0.1  // under one, reads are let in by chance
+	firstRoom   = 40.0 // aside: reads all may have out at the origin beyond two each, at first
 )
 
 const ( // what a timer is for
@@ -203,7 +204,7 @@
 	copies, mayCallOff         bool
 	mostTrips                  int
 	warmUp, tipAfter, connIdle int64
-	unreached                  sum // trips for which no connection could be had
+	unreached, overdue         sum // trips without a connection; those that took far longer than others
 	startPart, multiple        float64
 	balancers, comeBackAfter   float64
 }
@@ -411,12 +412,10 @@
 	h.sent.add(b.seen, 1)
 	b.count(now, r, s, 1)
 	b.host.Send(i, s, r.stop)
-	// Guards against a trip that falls silent: one that takes half of the expected time, and far longer than others
-	// do, gets a copy elsewhere where the rules allow that and credit pays for it.
+	// Guards against a trip that falls silent: one that is far overdue gets a copy elsewhere, paid from credit.
 	if w := &b.workloads[r.workload]; b.copies && w.effect != OneShot && s != b.origin {
-		after := max(w.expected/2, int64(jam*b.all.each(b.seen, 0)))
-		r.heldUntil = now + after
-		b.host.Wake(tagHeld+i, after)
+		r.heldUntil = now + max(w.expected/2, int64(jam*b.all.each(b.seen, 0)))
+		b.host.Wake(tagHeld+i, r.heldUntil-now)
 	}
 }
 
@@ -850,9 +849,12 @@
 			}
 			if r.out == 0 {
 				b.route(now, tag-tagHeld)
-			} else if s := b.pick(now, r); s >= 0 && now < r.due && b.maySend(now, r, s) {
-				b.servers[r.trips[len(r.trips)-1].server].bad.add(b.seen, 1)
-				b.send(now, tag-tagHeld, s)
+			} else if b.overdue.add(b.seen, 1); b.overdue.value < mostOverdue*b.asked.read(b.seen) &&
+				b.turned.read(b.seen) < mostOverdue/4*b.asked.read(b.seen) {
+				if s := b.pick(now, r); s >= 0 && now < r.due && b.maySend(now, r, s) {
+					b.servers[r.trips[len(r.trips)-1].server].bad.add(b.seen, 1)
+					b.send(now, tag-tagHeld, s)
+				}
 			}
 		}
 	}
