A client that has just come has time to ask before it has to make room

At fault: transport/listener.go spare ordered by good commands alone. Test: TestNewClientHasTimeToAsk, seen to fail without.

--- a/transport/listener.go
+++ b/transport/listener.go
@@ -19,6 +19,7 @@
 	keepUsual  = time.Minute
 	halfFirst  = 2700 * time.Millisecond // from when it connected
 	halfUsual  = 10 * time.Second
+	askFor     = 500 * time.Millisecond // a client that has just come has so long to ask
 )
 
 // Listener accepts clients and keeps them within a number of descriptors.
@@ -119,8 +120,22 @@
 	l.spare()
 }
 
-// spare asks a client to go that is between commands, where there is not room for one more and some: those that never
-// sent a good command first, then those that sent one, usual clients last, of like ones the one idle longest. Guards new
+// rank orders clients that may have to make room: silent ones, those that asked once, those that have just come and had
+// no time to ask, usual ones.
+func (c *Client) rank() int {
+	switch {
+	case c.good > 1:
+		return 3
+	case c.good == 1:
+		return 1
+	case time.Since(c.came) < askFor:
+		return 2
+	}
+	return 0
+}
+
+// spare asks a client to go that is between commands, where there is not room for one more and some: the first by rank,
+// of like ones the one idle longest. Guards new
 // clients against waiting while those asked to go do so.
 func (l *Listener) spare() {
 	var first *Client
@@ -132,8 +147,7 @@
 			if leaving++; c.half {
 				c.goSoon() // It was let stay while there was room.
 			}
-		case first == nil, min(c.good, 2) < min(first.good, 2),
-			min(c.good, 2) == min(first.good, 2) && c.since.Before(first.since):
+		case first == nil, c.rank() < first.rank(), c.rank() == first.rank() && c.since.Before(first.since):
 			first = c
 		}
 	}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -369,6 +369,11 @@
 	usual := dial("gg")
 	once := dial("g")
 	silent, noisy := dial("x"), dial("xxxxx")
+	l.mu.Lock()
+	for c := range l.clients {
+		c.came = c.came.Add(-askFor)
+	}
+	l.mu.Unlock()
 	for i, first := range []net.Conn{silent, noisy, once} {
 		dial("gg")
 		if went := <-ended; went != first.LocalAddr().String() {
@@ -396,6 +401,39 @@
 	}
 }
 
+// Guards new clients: with room short, one that has just come is not closed before those that asked once and stay.
+func TestNewClientHasTimeToAsk(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	served, ended := make(chan *Client, 10), make(chan string, 10)
+	go l.Serve(func(c *Client) {
+		served <- c
+		for c.Fill(time.Time{}) == Open {
+			c.Skip(len(c.Unread()))
+		}
+		ended <- c.RemoteAddr().String()
+	})
+	var local []string
+	dial := func() *Client {
+		c, err := net.Dial("tcp", l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		local = append(local, c.LocalAddr().String())
+		return <-served
+	}
+	dial().Good()
+	dial().Good()
+	for n := range 2 { // Two new ones: those that asked once make room, the first new one does not.
+		if dial(); <-ended != local[n] {
+			t.Fatal("a client that has just come is closed")
+		}
+	}
+}
+
 // Guards new clients: one that was asked to go amid a command, and let stay while there was room, must go once there is none.
 func TestHalfACommandHoldsUpNobody(t *testing.T) {
 	l, err := Listen("127.0.0.1:0", 2)
