--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -22,7 +22,7 @@
 	reserve    = 32                     // descriptors that are for neither clients nor hosts
 	stragglers = 500 * time.Millisecond // after SIGTERM new clients go on coming for so long
 	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
-	sweepEvery = 250 * time.Millisecond
+	sweepEvery = 50 * time.Millisecond
 	tellEvery  = 10 * time.Second
 )
 
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -17,9 +17,11 @@
 	keepSilent = 2 * time.Second // from when it connected, with no good command
 	keepOnce   = 5 * time.Second // after one
 	keepUsual  = time.Minute
-	halfFirst  = 2700 * time.Millisecond // from when it connected
-	halfUsual  = 10 * time.Second
-	askFor     = 500 * time.Millisecond // a client that has just come has so long to ask
+
+	keepBriefly = 50 * time.Millisecond   // after one, with a quarter of the room taken
+	halfFirst   = 2700 * time.Millisecond // from when it connected
+	halfUsual   = 10 * time.Second
+	askFor      = 500 * time.Millisecond // a client that has just come has so long to ask
 )
 
 // Listener accepts clients and keeps them within a number of descriptors.
@@ -50,6 +52,9 @@
 // keeps is how long a client is kept between commands. Guards descriptors and memory against those that connect and
 // say nothing, or ask once and stay; usual clients, which ask again, keep their connections.
 func (c *Client) keeps() time.Duration {
+	if c.good == 1 && len(c.owner.clients) > c.owner.most/4 {
+		return keepBriefly // Guards clients who may only hold so many: those who keep them idle have none left to ask on.
+	}
 	return [...]time.Duration{keepSilent, keepOnce, keepUsual}[min(c.good, 2)]
 }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -434,6 +434,22 @@
 	}
 }
 
+// Guards clients who may only hold so many connections: with a quarter of the room taken, one that asked once is not
+// kept for long.
+func TestOnceAskedIsKeptBrieflyInACrowd(t *testing.T) {
+	l := &Listener{most: 8, clients: map[*Client]bool{}}
+	for n := range 3 {
+		c := &Client{owner: l, good: 1 + n/2}
+		l.clients[c] = true
+		if want := []time.Duration{keepOnce, keepOnce, keepUsual}[n]; c.keeps() != want {
+			t.Errorf("%d clients: kept for %v", n+1, c.keeps())
+		}
+	}
+	if c := (&Client{owner: l, good: 1}); c.keeps() != keepBriefly {
+		t.Errorf("in a crowd it is kept for %v", c.keeps())
+	}
+}
+
 // Guards new clients: one that was asked to go amid a command, and let stay while there was room, must go once there is none.
 func TestHalfACommandHoldsUpNobody(t *testing.T) {
 	l, err := Listen("127.0.0.1:0", 2)
