--- a/routing/life.go
+++ b/routing/life.go
@@ -139,7 +139,7 @@
 // of which nobody can tell whether it ran.
 func (b *Balancer) trip(line *transport.Line, words [][]byte, careful bool, n news, told chan<- news) {
 	until := b.at(n.until)
-	end := line.Connect(transport.Peer{Server: n.server, Address: n.address}, careful, until)
+	end := line.Connect(transport.Peer{Server: n.server, Address: n.address}, until)
 	if end == transport.Open {
 		message := protocol.AppendRetrieval(nil, words, int64(time.Until(until)))
 		if careful {
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -56,16 +56,9 @@
 // Line begins a hold; Connect, Hand and Fill follow, and Done ends it.
 func (p *Pool) Line() *Line { return &Line{pool: p} }
 
-// Connect takes the newest idle connection that has rested and still stands, or dials. Fresh: it dials in any case,
-// in that one's place. A host may close an idle connection, or have vanished behind it, while something is written
-// to it; nobody can tell then whether that ran. Where no connection comes up nothing has run.
-func (l *Line) Connect(to Peer, fresh bool, until time.Time) End {
+// Connect takes the newest idle connection that has rested and still stands, or dials.
+func (l *Line) Connect(to Peer, until time.Time) End {
 	c := l.pool.take(to)
-	if c != nil && fresh {
-		c.Close()
-		l.pool.release()
-		c = nil
-	}
 	if c == nil {
 		if !l.pool.reserve() {
 			return NoRoom
