Kinds of servers that were never ready have their place: the adapter's drill crashed

Cause: the table of kinds grew in Listed for ready caches alone; a trip may end at a server that the list has called only draining or gone, and a list may state no kind (-1). Fuzzed traffic had one kind only. The test panicked without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -299,7 +299,7 @@
 	if started > h.started {
 		h.started, h.room, h.roomAt = started, b.chance.part(), now // Else all wait, then come at once.
 	}
-	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, kind, zone, cell, true, 1
+	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, kind+1, zone, cell, true, 1 // kind 0: not stated
 	if size > 0 {
 		h.size = size
 	}
@@ -318,12 +318,12 @@
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
 			h.health = Gone
 		}
-		if h.health == Ready && b.aside && h.kind == int(b.number("extra.originKind")) {
+		for len(b.kinds) <= h.kind { // Of all: a trip may end at a server that no list has called ready.
+			b.kinds = append(b.kinds, kind{})
+		}
+		if h.health == Ready && b.aside && h.kind == int(b.number("extra.originKind"))+1 {
 			b.origin = s
 		} else if h.health == Ready {
-			for len(b.kinds) <= h.kind {
-				b.kinds = append(b.kinds, kind{})
-			}
 			b.ready = append(b.ready, s)
 			if h.warm = !b.cold(now, s); h.warm {
 				b.warm++
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -131,6 +131,20 @@
 	}
 }
 
+// A trip may end at a server of a kind that no list has called ready, or that has none stated.
+func TestKindsNeverReady(t *testing.T) {
+	w := plain(t, 1, 3, nil)
+	i := w.ask(Harmless, 77, second)
+	for _, kind := range []int{7, -1} {
+		w.b.Listing(w.now, Whole)
+		for s := range 3 {
+			w.b.Row(w.now, s, "", Draining, 0, kind, 0, 0, 0)
+		}
+		w.b.Listed(w.now)
+		w.b.Ended(w.now, i, 0, w.asked[i].trips[0].server, 1, Errored, ms, true)
+	}
+}
+
 func TestThreeCandidatesAtRandom(t *testing.T) {
 	w := plain(t, 1, 12, nil)
 	for range 90 {
