Ranking and cold room go by sizes that stay; load reports reach the module's door

At fault: rank divides by the last size listed; coldRoom took a server's answers in the mean, whatever its size (4 to 1). Now a kind's largest size stays, and the cold room is in units of it. Reports with answers are read on both fronts, not used yet.

--- a/benchlink/link.go
+++ b/benchlink/link.go
@@ -42,6 +42,8 @@
 	tenants   map[string]int
 	kinds     map[string]int
 	zones     map[string]int
+	fields    map[string]int // of load reports
+	load      []float64
 }
 
 func (n *instance) take(id uint64) int {
@@ -193,6 +195,7 @@
 	case "check_result":
 		server, how, took := host(in, n), outcome(in), in.span("took", true)
 		if in.bad == nil {
+			reported(in, n, server, now)
 			n.module.Probed(now, server, how, took)
 		}
 	case "first_byte":
@@ -239,7 +242,9 @@
 	settings := tables.Flat(gjson.ParseBytes(env))
 	n := &instance{name: name, reply: reply, hosts: map[string]int{}, ids: map[uint64]int{},
 		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
-		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", "")}
+		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", ""),
+		fields: tables.Places(settings, "report.fields", "")}
+	n.load = make([]float64, len(n.fields))
 	instances[name] = n
 	n.module = choice.New(now, seed, settings, n)
 }
@@ -333,8 +338,16 @@
 	if in.bad != nil || !known {
 		return
 	}
+	reported(in, n, server, now)
 	n.slots[i].out--
 	n.slots[i].ended = n.slots[i].ended || noMore
 	n.module.Ended(now, i, int(leg), server, int(info), how, took, noMore)
 	n.release(i)
 }
+
+// reported hands over the load report that came along, if it can be read.
+func reported(in *reader, n *instance, server int, now int64) {
+	if tables.Report(in.find("usage"), ":", n.fields, n.load) {
+		n.module.Reported(now, server, n.load)
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -96,8 +96,11 @@
 	roomAt           int64
 }
 
-// kind is what the servers of one kind answered.
-type kind struct{ answered, took, busy sum }
+// kind is what the servers of one kind answered, and the largest size that a list gave one of them.
+type kind struct {
+	answered, took, busy sum
+	size                 float64
+}
 
 type workload struct {
 	effect              Effect
@@ -175,9 +178,8 @@
 	servers                    []server
 	kinds                      []kind
 	all                        kind
-	ready                      []int // caches that the list calls ready
-	warm                       int   // how many are not cold by the last list
-	size                       float64
+	ready                      []int   // caches that the list calls ready
+	size, warm                 float64 // of them all, and of those that are not cold by the last list
 	best                       []ranked
 	scope                      Scope
 	failures                   int
@@ -192,12 +194,12 @@
 	reads, misses, fails       sum // answers to reads; those that needed the origin or failed; that failed
 	fine, poor                 sum // trips that ended in time, and late or not at all
 	known                      [knownKeys]read
-	credit                     float64 // for further trips, wherever they go
-	asked, turned              sum     // retrievals that came, and those dismissed for the crowd
-	settled, took              sum     // trips that caches settled, and their times
-	usual                      float64 // time of a trip while nothing is crowded
-	admit                      float64 // the part of what is beyond a share that is let in
-	aside                      bool
+	credit                     float64        // for further trips, wherever they go
+	asked, turned              sum            // retrievals that came, and those dismissed for the crowd
+	settled, took              sum            // trips that caches settled, and their times
+	usual                      float64        // time of a trip while nothing is crowded
+	admit                      float64        // the part of what is beyond a share that is let in
+	aside, moving              bool           // moving: the list's sizes fall with load
 	origin                     int            // aside: its index, -1 if none is listed
 	fetches                    map[uint64]int // aside: key to the retrieval that asks the origin for it
 	room                       float64        // aside: how many reads may be out at the origin
@@ -222,7 +224,7 @@
 	for range 8 {
 		b.chance.next()
 	}
-	b.aside = b.text("extra.mode") == "aside"
+	b.aside, b.moving = b.text("extra.mode") == "aside", b.text("weights") == "live"
 	b.mostTrips = max(1, int(b.number("allowed.mostTrips")))
 	b.copies, b.mayCallOff = b.yes("allowed.secondCopies"), b.yes("allowed.cancelling")
 	b.startPart, b.warmUp = b.number("invariants.startCapacity"), b.span("invariants.warmUp")
@@ -283,7 +285,7 @@
 }
 
 // Row is one entry of the list.
-func (b *Balancer) Row(now int64, s int, address string, health Health, started int64, kind, zone, cell int,
+func (b *Balancer) Row(now int64, s int, address string, health Health, started int64, model, zone, cell int,
 	size float64) {
 	if s == len(b.servers) {
 		b.servers = append(b.servers, server{})
@@ -299,8 +301,16 @@
 	if started > h.started {
 		h.started, h.room, h.roomAt = started, b.chance.part(), now // Else all wait, then come at once.
 	}
-	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, kind+1, zone, cell, true, 1 // kind 0: not stated
+	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, model+1, zone, cell, true, 1 // kind 0: not stated
+	for len(b.kinds) <= h.kind {                                                              // Of all: a trip may end at a server that no list has called ready.
+		b.kinds = append(b.kinds, kind{})
+	}
 	if size > 0 {
+		// Guards keys against weights that move with load: what stays is the largest that any of a kind had.
+		if k := &b.kinds[h.kind]; b.moving {
+			k.size = max(k.size, size)
+			size = k.size
+		}
 		h.size = size
 	}
 }
@@ -318,15 +328,12 @@
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
 			h.health = Gone
 		}
-		for len(b.kinds) <= h.kind { // Of all: a trip may end at a server that no list has called ready.
-			b.kinds = append(b.kinds, kind{})
-		}
 		if h.health == Ready && b.aside && h.kind == int(b.number("extra.originKind"))+1 {
 			b.origin = s
 		} else if h.health == Ready {
 			b.ready = append(b.ready, s)
 			if h.warm = !b.cold(now, s); h.warm {
-				b.warm++
+				b.warm += h.size
 			}
 			b.out += h.out
 			b.size += h.size
@@ -555,13 +562,13 @@
 	return h.started > 0 && now < h.started+b.warmUp
 }
 
-// coldRoom is the budget of a cold server here. What a warm server answers this balancer in the mean tells
-// its part of what one can do (warm by the last list); the stated start and warm-up tell how much of it a
+// coldRoom is the budget of a cold server here. What warm servers answer this balancer in the mean, for their
+// size, tells its part of what one can do (warm by the last list); the stated start and warm-up tell how much of it a
 // cold one can.
 func (b *Balancer) coldRoom(now int64, s int) float64 {
 	h := &b.servers[s]
 	part := b.startPart + (1-b.startPart)*max(0, float64(now-h.started)/float64(b.warmUp))
-	rate := b.warmed.read(b.seen) / float64(memory) * b.pace * float64(second) / float64(max(1, b.warm))
+	rate := b.warmed.read(b.seen) / float64(memory) * b.pace * float64(second) * h.size / max(1, b.warm)
 	rate = max(rate, 0.5/b.balancers) * coldPart * b.multiple * part
 	h.room = min(h.room+rate*float64(now-h.roomAt)/float64(second), 1+rate*float64(b.tipAfter)/float64(second)/4)
 	h.roomAt = now
@@ -865,3 +872,6 @@
 
 // Told: a message of another balancer. This module sends none and heeds none.
 func (b *Balancer) Told(now int64, from int, data []byte) {}
+
+// Reported: a server's load report, its figures in the order of the settings; NaN for those that it lacks.
+func (b *Balancer) Reported(now int64, s int, load []float64) {}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -145,6 +145,52 @@
 	}
 }
 
+// sized lists n ready servers of two kinds, sizes 4 and 1 over what they hold; server 0, a small one, started then.
+func sized(w *watcher, n int, started int64, held func(s int) float64) {
+	w.b.Listing(w.now, Whole)
+	for s := range n {
+		w.healths[s] = Ready
+		at := int64(0)
+		if s == 0 {
+			at = started
+		}
+		w.b.Row(w.now, s, string(rune('a'+s)), Ready, at, s%2, 0, 0, []float64{1, 4}[s%2]/(1+held(s)))
+	}
+	w.b.Listed(w.now)
+}
+
+// Guards keys against weights that move with load: each list sent them to other servers.
+func TestMovingWeightsMoveNoKeys(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"weights": "live"})
+	sized(w, 20, 0, func(int) float64 { return 0 })
+	for range 90 {
+		sized(w, 20, 0, func(int) float64 { return 5 * w.b.chance.part() })
+		w.answer(w.ask(Harmless, 77, second), 0, OK)
+		w.step(20 * ms)
+	}
+	if len(w.sends) != 3 {
+		t.Fatalf("one key went to %d servers, not three", len(w.sends))
+	}
+}
+
+// Guards a small server that starts among large ones: what these answer is more than it can do.
+func TestColdRoomFollowsSize(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"weights": "live"})
+	sized(w, 20, 0, func(int) float64 { return 0 })
+	room := func(s int) float64 {
+		w.b.servers[s].started, w.b.servers[s].room, w.b.servers[s].roomAt = w.now-second, 0, w.now-second/8
+		return w.b.coldRoom(w.now, s)
+	}
+	for range 400 {
+		i := w.ask(Harmless, w.b.chance.next(), second)
+		w.step(5 * ms)
+		w.answer(i, 0, OK)
+	}
+	if small, large := room(0), room(1); small <= 0 || large < 3*small {
+		t.Fatalf("room of %g for a small one, %g for one four times its size", small, large)
+	}
+}
+
 func TestThreeCandidatesAtRandom(t *testing.T) {
 	w := plain(t, 1, 12, nil)
 	for range 90 {
--- a/protocol/answer.go
+++ b/protocol/answer.go
@@ -16,25 +16,26 @@
 )
 
 // Answer takes a host's answer off what has come: how the trip ended by it, the value or receipt, which aliases
-// what has come, the note on how it went, and its length; Open and 0 while it is not all there.
-func Answer(came []byte) (end transport.End, value []byte, note, length int) {
+// what has come, as the load report does, the note on how it went, and its length; Open and 0 while it is not all
+// there.
+func Answer(came []byte) (end transport.End, value, report []byte, note, length int) {
 	length, err := whole(came)
 	if err != nil {
-		return transport.Garbled, nil, 0, 0
+		return transport.Garbled, nil, nil, 0, 0
 	}
 	if length == 0 {
-		return transport.Open, nil, 0, 0
+		return transport.Open, nil, nil, 0, 0
 	}
 	n, resp := redcon.ReadNextRESP(came[:length])
 	switch {
 	case n != length:
-		return transport.Garbled, nil, 0, 0
+		return transport.Garbled, nil, nil, 0, 0
 	case resp.Type == redcon.Error && says(resp.Data, "BUSY"):
-		return transport.TurnedAway, nil, 0, length
+		return transport.TurnedAway, nil, lastWord(resp.Data), 0, length
 	case resp.Type == redcon.Error && says(resp.Data, "ERR failed"):
-		return transport.Errored, nil, 0, length
+		return transport.Errored, nil, lastWord(resp.Data), 0, length
 	case resp.Type != redcon.Array || resp.Count != 3:
-		return transport.Garbled, nil, 0, 0
+		return transport.Garbled, nil, nil, 0, 0
 	}
 	part := 0
 	resp.ForEach(func(inner redcon.RESP) bool {
@@ -50,13 +51,15 @@
 			case "pending":
 				note = notePending
 			}
+		case part == 3:
+			report = inner.Data
 		}
 		return true
 	})
 	if value == nil {
-		return transport.Garbled, nil, 0, 0
+		return transport.Garbled, nil, nil, 0, 0
 	}
-	return transport.Settled, value, note, length
+	return transport.Settled, value, report, note, length
 }
 
 // says tells whether an error line is the one named, alone or with a load report behind it. Any other is noise.
@@ -65,6 +68,9 @@
 	return is && (len(rest) == 0 || rest[0] == ' ')
 }
 
+// lastWord is where an error line has its load report, if any.
+func lastWord(line []byte) []byte { return line[bytes.LastIndexByte(line, ' ')+1:] }
+
 // AppendSettled, AppendDismissed and AppendGivenUp write a retrieval's final answer.
 func AppendSettled(out, value []byte) []byte { return redcon.AppendBulk(out, value) }
 
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -54,7 +54,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, came []byte) {
-		end, value, note, length := Answer(came)
+		end, value, _, note, length := Answer(came)
 		if length > len(came) || (end == transport.Settled) != (value != nil) || note < 0 || note > 3 ||
 			(end == transport.Open || end == transport.Garbled) != (length == 0) {
 			t.Fatalf("%q: %v, %q, %d, %d", came, end, value, note, length)
@@ -97,11 +97,11 @@
 		":5\r\n": transport.Garbled, "\xd8@~\xec\r\n\r\n": transport.Garbled, "+PONG\r\n": transport.Garbled,
 		"*3\r\n$" + strings.Repeat("9", 2000): transport.Garbled, strings.Repeat("x", 5): transport.Garbled} {
 		for n := range len(spoilt) { // In any split of bytes it never settles, and what is good never counts as spoilt.
-			if end, _, _, _ := Answer([]byte(spoilt[:n])); end != transport.Open && end != transport.Garbled || end != transport.Open && want != transport.Garbled {
+			if end, _, _, _, _ := Answer([]byte(spoilt[:n])); end != transport.Open && end != transport.Garbled || end != transport.Open && want != transport.Garbled {
 				t.Fatalf("%.40q: the first %d bytes are %v", spoilt, n, end)
 			}
 		}
-		if end, _, _, _ := Answer([]byte(spoilt)); end != want {
+		if end, _, _, _, _ := Answer([]byte(spoilt)); end != want {
 			t.Errorf("%.40q is %v, not %v", spoilt, end, want)
 		}
 	}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -62,6 +62,7 @@
 	at, until    int64
 	end          transport.End
 	note         int
+	load         []float64 // the host's report, nil if none came
 	answer       []byte
 }
 
@@ -112,6 +113,7 @@
 	tenants   map[string]int
 	kinds     map[string]int
 	zones     map[string]int
+	fields    map[string]int // of load reports
 	counts    map[string]int
 }
 
@@ -124,7 +126,7 @@
 		open: map[string]bool{}, oneShot: map[int]bool{},
 		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
 		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", ""),
-		counts: map[string]int{}}
+		fields: tables.Places(settings, "report.fields", ""), counts: map[string]int{}}
 	for _, w := range b.workloads {
 		b.oneShot[w] = settings["workloads."+strconv.Itoa(w)+".effect"] == "single_shot"
 	}
--- a/routing/life.go
+++ b/routing/life.go
@@ -5,6 +5,7 @@
 
 	"hollylever/choice"
 	"hollylever/protocol"
+	"hollylever/tables"
 	"hollylever/transport"
 )
 
@@ -99,6 +100,9 @@
 				} else if how != choice.OK {
 					b.counts["trip_"+n.end.String()]++
 				}
+				if n.load != nil {
+					b.module.Reported(now, n.server, n.load)
+				}
 				b.module.Ended(now, i, n.trip, n.server, n.note, how, now-n.at, b.slots[i].final)
 				b.mu.Unlock()
 			}
@@ -149,9 +153,9 @@
 		}
 	}
 	for end == transport.Open {
-		var value []byte
+		var value, report []byte
 		var length int
-		if end, value, n.note, length = protocol.Answer(line.Unread()); end == transport.Open {
+		if end, value, report, n.note, length = protocol.Answer(line.Unread()); end == transport.Open {
 			begun := len(line.Unread()) > 0
 			if begun && until.Sub(time.Now()) > tailFor {
 				until = time.Now().Add(tailFor) // Guards against an answer that begins and does not end.
@@ -164,6 +168,9 @@
 		if end == transport.Settled {
 			n.answer = protocol.AppendSettled(nil, value)
 		}
+		if load := make([]float64, len(b.fields)); tables.Report(report, "=", b.fields, load) {
+			n.load = load
+		}
 		line.Skip(length)
 	}
 	line.Done(end <= transport.TurnedAway)
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -3,6 +3,8 @@
 package tables
 
 import (
+	"bytes"
+	"math"
 	"strconv"
 
 	"github.com/tidwall/gjson"
@@ -48,6 +50,27 @@
 	return places
 }
 
+const mostReported = 1e9 // a figure over it is taken for noise
+
+// Report reads a host's load report, names and values between commas, into the places that the settings give its
+// fields. What is missing, no plain number, negative or huge becomes NaN: none. It tells whether anything was read.
+func Report(text []byte, between string, fields map[string]int, into []float64) bool {
+	for i := range into {
+		into[i] = math.NaN()
+	}
+	read := false
+	for len(text) > 0 && len(into) > 0 {
+		var part []byte
+		part, text, _ = bytes.Cut(text, []byte{','})
+		name, value, _ := bytes.Cut(part, []byte(between))
+		place, known := fields[string(name)]
+		if x, err := strconv.ParseFloat(string(value), 64); known && err == nil && x >= 0 && x <= mostReported {
+			into[place], read = x, true
+		}
+	}
+	return read
+}
+
 // Indices gives out small indices; those given back are used again first.
 type Indices struct {
 	next int
