Reported rates tell a balancer's part of a share; candidates in its own zone go first

At fault: beyondShare takes the tenant that uses least of its quota as telling this balancer's part; here every tenant stays under its quota and those that use most were cut. Now a balancer's part is what caches answer it over what all caches report (served_ps); where nothing is reported, as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	jam         = 3.0    // times the mean time of a trip: a server that takes longer is left for others
 	busyCounts  = 2.0    // a busy answer counts as so many in flight
 	strain      = 0.15   // more misses than this part of the reads strain the origin
+	few         = 0.05   // of the trips without a connection: more, and no zone goes first
 	crowd       = 0.15   // of the expected time may be spent by what is in flight
 	youngRoom   = 4.0    // trips in flight a server that all balancers may add while they know no rate
 	leastPart   = 0.5    // of the room is left to keys not read lately
@@ -94,6 +95,7 @@
 	credit           float64
 	room             float64 // cold: what it may still be sent
 	roomAt           int64
+	rate             float64 // by its last load report, for all balancers; under 0: none came
 }
 
 // kind is what the servers of one kind answered, and the largest size that a list gave one of them.
@@ -200,6 +202,7 @@
 	usual                      float64        // time of a trip while nothing is crowded
 	admit                      float64        // the part of what is beyond a share that is let in
 	aside, moving              bool           // moving: the list's sizes fall with load
+	zone                       int            // its own
 	origin                     int            // aside: its index, -1 if none is listed
 	fetches                    map[uint64]int // aside: key to the retrieval that asks the origin for it
 	room                       float64        // aside: how many reads may be out at the origin
@@ -209,6 +212,8 @@
 	unreached, overdue         sum // trips without a connection; those that took far longer than others
 	startPart, multiple        float64
 	balancers, comeBackAfter   float64
+	rateAt                     int     // which figure of a load report tells a server's rate; -1: none does
+	rates, heard               float64 // by the last reports of ready caches: their sum, and how many there are
 }
 
 func (b *Balancer) number(name string) float64 { x, _ := b.values[name].(float64); return x }
@@ -225,12 +230,24 @@
 		b.chance.next()
 	}
 	b.aside, b.moving = b.text("extra.mode") == "aside", b.text("weights") == "live"
+	b.zone = -1
+	for i := range int(b.number("zones")) {
+		if b.text("zones."+strconv.Itoa(i)) == b.text("zone") {
+			b.zone = i
+		}
+	}
 	b.mostTrips = max(1, int(b.number("allowed.mostTrips")))
 	b.copies, b.mayCallOff = b.yes("allowed.secondCopies"), b.yes("allowed.cancelling")
 	b.startPart, b.warmUp = b.number("invariants.startCapacity"), b.span("invariants.warmUp")
 	b.multiple, b.tipAfter = b.number("invariants.fallMultiple"), b.span("invariants.tipAfter")
 	b.connIdle = b.span("allowed.connIdle")
 	b.balancers = max(1, b.number("balancers"))
+	b.rateAt = -1
+	for i := range int(b.number("report.fields")) {
+		if b.text("report.fields."+strconv.Itoa(i)) == "served_ps" {
+			b.rateAt = i
+		}
+	}
 	b.room = 2 + firstRoom/b.balancers
 	if b.yes("allowed.retryAfter") {
 		b.comeBackAfter = b.number("allowed.maxRetryAfter") * 1e6 / 4
@@ -296,7 +313,7 @@
 		for i := range len(address) {
 			hash = (hash ^ uint64(address[i])) * 1099511628211
 		}
-		*h = server{hash: hash, credit: 1, roomAt: now}
+		*h = server{hash: hash, credit: 1, roomAt: now, rate: -1}
 	}
 	if started > h.started {
 		h.started, h.room, h.roomAt = started, b.chance.part(), now // Else all wait, then come at once.
@@ -323,6 +340,7 @@
 	b.passes(now)
 	b.held.read(b.seen, b.out)
 	b.ready, b.out, b.origin, b.size, b.warm = b.ready[:0], 0, -1, 0, 0
+	b.rates, b.heard = 0, 0
 	for s := range b.servers {
 		h := &b.servers[s]
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
@@ -337,6 +355,10 @@
 			}
 			b.out += h.out
 			b.size += h.size
+			if h.rate >= 0 {
+				b.rates += h.rate
+				b.heard++
+			}
 		}
 	}
 	for len(b.best) < len(b.ready) {
@@ -502,12 +524,26 @@
 		}
 	}
 	// Guards against full tables of connections: while connects fail, trips keep to those that are still open.
-	short := b.unreached.read(b.seen) > strain*(b.good.read(b.seen)+1)
+	unreached := b.unreached.read(b.seen)
+	short := unreached > strain*(b.good.read(b.seen)+1)
+	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys then
+	// need one order for all, nor while connects fail: a zone that is lost is found out server by server.
+	near := 0
+	for j := 0; j < n && !strict && unreached < few*(b.good.read(b.seen)+1); j++ {
+		if c := b.best[j]; b.servers[c.server].zone == b.zone {
+			copy(b.best[near+1:j+1], b.best[near:j])
+			b.best[near] = c
+			near++
+		}
+	}
 	least, last, lightest := -1, -1, 0.0
-	for ; n > 0; n-- {
+	for ; n > 0; n, near = n-1, near-1 {
 		j := 0
 		if !ordered {
-			j = b.chance.below(n)
+			if j = near; near <= 0 {
+				j = n
+			}
+			j = b.chance.below(j)
 		}
 		s := b.best[j].server
 		copy(b.best[j:n], b.best[j+1:n])
@@ -825,7 +861,10 @@
 	}
 	b.tenants[t].asked.add(b.seen, 1)
 	part, span := 1.0, float64(memory)/b.pace/float64(second)
-	for j := range b.tenants {
+	if all := b.rates / b.heard * float64(len(b.ready)); all > 0 {
+		part = (b.good.read(b.seen) + math.Sqrt(b.good.value+1)) / (all * span)
+	}
+	for j := 0; j < len(b.tenants) && !(b.rates > 0); j++ {
 		if n := &b.tenants[j]; n.quota > 0 {
 			came := n.asked.read(b.seen)
 			part = min(part, (came+b.admit*math.Sqrt(came+1))/(n.quota*span))
@@ -874,4 +913,15 @@
 func (b *Balancer) Told(now int64, from int, data []byte) {}
 
 // Reported: a server's load report, its figures in the order of the settings; NaN for those that it lacks.
-func (b *Balancer) Reported(now int64, s int, load []float64) {}
+func (b *Balancer) Reported(now int64, s int, load []float64) {
+	h := &b.servers[s]
+	if b.rateAt < 0 || math.IsNaN(load[b.rateAt]) || h.health != Ready || s == b.origin {
+		return
+	}
+	if h.rate < 0 {
+		h.rate = 0
+		b.heard++
+	}
+	b.rates += load[b.rateAt] - h.rate
+	h.rate = load[b.rateAt]
+}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,9 @@
 package choice
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // FuzzRules plays random traffic, outcomes and lists; the watcher checks the rules at every call.
 func FuzzRules(f *testing.F) {
@@ -12,7 +15,9 @@
 		group := []string{"all", "zone", "cell"}[c.below(3)]
 		w := plain(t, seed, 2+c.below(30), map[string]any{"allowed.secondCopies": c.below(2) == 0,
 			"allowed.cancelling": c.below(2) == 0, "workloads.1.group": group,
-			"allowed.mostTrips": float64(1 + c.below(6))})
+			"allowed.mostTrips": float64(1 + c.below(6)), "weights": []string{"live", "nominal"}[c.below(2)],
+			"zones": 2.0, "zones.0": "a", "zones.1": "b", "zone": "b", "report.fields": 3.0,
+			"report.fields.0": "served_ps", "report.fields.1": "pending", "report.fields.2": "cpu_share"})
 		n := len(w.healths)
 		health := make([]Health, n)
 		started := make([]int64, n)
@@ -35,6 +40,9 @@
 					w.asked[i].live = false
 					w.b.Aborted(w.now, i)
 				}
+			case 10:
+				odd := []float64{math.NaN(), 0, 1, 1e9, c.part()}
+				w.b.Reported(w.now, c.below(n), []float64{odd[c.below(5)], odd[c.below(5)], odd[c.below(5)]})
 			default:
 				for i := max(0, len(w.asked)-20); i < len(w.asked); i++ {
 					for trip := range w.asked[i].trips {
@@ -191,6 +199,64 @@
 	}
 }
 
+// The own zone's candidates go first, and the others when connects fail: a lost zone takes half of them with it.
+func TestOwnZoneFirst(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"zones": 2.0, "zones.0": "a", "zones.1": "b", "zone": "b"})
+	w.list(Whole, 12, func(int) (Health, int64) { return Ready, 0 })
+	cross := func(how Outcome) (n int) {
+		for range 200 {
+			w.b.credit = mostCredit
+			i := w.ask(Harmless, w.b.chance.next(), second)
+			w.step(10 * ms)
+			for trip := 0; trip < len(w.asked[i].trips); trip++ {
+				if w.asked[i].trips[trip].server%2 == 0 {
+					w.answer(i, trip, OK)
+					n++
+				} else {
+					w.answer(i, trip, how)
+				}
+			}
+		}
+		return n
+	}
+	if n := cross(OK); n > 50 { // An eighth of the keys has all three elsewhere.
+		t.Fatalf("%d of 200 trips crossed", n)
+	}
+	if cross(Unreached); len(w.asked[len(w.asked)-1].trips) == 0 {
+		t.Fatal("nothing is sent")
+	}
+	w.sends = map[int]int{}
+	if n := cross(Unreached); n < 180 {
+		t.Fatalf("%d of 200 were settled elsewhere while the own zone is lost: %v", n, w.sends)
+	}
+}
+
+// Guards tenants inside their shares against a balancer that takes its part of the traffic for the whole: hosts tell it.
+func TestReportsTellThePartOfAShare(t *testing.T) {
+	for _, c := range []struct {
+		rate      float64 // that each of ten hosts reports
+		dismissed bool
+	}{{20, false}, {400, true}, {math.NaN(), true}} {
+		w := plain(t, 1, 10, map[string]any{"tenants": 2.0, "tenants.0.quotaRps": 300.0, "tenants.1.quotaRps": 300.0,
+			"balancers": 100.0, "report.fields": 1.0, "report.fields.0": "served_ps"})
+		w.b.admit = 0
+		for n := range 1500 {
+			w.asked = append(w.asked, asked{live: true, stop: w.now + second})
+			i := len(w.asked) - 1
+			w.b.Asked(w.now, i, second, 0, min(1, n%8), w.b.chance.next(), true, false, 0)
+			w.step(10 * ms)
+			for trip := range w.asked[i].trips {
+				w.b.Reported(w.now, w.asked[i].trips[trip].server, []float64{c.rate})
+				w.answer(i, trip, OK)
+			}
+			w.b.admit = 0 // As while trips fail.
+		}
+		if w.dismissed > 150 != c.dismissed {
+			t.Errorf("%d of 1500 dismissed where hosts report %g a second", w.dismissed, c.rate)
+		}
+	}
+}
+
 func TestThreeCandidatesAtRandom(t *testing.T) {
 	w := plain(t, 1, 12, nil)
 	for range 90 {
