Crowd gate heeds reports, failed connects raise doubt, a read's last trip goes to the origin

At fault: crowded counts trips that hang at dead hosts; doubted needs ten failures against good evidence though a failed connect tells at once; route spends the last trip where it may end as a miss.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	jam         = 3.0    // times the mean time of a trip: a server that takes longer is left for others
 	busyCounts  = 2.0    // a busy answer counts as so many in flight
 	strain      = 0.15   // more misses than this part of the reads strain the origin
+	mostIdle    = 0.6    // of what all could report as strain: under it nothing is crowded
 	few         = 0.05   // of the trips without a connection: more, and no zone goes first
 	crowd       = 0.15   // of the expected time may be spent by what is in flight
 	youngRoom   = 4.0    // trips in flight a server that all balancers may add while they know no rate
@@ -93,9 +94,10 @@
 	sent             sum // trips
 	good, bad, busy  sum
 	credit           float64
+	cutAt            int64   // when a connect failed, if nothing was answered since
 	room             float64 // cold: what it may still be sent
 	roomAt           int64
-	rate             float64 // by its last load report, for all balancers; under 0: none came
+	rate, strain     float64 // by its last load report, for all balancers; under 0: none came
 }
 
 // kind is what the servers of one kind answered, and the largest size that a list gave one of them.
@@ -212,8 +214,9 @@
 	unreached, overdue         sum // trips without a connection; those that took far longer than others
 	startPart, multiple        float64
 	balancers, comeBackAfter   float64
-	rateAt                     int     // which figure of a load report tells a server's rate; -1: none does
-	rates, heard               float64 // by the last reports of ready caches: their sum, and how many there are
+	figures                    []string // of a load report
+	tells                      bool     // whether it tells of strain
+	rates, strains, heard      float64  // by the last reports of ready caches: sums, and how many reported
 }
 
 func (b *Balancer) number(name string) float64 { x, _ := b.values[name].(float64); return x }
@@ -242,11 +245,9 @@
 	b.multiple, b.tipAfter = b.number("invariants.fallMultiple"), b.span("invariants.tipAfter")
 	b.connIdle = b.span("allowed.connIdle")
 	b.balancers = max(1, b.number("balancers"))
-	b.rateAt = -1
 	for i := range int(b.number("report.fields")) {
-		if b.text("report.fields."+strconv.Itoa(i)) == "served_ps" {
-			b.rateAt = i
-		}
+		name := b.text("report.fields." + strconv.Itoa(i))
+		b.figures, b.tells = append(b.figures, name), b.tells || name == "cpu_share" || name == "pending"
 	}
 	b.room = 2 + firstRoom/b.balancers
 	if b.yes("allowed.retryAfter") {
@@ -316,10 +317,11 @@
 		*h = server{hash: hash, credit: 1, roomAt: now, rate: -1}
 	}
 	if started > h.started {
+		h.rate, h.strain = -1, 0
 		h.started, h.room, h.roomAt = started, b.chance.part(), now // Else all wait, then come at once.
 	}
-	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, model+1, zone, cell, true, 1 // kind 0: not stated
-	for len(b.kinds) <= h.kind {                                                              // Of all: a trip may end at a server that no list has called ready.
+	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, model+1, zone, cell, true, 1
+	for len(b.kinds) <= h.kind { // Of all: a trip may end at one never called ready. Kind 0: not stated.
 		b.kinds = append(b.kinds, kind{})
 	}
 	if size > 0 {
@@ -340,7 +342,7 @@
 	b.passes(now)
 	b.held.read(b.seen, b.out)
 	b.ready, b.out, b.origin, b.size, b.warm = b.ready[:0], 0, -1, 0, 0
-	b.rates, b.heard = 0, 0
+	b.rates, b.strains, b.heard = 0, 0, 0
 	for s := range b.servers {
 		h := &b.servers[s]
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
@@ -357,6 +359,7 @@
 			b.size += h.size
 			if h.rate >= 0 {
 				b.rates += h.rate
+				b.strains += h.strain
 				b.heard++
 			}
 		}
@@ -388,7 +391,7 @@
 	b.asked.add(b.seen, 1)
 	switch {
 	case b.beyondShare(tenant) && b.chance.part() > b.admit:
-	case b.crowded(now, r):
+	case b.busy() && b.crowded(now, r):
 		b.turned.add(b.seen, 1)
 	default:
 		b.route(now, i)
@@ -401,7 +404,9 @@
 func (b *Balancer) route(now int64, i int) {
 	r := &b.retrievals[i]
 	s := -1
-	if toOrigin := b.aside && (r.write || r.missed >= 0); toOrigin {
+	// Guards reads that lost trips at caches: the last one may not end as a miss, nor wait for credit not there.
+	spent := len(r.trips) > 0 && (len(r.trips) == b.mostTrips-1 || b.credit < 1)
+	if b.aside && (r.write || r.missed >= 0 || spent) {
 		s = b.origin
 		if s >= 0 && !r.write && float64(b.servers[s].out)+b.chance.part() > b.room {
 			b.misses.add(b.seen, 1)
@@ -526,8 +531,8 @@
 	// Guards against full tables of connections: while connects fail, trips keep to those that are still open.
 	unreached := b.unreached.read(b.seen)
 	short := unreached > strain*(b.good.read(b.seen)+1)
-	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys then
-	// need one order for all, nor while connects fail: a zone that is lost is found out server by server.
+	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys
+	// need one order for all then, nor while connects fail: a lost zone is found out server by server.
 	near := 0
 	for j := 0; j < n && !strict && unreached < few*(b.good.read(b.seen)+1); j++ {
 		if c := b.best[j]; b.servers[c.server].zone == b.zone {
@@ -584,6 +589,10 @@
 func (b *Balancer) doubted(s int) bool {
 	h := &b.servers[s]
 	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
+	// Guards against dead servers that the list still shows: one failed connect tells more than one error.
+	if h.cutAt > 0 && b.chance.part() < math.Exp(-float64(b.now-h.cutAt)/float64(memory)) {
+		return true
+	}
 	if bad < 0.6 {
 		return false
 	}
@@ -599,7 +608,7 @@
 }
 
 // coldRoom is the budget of a cold server here. What warm servers answer this balancer in the mean, for their
-// size, tells its part of what one can do (warm by the last list); the stated start and warm-up tell how much of it a
+// size, tells its part of what one can do (warm by the last list); the stated start and warm-up, how much a
 // cold one can.
 func (b *Balancer) coldRoom(now int64, s int) float64 {
 	h := &b.servers[s]
@@ -733,6 +742,7 @@
 		b.servers[s].idleAt = now + b.connIdle
 	} else if how == Unreached {
 		b.unreached.add(b.seen, 1)
+		b.servers[s].cutAt = now
 	}
 	b.learn(now, r, s, note, how, took)
 	if how == Missing && r.missed < 0 {
@@ -771,6 +781,7 @@
 	switch {
 	case how == OK || how == Missing:
 		h.good.add(b.seen, 1)
+		h.cutAt = 0
 		h.credit = min(mostCredit, h.credit+perAnswer)
 		b.credit = min(mostCredit, b.credit+perAnswer)
 	case how != Full && how != Unsent:
@@ -834,6 +845,10 @@
 	}
 }
 
+// busy tells whether caches are, by what they report; without reports nothing speaks against it. Guards what
+// comes against trips that hang at a few dead servers: they are in flight for long and crowd nobody.
+func (b *Balancer) busy() bool { return !b.tells || b.heard == 0 || b.strains > mostIdle*b.heard }
+
 // crowded tells by Little's law that a new trip would wait too long. Guards against queues that make all
 // answers late: once full they stay full of work that nobody wants. What has most value is let in longest.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
@@ -915,13 +930,24 @@
 // Reported: a server's load report, its figures in the order of the settings; NaN for those that it lacks.
 func (b *Balancer) Reported(now int64, s int, load []float64) {
 	h := &b.servers[s]
-	if b.rateAt < 0 || math.IsNaN(load[b.rateAt]) || h.health != Ready || s == b.origin {
+	if h.health != Ready || s == b.origin {
 		return
 	}
 	if h.rate < 0 {
 		h.rate = 0
 		b.heard++
 	}
-	b.rates += load[b.rateAt] - h.rate
-	h.rate = load[b.rateAt]
+	b.rates, b.strains = b.rates-h.rate, b.strains-h.strain
+	for i, x := range load {
+		switch what := b.figures[i]; {
+		case math.IsNaN(x):
+		case what == "served_ps":
+			h.rate = x
+		case what == "cpu_share":
+			h.strain = min(1, x)
+		case what == "pending":
+			h.strain = x / (x + 1)
+		}
+	}
+	b.rates, b.strains = b.rates+h.rate, b.strains+h.strain
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -114,7 +114,7 @@
 	w := plain(t, 1, 6, map[string]any{"workloads.1.group": group})
 	can := func(effect Effect, how ran, age int64, to int) bool {
 		r := &retrieval{workload: int(effect), live: true, stop: w.now + second}
-		r.trips = []trip{{2, w.now - age, how}}
+		r.trips = []trip{{server: 2, sent: w.now - age, ran: how}}
 		return w.b.maySend(w.now, r, to)
 	}
 	w.b.servers[5].health, w.b.servers[1].started = Draining, w.now
@@ -133,7 +133,7 @@
 		t.Error("may not send what may run again")
 	}
 	for effect, may := range []bool{true, false, false} {
-		if w.b.mayDismiss(&retrieval{workload: effect, trips: []trip{{2, 0, perhaps}}}) != may {
+		if w.b.mayDismiss(&retrieval{workload: effect, trips: []trip{{server: 2, ran: perhaps}}}) != may {
 			t.Errorf("dismissal of effect %d", effect)
 		}
 	}
@@ -257,6 +257,70 @@
 	}
 }
 
+// Guards against a dead server that the list still shows: it is found out by its first connects that fail.
+func TestFailedConnectRaisesDoubt(t *testing.T) {
+	w := plain(t, 1, 8, nil)
+	tried := 0
+	for n := range 1200 {
+		i := w.ask(Harmless, w.b.chance.next(), second)
+		w.step(5 * ms)
+		for trip := 0; trip < len(w.asked[i].trips); trip++ {
+			if w.asked[i].trips[trip].server == 3 && n > 600 {
+				w.answer(i, trip, Unreached)
+				tried++
+			}
+			w.answer(i, trip, OK)
+		}
+	}
+	if tried > 12 || tried == 0 {
+		t.Fatalf("a server that takes no connection any more got %d of 600", tried)
+	}
+}
+
+// Guards reads against misses that leave no trip for the fetch, and against waits for credit.
+func TestLastTripGoesToTheOrigin(t *testing.T) {
+	for _, c := range []struct {
+		trips  float64
+		credit float64
+		first  int // the trip that goes to the origin
+	}{{3, mostCredit, 2}, {2, mostCredit, 1}, {5, 0, 1}} {
+		w := plain(t, 1, 0, map[string]any{"extra.mode": "aside", "extra.originKind": 1.0, "allowed.mostTrips": c.trips})
+		w.b.Listing(w.now, Whole)
+		for s := range 9 {
+			w.healths[s] = Ready
+			w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s/8, 0, 0, 0)
+		}
+		w.b.Listed(w.now)
+		w.b.credit = c.credit
+		i := w.ask(Harmless, 9, second)
+		for trip := range c.first {
+			w.answer(i, trip, Unreached)
+		}
+		if trips := w.asked[i].trips; len(trips) != c.first+1 || trips[c.first].server != 8 {
+			t.Errorf("%+v: %+v", c, trips)
+		}
+	}
+}
+
+// Guards what comes against trips that hang at dead servers, where hosts report that they are not busy.
+func TestNoCrowdWhileHostsReportRoom(t *testing.T) {
+	for _, c := range []struct {
+		report    float64
+		dismissed bool
+	}{{0.2, false}, {1, true}, {math.NaN(), false}} {
+		w := plain(t, 1, 8, map[string]any{"report.fields": 1.0, "report.fields.0": "cpu_share"})
+		for n := range 400 {
+			w.b.Reported(w.now, n%8, []float64{0.2})
+			w.b.Reported(w.now, n%8, []float64{c.report})
+			w.ask(Harmless, w.b.chance.next(), 3*second)
+			w.step(ms)
+		}
+		if w.dismissed > 300 != c.dismissed {
+			t.Errorf("%d of 400 dismissed while hosts report %g", w.dismissed, c.report)
+		}
+	}
+}
+
 func TestThreeCandidatesAtRandom(t *testing.T) {
 	w := plain(t, 1, 12, nil)
 	for range 90 {
