Cold room remembers what warm caches answered

At fault: coldRoom divides by the warm servers and goes by their fading answers: with none left it falls to nothing. Ruled out: busy answers (10 in 5 s), failed connects (none), the crowd gate (trips nearly none out). Now the most that warm caches answered for their size counts on, fading over ten memories.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -213,6 +213,8 @@
 	warmUp, tipAfter, connIdle int64
 	unreached, overdue         sum // trips without a connection; those that took far longer than others
 	startPart, multiple        float64
+	can                        float64 // the most a warm cache answered here lately, for its size
+	canAt                      int64
 	balancers, comeBackAfter   float64
 	figures                    []string // of a load report
 	tells                      bool     // whether it tells of strain
@@ -613,8 +615,10 @@
 func (b *Balancer) coldRoom(now int64, s int) float64 {
 	h := &b.servers[s]
 	part := b.startPart + (1-b.startPart)*max(0, float64(now-h.started)/float64(b.warmUp))
-	rate := b.warmed.read(b.seen) / float64(memory) * b.pace * float64(second) * h.size / max(1, b.warm)
-	rate = max(rate, 0.5/b.balancers) * coldPart * b.multiple * part
+	rate := b.warmed.read(b.seen) / float64(memory) * b.pace * float64(second) / max(1, b.warm)
+	b.can = max(rate, b.can*math.Exp(-float64(now-b.canAt)/float64(10*memory)))
+	b.canAt = now
+	rate = max(b.can*h.size, 0.5/b.balancers) * coldPart * b.multiple * part
 	h.room = min(h.room+rate*float64(now-h.roomAt)/float64(second), 1+rate*float64(b.tipAfter)/float64(second)/4)
 	h.roomAt = now
 	return h.room
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -321,6 +321,29 @@
 	}
 }
 
+// Guards a fleet that has lost all its warm servers: those that are cold must go on getting their part.
+func TestColdRoomOutlastsWarmServers(t *testing.T) {
+	w := plain(t, 1, 8, map[string]any{"invariants.warmUp": 30000.0, "invariants.startCapacity": 0.5})
+	for range 1000 {
+		w.answer(w.ask(Harmless, w.b.chance.next(), second), 0, OK)
+		w.step(5 * ms)
+	}
+	started := w.now
+	w.list(Whole, 8, func(s int) (Health, int64) { return []Health{Gone, Ready}[s/4], started })
+	late := 0
+	for n := range 1500 { // 100 a second for four, where warm servers answered 25 each
+		i := w.ask(Harmless, w.b.chance.next(), second)
+		if w.step(10 * ms); len(w.asked[i].trips) > 0 {
+			w.answer(i, 0, OK)
+		} else if n > 500 {
+			late++
+		}
+	}
+	if late > 600 {
+		t.Fatalf("%d of the last 1000 dismissed while all servers are cold", late)
+	}
+}
+
 func TestThreeCandidatesAtRandom(t *testing.T) {
 	w := plain(t, 1, 12, nil)
 	for range 90 {
