--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,9 +27,9 @@
 	jam         = 3.0    // times the mean time of a trip: a server that takes longer is left for others
 	busyCounts  = 2.0    // a busy answer counts as so many in flight
 	strain      = 0.15   // more misses than this part of the reads strain the origin
-	mostIdle    = 0.6    // of what all could report as strain: under it nothing is crowded
+	mostIdle    = 0.3    // of what all could report as strain: under it nothing is crowded
 	few         = 0.05   // of the trips without a connection: more, and no zone goes first
-	crowd       = 0.15   // of the expected time may be spent by what is in flight
+	crowd       = 0.25   // of the expected time may be spent by what is in flight
 	youngRoom   = 4.0    // trips in flight a server that all balancers may add while they know no rate
 	leastPart   = 0.5    // of the room is left to keys not read lately
 	knownKeys   = 8191   // places for keys read lately
@@ -853,14 +853,15 @@
 // comes against trips that hang at a few dead servers: they are in flight for long and crowd nobody.
 func (b *Balancer) busy() bool { return !b.tells || b.heard == 0 || b.strains > mostIdle*b.heard }
 
-// crowded tells by Little's law that a new trip would wait too long. Guards against queues that make all
-// answers late: once full they stay full of work that nobody wants. What has most value is let in longest.
+// crowded tells by Little's law that a new trip would wait too long, at the rate of trips settled: misses (aside)
+// are answered at once and make no room. Guards against queues that make all answers late: once full they stay
+// full of work that nobody wants. What has most value is let in longest.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: some for each server.
 	free := 1 + float64(len(b.ready))*(1+youngRoom*young)/b.balancers
 	seen := 1 - math.Exp(-float64(b.seen+second/4)/float64(memory))
-	rate := b.all.answered.read(b.seen) / seen / float64(memory) * b.pace
+	rate := b.settled.read(b.seen) / seen / float64(memory) * b.pace
 	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
 	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -344,6 +344,31 @@
 	}
 }
 
+// Guards the case of incident i762552: hosts that slow down while they answer misses as quickly as ever.
+func TestMissesMakeNoRoom(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"extra.mode": "aside", "extra.originKind": 1.0, "balancers": 20.0})
+	w.b.Listing(w.now, Whole)
+	for s := range 9 {
+		w.healths[s] = Ready
+		w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s/8, 0, 0, 0)
+	}
+	w.b.Listed(w.now)
+	for n := range 1500 {
+		i := w.ask(Harmless, uint64(n%500), 3*second)
+		w.step(2 * ms)
+		for trip := 0; trip < len(w.asked[i].trips); trip++ {
+			if at := w.asked[i].trips[trip].server; at == 8 || n < 600 && n%4 == 0 {
+				w.answer(i, trip, OK)
+			} else if n%4 > 0 {
+				w.answer(i, trip, Missing)
+			}
+		}
+	}
+	if w.b.out > 40 {
+		t.Fatalf("%d trips in flight that nothing settles", w.b.out)
+	}
+}
+
 func TestThreeCandidatesAtRandom(t *testing.T) {
 	w := plain(t, 1, 12, nil)
 	for range 90 {
