--- a/cmd/hollylever/given.go
+++ b/cmd/hollylever/given.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 
 	"github.com/tidwall/gjson"
@@ -23,6 +24,13 @@
 	settings                      map[string]any
 }
 
+const mostFields = 16 // of a load report
+
+func within(value any, least, most float64) bool {
+	x, is := value.(float64)
+	return is && x >= least && x <= most
+}
+
 // read takes the configuration file that LB_CONFIG names; the other variables, where they are set, go before it,
 // but not when it is read again: the variables are those of the start, the file is new.
 // An error names the variable or the field.
@@ -66,6 +74,17 @@
 	}
 	workloads, _ := g.settings["workloads"].(float64)
 	trips, _ := g.settings["allowed.mostTrips"].(float64)
+	zones := tables.Places(g.settings, "zones", "")
+	zone, _ := g.settings["zone"].(string)
+	_, ownZone := zones[zone]
+	count, _ := g.settings["report.fields"].(float64)
+	fields, listed := tables.Places(g.settings, "report.fields", ""), object.Get("settings.report.fields")
+	_, noName := fields[""]
+	is := func(field string, words ...string) bool { // Left out, it is as the program has always taken it.
+		word, stated := g.settings[field]
+		return !stated || slices.ContainsFunc(words, func(w string) bool { return w == word })
+	}
+	balancers, some := g.settings["balancers"]
 	for _, check := range []struct {
 		good       bool
 		field, why string
@@ -77,6 +96,16 @@
 		{object.Get("settings").IsObject(), "settings", "not an object"},
 		{workloads > 0, "settings.workloads", "names no workload"},
 		{trips >= 1 && trips <= 1000, "settings.allowed.mostTrips", "not a number from 1 to 1000"},
+		{!some || within(balancers, 1, 1e6), "settings.balancers", "not a number from 1 to 1000000"},
+		{is("weights", "silent", "none", "nominal", "rough", "live"), "settings.weights",
+			"none of silent, nominal, rough and live"},
+		{is("zone", "") || ownZone, "settings.zone", "none of settings.zones"},
+		{is("registryMode", "subscribe", "automatic"), "settings.registryMode", "neither subscribe nor automatic"},
+		{is("extra.mode", "through"), "settings.extra.mode", "not through: hosts have no word yet for a read that misses"},
+		{is("report.source", "silent", "pull", "piggyback"), "settings.report.source",
+			"none of silent, pull and piggyback"},
+		{int(count) == len(fields) && !noName && count <= mostFields && (!listed.Exists() || listed.IsArray()),
+			"settings.report.fields", "not a list of at most " + strconv.Itoa(mostFields) + " names, each once"},
 	} {
 		if !check.good {
 			return nil, fmt.Errorf("%s: %s: %s", file, check.field, check.why)
--- a/protocol/list.go
+++ b/protocol/list.go
@@ -10,6 +10,8 @@
 
 func appendWhole(out []byte, n int64) []byte { return strconv.AppendInt(out, n, 10) }
 
+const mostWeight = 1e9
+
 var errNotList = errors.New("not a list of servers")
 
 // List reads a list in discovery's form. The whole of it is looked at before anything is told, so that a damaged
@@ -36,8 +38,6 @@
 			field = "address"
 		case e.Get("since_ms").Num < 0:
 			field = "since_ms"
-		case e.Get("weight").Num < 0:
-			field = "weight"
 		}
 		if field != "" {
 			return fmt.Errorf("entry %d of the list: bad %s", i, field)
@@ -45,9 +45,13 @@
 	}
 	begin(index.Uint(), list.Get("snapshot").Bool())
 	for _, e := range entries {
+		weight := e.Get("weight").Num
+		if !(weight > 0 && weight <= mostWeight) {
+			weight = 0 // Not stated: a bad weight need not spoil the list.
+		}
 		row(e.Get("name").Str, e.Get("address").Str, e.Get("status").Str,
 			int64(e.Get("since_ms").Num*1e6), e.Get("type").Str, e.Get("zone").Str,
-			int(e.Get("group").Int()), e.Get("weight").Num)
+			int(e.Get("group").Int()), weight)
 	}
 	return nil
 }
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -63,7 +63,7 @@
 }
 
 func FuzzList(f *testing.F) {
-	for _, seed := range []string{list(`"Ready"`, 0), list(`"Gone"`, 1.5e12), list(`"Up"`, 0), list(`3`, -1), "", "{}", "[]",
+	for _, seed := range []string{list(`"Ready"`, 0), list(`"Gone"`, 1.5e12), list(`"Up"`, 0), list(`3`, -1), strings.Replace(list(`"Ready"`, 0), "1.0", "-1e999", 1), strings.Replace(list(`"Ready"`, 0), "1.0", "1e999", 1), "", "{}", "[]",
 		`{"index":1,"snapshot":true,"endpoints":[3,null]}`, list(`"Ready"`, 0)[:40]} {
 		f.Add([]byte(seed))
 	}
@@ -71,7 +71,7 @@
 		begun, rows := 0, 0
 		err := List(line, func(uint64, bool) { begun++ },
 			func(name, address, status string, started int64, kind, zone string, cell int, weight float64) {
-				if rows++; name == "" || status == "" || weight < 0 || begun != 1 {
+				if rows++; name == "" || status == "" || weight < 0 || weight > mostWeight || begun != 1 {
 					t.Fatalf("%q: row %q %q %g", line, name, status, weight)
 				}
 			})
@@ -140,3 +140,14 @@
 		t.Fatalf("%q %q", a, b)
 	}
 }
+
+// A load report is handed on wherever the protocol has a place for one.
+func TestReportsAreFound(t *testing.T) {
+	for answer, want := range map[string]string{"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$13\r\nqps=1,queue=0\r\n": "qps=1,queue=0",
+		"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n": "", "-BUSY qps=1,queue=9\r\n": "qps=1,queue=9", "-BUSY\r\n": "BUSY",
+		"-ERR failed qps=2\r\n": "qps=2"} {
+		if _, _, report, _, length := Answer([]byte(answer)); string(report) != want || length != len(answer) {
+			t.Errorf("%q: the report is %q", answer, report)
+		}
+	}
+}
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -64,7 +64,7 @@
 		part, text, _ = bytes.Cut(text, []byte{','})
 		name, value, _ := bytes.Cut(part, []byte(between))
 		place, known := fields[string(name)]
-		if x, err := strconv.ParseFloat(string(value), 64); known && err == nil && x >= 0 && x <= mostReported {
+		if x, err := strconv.ParseFloat(string(value), 64); known && place < len(into) && err == nil && x >= 0 && x <= mostReported {
 			into[place], read = x, true
 		}
 	}
