Dismissed clients come back while an answer still has value, and not all at once

At fault: finish tells all to come back after a quarter of the longest wait that clients honour, 500 ms of 750 ms expected time: what comes back can hardly be in time, takes its room all the same, and comes in step. Now a sixth of the workload's expected time, times 0.5 to 1.5 by chance, and at most what clients honour.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -253,7 +253,7 @@
 	}
 	b.room = 2 + firstRoom/b.balancers
 	if b.yes("allowed.retryAfter") {
-		b.comeBackAfter = b.number("allowed.maxRetryAfter") * 1e6 / 4
+		b.comeBackAfter = b.number("allowed.maxRetryAfter") * 1e6
 	}
 	for i := range int(b.number("workloads")) {
 		at := "workloads." + strconv.Itoa(i) + "."
@@ -663,7 +663,7 @@
 	dismiss := b.mayDismiss(r)
 	b.drop(now, i, -1)
 	if dismiss {
-		b.host.Dismiss(i, int64(b.comeBackAfter))
+		b.host.Dismiss(i, int64(min(b.comeBackAfter, (0.5+b.chance.part())*float64(b.workloads[r.workload].expected)/6)))
 	} else {
 		b.host.GiveUp(i)
 	}
