--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,24 +23,25 @@
 	firstHold   = 33 * int64(1e6) // the first hold at full width; it doubles
 	overMean    = 1.1             // over so many times the mean in flight, and overBy, a server is passed over
 	overBy      = 0.3
-	likeKind    = 2.0    // what all of its kind tell of a server counts as so many trips of its own
-	jam         = 3.0    // times the mean time of a trip: a server that takes longer is left for others
-	busyCounts  = 2.0    // a busy answer counts as so many in flight
-	strain      = 0.15   // more misses than this part of the reads strain the origin
-	mostIdle    = 0.3    // of what all could report as strain: under it nothing is crowded
-	few         = 0.05   // of the trips without a connection: more, and no zone goes first
-	crowd       = 0.25   // of the expected time may be spent by what is in flight
-	youngRoom   = 4.0    // trips in flight a server that all balancers may add while they know no rate
-	leastPart   = 0.5    // of the room is left to keys not read lately
-	knownKeys   = 8191   // places for keys read lately
-	usualGrows  = 1.0005 // an answer, so that the usual time is found again when it has risen
-	mostValued  = 3.0    // times that for what has the most value
-	valueOver   = 100    // the mean value is taken over so many retrievals
-	late        = 0.75   // of the expected time: a trip that takes longer is poor
-	mostPoor    = 0.06   // of the trips may be poor before traffic beyond a share is cut
-	mostOverdue = 0.08   // of the retrievals may be overdue and get copies; more: origin or fleet is slow
-	doubt       = 0.6    // of the chance of success that all have: under it a server is passed by
-	firstGood   = 2.0    // what is taken of a server before it is known
+	likeKind    = 2.0     // what all of its kind tell of a server counts as so many trips of its own
+	jam         = 3.0     // times the mean time of a trip: a server that takes longer is left for others
+	busyCounts  = 2.0     // a busy answer counts as so many in flight
+	strain      = 0.15    // more misses than this part of the reads strain the origin
+	backPart    = 1.0 / 6 // of the expected time
+	mostIdle    = 0.3     // of what all could report as strain: under it nothing is crowded
+	few         = 0.05    // of the trips without a connection: more, and no zone goes first
+	crowd       = 0.25    // of the expected time may be spent by what is in flight
+	youngRoom   = 4.0     // trips in flight a server that all balancers may add while they know no rate
+	leastPart   = 0.5     // of the room is left to keys not read lately
+	knownKeys   = 8191    // places for keys read lately
+	usualGrows  = 1.0005  // an answer, so that the usual time is found again when it has risen
+	mostValued  = 3.0     // times that for what has the most value
+	valueOver   = 100     // the mean value is taken over so many retrievals
+	late        = 0.75    // of the expected time: a trip that takes longer is poor
+	mostPoor    = 0.06    // of the trips may be poor before traffic beyond a share is cut
+	mostOverdue = 0.08    // of the retrievals may be overdue and get copies; more: origin or fleet is slow
+	doubt       = 0.6     // of the chance of success that all have: under it a server is passed by
+	firstGood   = 2.0     // what is taken of a server before it is known
 	firstBad    = 0.1
 	perAnswer   = 0.2 // credit that an answer earns
 	mostCredit  = 10.0
@@ -215,7 +216,8 @@
 	startPart, multiple        float64
 	can                        float64 // the most a warm cache answered here lately, for its size
 	canAt                      int64
-	balancers, comeBackAfter   float64
+	balancers                  float64
+	comeBackMost               int64    // 0: nothing may be said
 	figures                    []string // of a load report
 	tells                      bool     // whether it tells of strain
 	rates, strains, heard      float64  // by the last reports of ready caches: sums, and how many reported
@@ -253,7 +255,7 @@
 	}
 	b.room = 2 + firstRoom/b.balancers
 	if b.yes("allowed.retryAfter") {
-		b.comeBackAfter = b.number("allowed.maxRetryAfter") * 1e6
+		b.comeBackMost = b.span("allowed.maxRetryAfter")
 	}
 	for i := range int(b.number("workloads")) {
 		at := "workloads." + strconv.Itoa(i) + "."
@@ -660,10 +662,14 @@
 // finish gives a retrieval that is given up on its final answer, at once.
 func (b *Balancer) finish(now int64, i int) {
 	r := &b.retrievals[i]
-	dismiss := b.mayDismiss(r)
+	dismiss, comeBack := b.mayDismiss(r), b.comeBackMost
+	if comeBack > 0 { // While an answer still has value, and not all at once.
+		part := (0.5 + b.chance.part()) * backPart
+		comeBack = min(comeBack, int64(part*float64(b.workloads[r.workload].expected)))
+	}
 	b.drop(now, i, -1)
 	if dismiss {
-		b.host.Dismiss(i, int64(min(b.comeBackAfter, (0.5+b.chance.part())*float64(b.workloads[r.workload].expected)/6)))
+		b.host.Dismiss(i, comeBack)
 	} else {
 		b.host.GiveUp(i)
 	}
@@ -853,9 +859,9 @@
 // comes against trips that hang at a few dead servers: they are in flight for long and crowd nobody.
 func (b *Balancer) busy() bool { return !b.tells || b.heard == 0 || b.strains > mostIdle*b.heard }
 
-// crowded tells by Little's law that a new trip would wait too long, at the rate of trips settled: misses (aside)
-// are answered at once and make no room. Guards against queues that make all answers late: once full they stay
-// full of work that nobody wants. What has most value is let in longest.
+// crowded tells by Little's law that a new trip would wait too long, at the rate of trips settled: misses
+// (aside) are answered at once and make no room. Guards against queues that make all answers late: once full
+// they stay full of work that nobody wants. What has most value is let in longest.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: some for each server.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -369,6 +370,18 @@
 	}
 }
 
+// Guards what clients that are told when to come back can still get: at its expected time an answer loses its value.
+func TestComeBackWhileAnAnswerHasValue(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"allowed.retryAfter": true})
+	for range 50 {
+		w.ask(Harmless, 5, second)
+	}
+	first, last := slices.Min(w.comeBack), slices.Max(w.comeBack)
+	if first <= 0 || last > 300*ms || last-first < 50*ms {
+		t.Fatalf("to come back after %d to %d ns of an expected time of 600 ms", first, last)
+	}
+}
+
 func TestThreeCandidatesAtRandom(t *testing.T) {
 	w := plain(t, 1, 12, nil)
 	for range 90 {
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -34,6 +34,7 @@
 	timers    map[int64][]int
 	sends     map[int]int
 	dismissed int
+	comeBack  []int64
 	givenUp   int
 	offCalled int
 	subscribe int
@@ -85,6 +86,7 @@
 func (w *watcher) Dismiss(i int, comeBack int64) {
 	w.end(i)
 	w.dismissed++
+	w.comeBack = append(w.comeBack, comeBack)
 	r := &w.asked[i]
 	for _, t := range r.trips {
 		group := w.values["workloads.1.group"].(string)
