Crowded reads ask the origin while it has room; value and open connections leave the module

Now, in aside mode, a read that the crowd gate would dismiss asks the origin if there is room for it there; fetches of one key are joined as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,8 +35,6 @@
 	leastPart   = 0.5     // of the room is left to keys not read lately
 	knownKeys   = 8191    // places for keys read lately
 	usualGrows  = 1.0005  // an answer, so that the usual time is found again when it has risen
-	mostValued  = 3.0     // times that for what has the most value
-	valueOver   = 100     // the mean value is taken over so many retrievals
 	late        = 0.75    // of the expected time: a trip that takes longer is poor
 	mostPoor    = 0.06    // of the trips may be poor before traffic beyond a share is cut
 	mostOverdue = 0.08    // of the retrievals may be overdue and get copies; more: origin or fleet is slow
@@ -78,6 +76,7 @@
 	width             int
 	hold, heldUntil   int64
 	missed            int  // aside: the cache that lacked the key, -1 if none did
+	direct            bool // aside: it asks the origin, as the caches are crowded
 	fetching, waiting bool // aside: it asks the origin for its key, or waits for the one that does
 	trips             []trip
 	out, place        int // trips in flight; its place in Balancer.live
@@ -86,7 +85,7 @@
 type server struct {
 	hash             uint64
 	health           Health
-	started, idleAt  int64 // when it last started, and when its connection will have been idle for too long
+	started          int64 // when it last did
 	kind, zone, cell int
 	listed, warm     bool    // by the last list
 	out              int     // trips in flight
@@ -112,7 +111,6 @@
 	group               string
 	remembers, expected int64 // stamped: how long repeats are dropped
 	stretch, tardy      float64
-	value               float64
 }
 
 type tenant struct {
@@ -175,52 +173,51 @@
 
 // Balancer is what one balancer knows.
 type Balancer struct {
-	host                       Host
-	values                     map[string]any
-	chance                     chance
-	began, now, seen           int64   // seen: the clock by which what was seen fades
-	pace                       float64 // of that clock: slower while there is little to go by
-	servers                    []server
-	kinds                      []kind
-	all                        kind
-	ready                      []int   // caches that the list calls ready
-	size, warm                 float64 // of them all, and of those that are not cold by the last list
-	best                       []ranked
-	scope                      Scope
-	failures                   int
-	retrievals                 []retrieval
-	live                       []int
-	workloads                  []workload
-	tenants                    []tenant
-	meanValue                  float64
-	out                        int // trips in flight at ready caches
-	held                       held
-	good, bad, warmed          sum // of all caches, as a server's; of warm ones
-	reads, misses, fails       sum // answers to reads; those that needed the origin or failed; that failed
-	fine, poor                 sum // trips that ended in time, and late or not at all
-	known                      [knownKeys]read
-	credit                     float64        // for further trips, wherever they go
-	asked, turned              sum            // retrievals that came, and those dismissed for the crowd
-	settled, took              sum            // trips that caches settled, and their times
-	usual                      float64        // time of a trip while nothing is crowded
-	admit                      float64        // the part of what is beyond a share that is let in
-	aside, moving              bool           // moving: the list's sizes fall with load
-	zone                       int            // its own
-	origin                     int            // aside: its index, -1 if none is listed
-	fetches                    map[uint64]int // aside: key to the retrieval that asks the origin for it
-	room                       float64        // aside: how many reads may be out at the origin
-	copies, mayCallOff         bool
-	mostTrips                  int
-	warmUp, tipAfter, connIdle int64
-	unreached, overdue         sum // trips without a connection; those that took far longer than others
-	startPart, multiple        float64
-	can                        float64 // the most a warm cache answered here lately, for its size
-	canAt                      int64
-	balancers                  float64
-	comeBackMost               int64    // 0: nothing may be said
-	figures                    []string // of a load report
-	tells                      bool     // whether it tells of strain
-	rates, strains, heard      float64  // by the last reports of ready caches: sums, and how many reported
+	host                  Host
+	values                map[string]any
+	chance                chance
+	began, now, seen      int64   // seen: the clock by which what was seen fades
+	pace                  float64 // of that clock: slower while there is little to go by
+	servers               []server
+	kinds                 []kind
+	all                   kind
+	ready                 []int   // caches that the list calls ready
+	size, warm            float64 // of them all, and of those that are not cold by the last list
+	best                  []ranked
+	scope                 Scope
+	failures              int
+	retrievals            []retrieval
+	live                  []int
+	workloads             []workload
+	tenants               []tenant
+	out                   int // trips in flight at ready caches
+	held                  held
+	good, bad, warmed     sum // of all caches, as a server's; of warm ones
+	reads, misses, fails  sum // answers to reads; those that needed the origin or failed; that failed
+	fine, poor            sum // trips that ended in time, and late or not at all
+	known                 [knownKeys]read
+	credit                float64        // for further trips, wherever they go
+	asked, turned         sum            // retrievals that came, and those dismissed for the crowd
+	settled, took         sum            // trips that caches settled, and their times
+	usual                 float64        // time of a trip while nothing is crowded
+	admit                 float64        // the part of what is beyond a share that is let in
+	aside, moving         bool           // moving: the list's sizes fall with load
+	zone                  int            // its own
+	origin                int            // aside: its index, -1 if none is listed
+	fetches               map[uint64]int // aside: key to the retrieval that asks the origin for it
+	room                  float64        // aside: how many reads may be out at the origin
+	copies, mayCallOff    bool
+	mostTrips             int
+	warmUp, tipAfter      int64
+	unreached, overdue    sum // trips without a connection; those that took far longer than others
+	startPart, multiple   float64
+	can                   float64 // the most a warm cache answered here lately, for its size
+	canAt                 int64
+	balancers             float64
+	comeBackMost          int64    // 0: nothing may be said
+	figures               []string // of a load report
+	tells                 bool     // whether it tells of strain
+	rates, strains, heard float64  // by the last reports of ready caches: sums, and how many reported
 }
 
 func (b *Balancer) number(name string) float64 { x, _ := b.values[name].(float64); return x }
@@ -247,7 +244,6 @@
 	b.copies, b.mayCallOff = b.yes("allowed.secondCopies"), b.yes("allowed.cancelling")
 	b.startPart, b.warmUp = b.number("invariants.startCapacity"), b.span("invariants.warmUp")
 	b.multiple, b.tipAfter = b.number("invariants.fallMultiple"), b.span("invariants.tipAfter")
-	b.connIdle = b.span("allowed.connIdle")
 	b.balancers = max(1, b.number("balancers"))
 	for i := range int(b.number("report.fields")) {
 		name := b.text("report.fields." + strconv.Itoa(i))
@@ -261,14 +257,14 @@
 		at := "workloads." + strconv.Itoa(i) + "."
 		w := workload{group: b.text(at + "group"), remembers: b.span(at + "dedupWindow"),
 			expected: b.span(at + "expectedTime"), stretch: b.number(at + "aimStretch"),
-			value: b.number(at + "value"), tardy: b.number(at + "tardyValue")}
+			tardy: b.number(at + "tardyValue")}
 		switch b.text(at + "effect") {
 		case "guarded":
 			w.effect = Stamped
 		case "single_shot":
 			w.effect = OneShot
 		}
-		b.workloads, b.meanValue = append(b.workloads, w), w.value
+		b.workloads = append(b.workloads, w)
 	}
 	for i := range int(b.number("tenants")) {
 		b.tenants = append(b.tenants, tenant{quota: b.number("tenants." + strconv.Itoa(i) + ".quotaRps")})
@@ -391,12 +387,16 @@
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
 	}
 	b.live = append(b.live, i)
-	b.meanValue += (w.value - b.meanValue) / valueOver
 	b.asked.add(b.seen, 1)
 	switch {
 	case b.beyondShare(tenant) && b.chance.part() > b.admit:
 	case b.busy() && b.crowded(now, r):
 		b.turned.add(b.seen, 1)
+		// Guards reads against caches that slow down when crowded, while the origin has room.
+		if r.direct = b.aside && !write && b.origin >= 0 && float64(b.servers[b.origin].out+1) < b.room; r.direct {
+			b.fetch(now, i)
+			return
+		}
 	default:
 		b.route(now, i)
 		return
@@ -410,7 +410,7 @@
 	s := -1
 	// Guards reads that lost trips at caches: the last one may not end as a miss, nor wait for credit not there.
 	spent := len(r.trips) > 0 && (len(r.trips) == b.mostTrips-1 || b.credit < 1)
-	if b.aside && (r.write || r.missed >= 0 || spent) {
+	if b.aside && (r.write || r.missed >= 0 || r.direct || spent) {
 		s = b.origin
 		if s >= 0 && !r.write && float64(b.servers[s].out)+b.chance.part() > b.room {
 			b.misses.add(b.seen, 1)
@@ -532,9 +532,7 @@
 			}
 		}
 	}
-	// Guards against full tables of connections: while connects fail, trips keep to those that are still open.
 	unreached := b.unreached.read(b.seen)
-	short := unreached > strain*(b.good.read(b.seen)+1)
 	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys
 	// need one order for all then, nor while connects fail: a lost zone is found out server by server.
 	near := 0
@@ -562,7 +560,7 @@
 			tried && len(b.ready) > len(r.trips) {
 			continue
 		}
-		if short && h.idleAt < now || b.doubted(s) {
+		if b.doubted(s) {
 			if last < 0 || h.out < b.servers[last].out {
 				last = s
 			}
@@ -748,9 +746,7 @@
 	default:
 		r.trips[t].ran = perhaps
 	}
-	if how != Unreached && how != Unsent {
-		b.servers[s].idleAt = now + b.connIdle
-	} else if how == Unreached {
+	if how == Unreached {
 		b.unreached.add(b.seen, 1)
 		b.servers[s].cutAt = now
 	}
@@ -861,14 +857,14 @@
 
 // crowded tells by Little's law that a new trip would wait too long, at the rate of trips settled: misses
 // (aside) are answered at once and make no room. Guards against queues that make all answers late: once full
-// they stay full of work that nobody wants. What has most value is let in longest.
+// they stay full of work that nobody wants.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: some for each server.
 	free := 1 + float64(len(b.ready))*(1+youngRoom*young)/b.balancers
 	seen := 1 - math.Exp(-float64(b.seen+second/4)/float64(memory))
 	rate := b.settled.read(b.seen) / seen / float64(memory) * b.pace
-	part := crowd * min(mostValued, max(1, w.value/b.meanValue))
+	part := crowd
 	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
 		part *= max(leastPart, 1-b.turned.read(b.seen)/(b.asked.read(b.seen)+1))
