Aside: writes pass the crowd gate of caches, and an origin that takes no connection is busy

At fault: Ended ends what has an outcome of the origin that is not a busy answer; Asked gates all alike.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -390,7 +390,7 @@
 	b.asked.add(b.seen, 1)
 	switch {
 	case b.beyondShare(tenant) && b.chance.part() > b.admit:
-	case b.busy() && b.crowded(now, r):
+	case !(b.aside && write) && b.busy() && b.crowded(now, r): // Aside, writes go by the caches.
 		b.turned.add(b.seen, 1)
 		// Guards reads against caches that slow down when crowded, while the origin has room.
 		if r.direct = b.aside && !write && b.origin >= 0 && float64(b.servers[b.origin].out+1) < b.room; r.direct {
@@ -761,12 +761,12 @@
 	case noMore:
 		b.drop(now, i, -1)
 	case r.out > 0: // Another trip may still answer.
-	case now >= r.stop || s == b.origin && how != Full,
+	case now >= r.stop || s == b.origin && how != Full && how != Unreached,
 		how == Errored && b.fails.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
-	case how == Full && (s == b.origin || r.width >= len(b.ready)):
+	case s == b.origin, how == Full && r.width >= len(b.ready): // A short origin takes no more connections.
 		b.wait(now, i)
 	case how == Full:
 		r.width *= widening
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -403,6 +403,17 @@
 	if w.sends[8] < 300 || most > 40 || w.dismissed > 100 {
 		t.Fatalf("%d of 600 sent to the origin, %d at once, %d dismissed", w.sends[8], most, w.dismissed)
 	}
+	for range 50 { // Writes go by the caches, and to an origin with its table full as to one that is busy.
+		i := w.ask(Stamped, w.b.chance.next(), 3*second)
+		if len(w.asked[i].trips) != 1 || w.asked[i].trips[0].server != 8 {
+			t.Fatalf("a write while caches are crowded: %+v", w.asked[i])
+		}
+		w.answer(i, 0, Unreached)
+		if w.step(40 * ms); len(w.asked[i].trips) != 2 || w.asked[i].trips[1].server != 8 {
+			t.Fatalf("a write that found no connection: %+v", w.asked[i])
+		}
+		w.answer(i, 1, OK)
+	}
 }
 
 func TestThreeCandidatesAtRandom(t *testing.T) {
