Aside, only a server that is nearly jammed loses keys

Seen: 45 to 57% of reads miss at both new sites where one pooled cache would miss 3 to 15%. A probe of the wire: 60% of these were kept at that very host before and had to make room, a quarter were kept elsewhere only. At fault: the draw by how long trips take in pick: a kind that takes twice the mean loses nearly all its keys to others, each read of them is a fetch and one more copy in less memory. Ruled out: writes (a sixth), the last cache, own zone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -543,6 +543,11 @@
 			near++
 		}
 	}
+	// Aside, a key that moves costs a trip and a fetch of its own: only what is nearly jammed loses keys.
+	slow := b.all.each(b.seen, 0)
+	if b.aside {
+		slow *= jam
+	}
 	least, last, lightest := -1, -1, 0.0
 	for ; n > 0; n, near = n-1, near-1 {
 		j := 0
@@ -573,7 +578,7 @@
 		if r.width < len(b.ready) && each > jam*b.all.each(b.seen, 0) {
 			continue // Guards against a key that is more than its three can take: as after a busy answer.
 		}
-		if strict || load <= limit && math.Pow(b.chance.part(), 0.2)*each <= b.all.each(b.seen, 0) {
+		if strict || load <= limit && math.Pow(b.chance.part(), 0.2)*each <= slow {
 			return s
 		}
 		if least < 0 || load < lightest {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -643,6 +643,31 @@
 	}
 }
 
+// Aside, a kind that is somewhat slower keeps its keys: they would be fetched for others.
+func TestSlowKindKeepsItsKeysAside(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"extra.mode": "aside", "extra.originKind": 2.0, "balancers": 300.0})
+	w.b.Listing(w.now, Whole)
+	for s := range 91 {
+		w.healths[s] = Ready
+		w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s%2+s/90*2, 0, 0, 0)
+	}
+	w.b.Listed(w.now)
+	slow := 0
+	for range 300 {
+		i := w.ask(Harmless, w.b.chance.next(), second)
+		if s := w.asked[i].trips[0].server; s%2 == 1 {
+			slow++
+			w.step(50 * ms)
+		}
+		w.step(50 * ms)
+		w.answer(i, 0, OK)
+		w.step(150 * ms)
+	}
+	if slow < 100 {
+		t.Errorf("a kind that takes twice as long got %d of 300 trips", slow)
+	}
+}
+
 // FuzzFleet plays forty balancers before twenty caches, one of which comes back cold, and an origin that turns slow.
 // All are restarted in turn. Together they must stay within the cold budget, and leave the slow origin in peace.
 func FuzzFleet(f *testing.F) {
