--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,7 @@
 	firstBad    = 0.1
 	perAnswer   = 0.2 // credit that an answer earns
 	mostCredit  = 10.0
-	coldPart    = 0.4  // of the cold budget: machines differ, and so do balancers' parts of the traffic
+	coldPart    = 0.3  // of the cold budget: machines differ, and so do balancers' parts of the traffic
 	leastRoom   = 0.1  // under one, reads are let in by chance
 	firstRoom   = 40.0 // aside: reads all may have out at the origin beyond two each, at first
 )
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -550,7 +550,7 @@
 	}
 }
 
-// Guards the case of incident ic1f58d: queues that stay full of work nobody wants.
+// Guards against queues that stay full of work nobody wants.
 func TestCrowdedFleetDismissesAtOnce(t *testing.T) {
 	w := plain(t, 1, 8, nil)
 	for range 400 {
