--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 // The decision module: one Balancer decides for one balancer and shares nothing with the others.
 // New hands it the seed, the settings (a plain map of dotted names to values) and the Host it acts through
 // (host.go). Afterwards the front calls one method for each thing that happens: Listing, Row and Listed for a
-// list; Asked, Started, Ended and Aborted for retrievals; Reported, Woke, Probed and Told. Each gets the clock
+// list; Asked, Started, Ended, Aborted for retrievals; Reported, Woke, Probed and Told. Each gets the clock
 // first. The ordinary path is route, as in docs/design.md; the rules are the gates maySend and mayDismiss.
 package choice
 
