--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,7 +30,7 @@
 	backPart    = 1.0 / 6 // of the expected time
 	mostIdle    = 0.3     // of what all could report as strain: under it nothing is crowded
 	few         = 0.05    // of the trips without a connection: more, and no zone goes first
-	crowd       = 0.25    // of the expected time may be spent by what is in flight
+	crowd       = 0.15    // of the expected time may be spent by what is in flight
 	youngRoom   = 4.0     // trips in flight a server that all balancers may add while they know no rate
 	leastPart   = 0.5     // of the room is left to keys not read lately
 	knownKeys   = 8191    // places for keys read lately
@@ -198,6 +198,7 @@
 	known                 [knownKeys]read
 	credit                float64        // for further trips, wherever they go
 	asked, turned         sum            // retrievals that came, and those dismissed for the crowd
+	lacked                sum            // misses (aside)
 	settled, took         sum            // trips that caches settled, and their times
 	usual                 float64        // time of a trip while nothing is crowded
 	admit                 float64        // the part of what is beyond a share that is let in
@@ -845,6 +846,9 @@
 			k.took.add(b.seen, float64(took))
 		}
 	}
+	if how == Missing {
+		b.lacked.add(b.seen, 1)
+	}
 	if answered && !r.write {
 		b.reads.add(b.seen, 1)
 		if how != OK || note > 1 {
@@ -860,7 +864,7 @@
 // comes against trips that hang at a few dead servers: they are in flight for long and crowd nobody.
 func (b *Balancer) busy() bool { return !b.tells || b.heard == 0 || b.strains > mostIdle*b.heard }
 
-// crowded tells by Little's law that a new trip would wait too long, at the rate of trips settled: misses
+// crowded tells by Little's law that a new trip would wait too long, at the rate of answers: but misses
 // (aside) are answered at once and make no room. Guards against queues that make all answers late: once full
 // they stay full of work that nobody wants.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
@@ -868,7 +872,7 @@
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: some for each server.
 	free := 1 + float64(len(b.ready))*(1+youngRoom*young)/b.balancers
 	seen := 1 - math.Exp(-float64(b.seen+second/4)/float64(memory))
-	rate := b.settled.read(b.seen) / seen / float64(memory) * b.pace
+	rate := (b.all.answered.read(b.seen) - b.lacked.read(b.seen)) / seen / float64(memory) * b.pace
 	part := crowd
 	if !r.write && b.known[r.key%knownKeys].key != r.key {
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
