--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,10 +48,7 @@
 	firstRoom   = 40.0 // aside: reads all may have out at the origin beyond two each, at first
 )
 
-const ( // what a timer is for
-	tagList = iota
-	tagHeld // and the retrieval's index
-)
+const tagList, tagHeld = 0, 1 // what a timer is for: the list, or with its index added a retrieval
 
 type ran int8
 
@@ -566,7 +563,7 @@
 			tried && len(b.ready) > len(r.trips) {
 			continue
 		}
-		if b.doubted(s) {
+		if b.doubted(s, b.chance.part) {
 			if last < 0 || h.out < b.servers[last].out {
 				last = s
 			}
@@ -594,22 +591,25 @@
 
 // doubted draws from the posterior of a server's chance of success, as a part of the chance that all have:
 // an origin in trouble makes all fail alike.
-func (b *Balancer) doubted(s int) bool {
+func (b *Balancer) doubted(s int, part func() float64) bool {
 	h := &b.servers[s]
 	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
 	// Guards against dead servers that the list still shows: one failed connect tells more than one error.
-	if h.cutAt > 0 && b.chance.part() < math.Exp(-float64(b.now-h.cutAt)/float64(memory)) {
+	if h.cutAt > 0 && part() < math.Exp(-float64(b.now-h.cutAt)/float64(memory)) {
 		return true
 	}
 	if bad < 0.6 {
 		return false
 	}
 	n, all := good+bad, b.good.read(b.seen)+firstGood
-	normal := b.chance.part() + b.chance.part() + b.chance.part() + b.chance.part() - 2 // of variance 1/3
+	normal := part() + part() + part() + part() - 2 // of variance 1/3
 	draw := good/n + normal*math.Sqrt(3*good*bad/(n+1))/n
 	return draw < doubt*all/(all+b.bad.read(b.seen)+firstBad)
 }
 
+// Avoids tells whether a server would sooner be passed by than not, as it is doubted; it draws nothing.
+func (b *Balancer) Avoids(s int) bool { return b.doubted(s, func() float64 { return 0.5 }) }
+
 func (b *Balancer) cold(now int64, s int) bool {
 	h := &b.servers[s]
 	return h.started > 0 && now < h.started+b.warmUp
--- a/cmd/hollylever/given.go
+++ b/cmd/hollylever/given.go
@@ -16,12 +16,12 @@
 
 // given is what the balancer is told at its start.
 type given struct {
-	file, name, listen, discovery string
-	seed                          uint64
-	cores, memory                 float64
-	sockets                       int
-	known                         []byte
-	settings                      map[string]any
+	file, name, listen, discovery, mgmt string
+	seed                                uint64
+	cores, memory                       float64
+	sockets                             int
+	known                               []byte
+	settings                            map[string]any
 }
 
 const mostFields = 16 // of a load report
@@ -56,12 +56,15 @@
 	for _, a := range []struct {
 		into            *string
 		variable, field string
-	}{{&g.listen, "LB_LISTEN", "listen"}, {&g.discovery, "LB_DISCOVERY", "discovery"}} {
+	}{{&g.listen, "LB_LISTEN", "listen"}, {&g.discovery, "LB_DISCOVERY", "discovery"}, {&g.mgmt, "LB_MGMT", "mgmt"}} {
 		at := file + ": " + a.field
 		*a.into = object.Get(a.field).String()
 		if value := os.Getenv(a.variable); value != "" && !again {
 			*a.into, at = value, a.variable
 		}
+		if a.into == &g.mgmt && *a.into == "" && !object.Get(a.field).Exists() {
+			continue // No door for operators.
+		}
 		if _, err := net.ResolveTCPAddr("tcp", *a.into); err != nil {
 			return nil, fmt.Errorf("%s: %q is not an address and a port", at, *a.into)
 		}
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"hollylever/operators"
 	"hollylever/routing"
 	"hollylever/transport"
 )
@@ -62,11 +63,19 @@
 	}
 	listener.Odd = func(err error) { log.Warn().Err(err).Msg("accept failed") }
 
+	mgmt := "" // No door for operators.
+	if told.mgmt != "" {
+		if mgmt, err = operators.Open(told.mgmt, balancer); err != nil {
+			return fmt.Errorf("%s: mgmt: %w", told.file, err)
+		}
+	}
+
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	go listener.Serve(balancer.Serve)
+	balancer.Takes(true)
 	go balancer.Follow(ctx)
-	log.Info().Str("listen", listener.Address()).Int("clients", front).Int("hosts", hosts).
+	log.Info().Str("listen", listener.Address()).Str("mgmt", mgmt).Int("clients", front).Int("hosts", hosts).
 		Int64("memory_mb", int64(told.memory)).Msg("serving")
 
 	hardStop := longest(told.settings)
@@ -90,6 +99,7 @@
 			}
 			told = now
 		case <-stop:
+			balancer.Takes(false)
 			log.Info().Int("clients", listener.Count()).Msg("stopping")
 			until := time.Now().Add(lastAnswer + hardStop)
 			time.Sleep(stragglers)
--- /dev/null
+++ b/operators/door.go
@@ -0,0 +1,175 @@
+// Package operators is the operators' door: HTTP/1.1 at an address of its own, one call to a connection. It reads calls
+// and words answers; what they are about it asks the balancer.
+package operators
+
+import (
+	"context"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"hollylever/routing"
+)
+
+const (
+	mostCallers = 12                     // connections, of which callers without a whole call can take all
+	letCome     = 100 * time.Millisecond // so long a caller has to send a whole call while others wait
+	headFor     = 2 * time.Second
+	answerFor   = 3 * time.Second
+	mostHead    = 4 << 10
+	mostBody    = 4 << 10
+)
+
+// Balancer is what the door asks. No call may wait on clients or hosts.
+type Balancer interface {
+	Ready() bool
+	Figures() routing.Figures
+}
+
+// Open listens at the address and answers calls from now on. It gives where it listens.
+func Open(address string, b Balancer) (string, error) {
+	inner, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: door{b}, ReadHeaderTimeout: headFor, ReadTimeout: headFor, WriteTimeout: answerFor,
+		MaxHeaderBytes: mostHead, ErrorLog: stdlog.New(io.Discard, "", 0), // Callers' mistakes are answered, not logged.
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, callerOf, c) }}
+	server.SetKeepAlivesEnabled(false)
+	go server.Serve(&callers{Listener: inner})
+	return inner.Addr().String(), nil
+}
+
+type door struct{ Balancer }
+
+// ServeHTTP answers a call.
+func (d door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, is := r.Context().Value(callerOf).(*caller); is {
+		c.whole()
+	}
+	if r.ContentLength < 0 || r.ContentLength > mostBody {
+		http.Error(w, "no call has a body", http.StatusRequestEntityTooLarge)
+		return
+	}
+	path := r.URL.EscapedPath()
+	switch path {
+	case "/ready":
+		d.ready(w, r)
+	case "/metrics":
+		d.metrics(w, r)
+	default:
+		http.Error(w, "unknown call", http.StatusNotFound)
+	}
+}
+
+// meant tells whether the call has the method that it is for; if not, it is answered.
+func meant(w http.ResponseWriter, r *http.Request, method string) bool {
+	if r.Method == method {
+		return true
+	}
+	w.Header().Set("Allow", method)
+	http.Error(w, "this call is for "+method, http.StatusMethodNotAllowed)
+	return false
+}
+
+func (d door) ready(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case !meant(w, r, http.MethodGet):
+	case d.Ready():
+		io.WriteString(w, "ready\n")
+	default:
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	}
+}
+
+func (d door) metrics(w http.ResponseWriter, r *http.Request) {
+	if !meant(w, r, http.MethodGet) {
+		return
+	}
+	f := d.Figures()
+	var out strings.Builder
+	for _, replies := range f.Replies {
+		fmt.Fprintf(&out, "replies.%[1]s.success=%[2]d\nreplies.%[1]s.overload=%[3]d\nreplies.%[1]s.error=%[4]d\n",
+			replies.Workload, replies.Settled, replies.Dismissed, replies.GivenUp)
+	}
+	fmt.Fprintf(&out, "dispatches=%d\nconcurrent=%d\ntargets=%d\ntargets_disabled=%d\n", f.Handed, f.Open, f.Servers, f.Avoided)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	io.WriteString(w, out.String())
+}
+
+type key int
+
+const callerOf key = 0
+
+// callers accepts few connections. Guards the door, and the descriptors of clients and hosts, against callers that hold a
+// connection and send no whole call: where it is full, the oldest of them makes room.
+type callers struct {
+	net.Listener
+	mu   sync.Mutex
+	open []*caller // the oldest first
+}
+
+type caller struct {
+	net.Conn
+	of    *callers
+	came  time.Time
+	asked bool // its call is whole
+}
+
+// Accept waits for the next caller, and for room.
+func (l *callers) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for !l.room() {
+		time.Sleep(letCome / 10) // Guards a call that is just being read against the crowd that came with it.
+	}
+	c := &caller{Conn: inner, of: l, came: time.Now()}
+	l.mu.Lock()
+	l.open = append(l.open, c)
+	l.mu.Unlock()
+	return c, nil
+}
+
+// room tells whether there is some, and closes who has had time enough to send a whole call if there is none.
+func (l *callers) room() bool {
+	l.mu.Lock()
+	full := len(l.open) >= mostCallers
+	var oldest *caller
+	for _, c := range l.open {
+		if full && !c.asked && time.Since(c.came) > letCome {
+			oldest = c
+			break
+		}
+	}
+	l.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+	return !full || oldest != nil
+}
+
+func (c *caller) whole() {
+	c.of.mu.Lock()
+	c.asked = true
+	c.of.mu.Unlock()
+}
+
+// Close ends the connection and gives its place back.
+func (c *caller) Close() error {
+	c.of.mu.Lock()
+	for n, other := range c.of.open {
+		if other == c {
+			c.of.open = append(c.of.open[:n], c.of.open[n+1:]...)
+			break
+		}
+	}
+	c.of.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -7,10 +7,9 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -94,6 +93,7 @@
 	failing  bool          // the list can't be followed
 	mostHeld int
 	mostHeap int64
+	taking   atomic.Bool // clients
 
 	mu        sync.Mutex // around all that follows, and the module
 	module    *choice.Balancer
@@ -114,7 +114,8 @@
 	kinds     map[string]int
 	zones     map[string]int
 	fields    map[string]int // of load reports
-	counts    map[string]int
+	counts    map[count]int  // since the start
+	summed    map[count]int  // those that the last summary knew
 }
 
 // New makes a balancer that knows a list from before, in discovery's form. It keeps at most so many bytes of
@@ -126,7 +127,7 @@
 		open: map[string]bool{}, oneShot: map[int]bool{},
 		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
 		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", ""),
-		fields: tables.Places(settings, "report.fields", ""), counts: map[string]int{}}
+		fields: tables.Places(settings, "report.fields", ""), counts: map[count]int{}}
 	for _, w := range b.workloads {
 		b.oneShot[w] = settings["workloads."+strconv.Itoa(w)+".effect"] == "single_shot"
 	}
@@ -165,20 +166,18 @@
 	r.told <- news{what: send, trip: len(r.at), server: s, address: b.servers[s].address, at: b.now(), until: until}
 	r.at = append(r.at, s)
 	b.servers[s].trips++
-	b.counts["trips"]++
+	b.counts[count{"trips", none}]++
 }
 
 // Dismiss is final.
 func (b *Balancer) Dismiss(i int, comeBack int64) {
 	b.slots[i].final = true
-	b.counts["dismissed"]++
 	b.slots[i].told <- news{what: dismiss, until: comeBack}
 }
 
 // GiveUp is final.
 func (b *Balancer) GiveUp(i int) {
 	b.slots[i].final = true
-	b.counts["given_up"]++
 	b.slots[i].told <- news{what: giveUp}
 }
 
@@ -306,16 +305,3 @@
 	b.module.Forget(s)
 	b.places.Give(s)
 }
-
-// Summary logs what has been counted since the last one.
-func (b *Balancer) Summary(clients int) {
-	b.mu.Lock()
-	line := b.log.Info().Int("clients", clients).Int("hosts_open", b.pool.Count()).
-		Int("held", b.held.Out()).Int("servers", len(b.byName)).Uint64("index", b.index)
-	for _, name := range slices.Sorted(maps.Keys(b.counts)) {
-		line = line.Int(name, b.counts[name]) // Only what happened is named.
-	}
-	clear(b.counts)
-	b.mu.Unlock()
-	line.Msg("summary")
-}
--- /dev/null
+++ b/routing/figures.go
@@ -0,0 +1,79 @@
+package routing
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"hollylever/choice"
+)
+
+// count names what is counted, and for which workload; none: for no workload.
+type count struct {
+	what     string
+	workload int
+}
+
+const none = -1
+
+// Replies are the final answers that went out to retrievals of one workload.
+type Replies struct {
+	Workload                    string
+	Settled, Dismissed, GivenUp int
+}
+
+// Figures are what operators read: counts since the start, and how things stand now.
+type Figures struct {
+	Replies []Replies
+	Handed  int // trips whose last byte was handed over
+	Open    int // retrievals taken that have no final answer yet
+	Servers int // by the list
+	Avoided int // of those, the ones that get nothing now, by hand or by choice
+}
+
+// Figures puts them together from the counts that the log's summary reads too.
+func (b *Balancer) Figures() Figures {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := Figures{Replies: make([]Replies, len(b.workloads)), Handed: b.counts[count{"handed", none}], Open: len(b.open)}
+	for name, w := range b.workloads {
+		f.Replies[w] = Replies{name, b.counts[count{"settled", w}],
+			b.counts[count{"dismissed", w}] + b.counts[count{"sent_back", w}],
+			b.counts[count{"given_up", w}] + b.counts[count{"sent_back_wrong", w}]}
+	}
+	for s := range b.servers {
+		if h := &b.servers[s]; h.name != "" && h.health != choice.Gone {
+			f.Servers++
+			if h.health == choice.Ready && b.module.Avoids(s) {
+				f.Avoided++
+			}
+		}
+	}
+	return f
+}
+
+// Ready tells whether this process takes clients.
+func (b *Balancer) Ready() bool { return b.taking.Load() && b.knowsAny() }
+
+// Takes tells that clients are taken from now on, or no more.
+func (b *Balancer) Takes(clients bool) { b.taking.Store(clients) }
+
+// Summary logs what has been counted since the last one.
+func (b *Balancer) Summary(clients int) {
+	b.mu.Lock()
+	line := b.log.Info().Int("clients", clients).Int("hosts_open", b.pool.Count()).
+		Int("held", b.held.Out()).Int("servers", len(b.byName)).Uint64("index", b.index)
+	since := map[string]int{}
+	for c, n := range b.counts {
+		if n -= b.summed[c]; n > 0 {
+			name, _ := strings.CutSuffix(c.what, "_wrong")
+			since[name] += n // Only what happened is named.
+		}
+	}
+	b.summed = maps.Clone(b.counts)
+	b.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(since)) {
+		line = line.Int(name, since[name])
+	}
+	line.Msg("summary")
+}
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -52,7 +52,7 @@
 		}
 		b.failing = true
 		b.mu.Lock()
-		b.counts["lists_failed"]++
+		b.counts[count{"lists_failed", none}]++
 		b.module.Listing(b.now(), choice.Failed)
 		b.module.Listed(b.now())
 		b.mu.Unlock()
--- a/routing/life.go
+++ b/routing/life.go
@@ -33,8 +33,15 @@
 	id := string(words[2])
 	full := b.held.Out() >= b.mostHeld || b.heap+size > b.mostHeap
 	if !known || b.open[id] || full {
-		b.counts["sent_back"]++
 		twice := b.open[id]
+		switch {
+		case !known:
+			b.counts[count{"sent_back_wrong", none}]++
+		case twice:
+			b.counts[count{"sent_back_wrong", w}]++
+		default:
+			b.counts[count{"sent_back", w}]++
+		}
 		b.mu.Unlock()
 		switch {
 		case !known:
@@ -48,7 +55,7 @@
 	}
 	b.open[id] = true
 	b.heap += size
-	b.counts["retrievals"]++
+	b.counts[count{"retrievals", none}]++
 	i, told := b.take()
 	b.module.Asked(b.now(), i, patience, w, owner, protocol.Key(words[1]), true, write, predicted)
 	b.mu.Unlock()
@@ -64,7 +71,7 @@
 			delete(b.open, id)
 			if !b.slots[i].final {
 				b.slots[i].final = true
-				b.counts["left"]++
+				b.counts[count{"left", none}]++
 				b.module.Aborted(b.now(), i)
 			}
 			b.mu.Unlock()
@@ -73,6 +80,7 @@
 			}
 		case n := <-told:
 			var final []byte
+			how := ""
 			switch n.what {
 			case send:
 				line := b.pool.Line()
@@ -84,26 +92,25 @@
 			case callOff:
 				lines[n.trip].Cut()
 			case dismiss:
-				final = protocol.AppendDismissed(nil, n.until)
+				final, how = protocol.AppendDismissed(nil, n.until), "dismissed"
 			case giveUp:
-				final = protocol.AppendGivenUp(nil)
+				final, how = protocol.AppendGivenUp(nil), "given_up"
 			case ended:
 				over++
 				b.mu.Lock()
-				now, how := b.now(), outcomes[n.end]
-				if how == choice.OK && !b.slots[i].final {
+				now, outcome := b.now(), outcomes[n.end]
+				if outcome == choice.OK && !b.slots[i].final {
 					b.slots[i].final = true
-					final = n.answer
+					final, how = n.answer, "settled"
 					size += int64(len(final))
 					b.heap += int64(len(final))
-					b.counts["settled"]++
-				} else if how != choice.OK {
-					b.counts["trip_"+n.end.String()]++
+				} else if outcome != choice.OK {
+					b.counts[count{"trip_" + n.end.String(), none}]++
 				}
 				if n.load != nil {
 					b.module.Reported(now, n.server, n.load)
 				}
-				b.module.Ended(now, i, n.trip, n.server, n.note, how, now-n.at, b.slots[i].final)
+				b.module.Ended(now, i, n.trip, n.server, n.note, outcome, now-n.at, b.slots[i].final)
 				b.mu.Unlock()
 			}
 			if final != nil && !answered {
@@ -112,6 +119,7 @@
 				}
 				b.mu.Lock()
 				delete(b.open, id)
+				b.counts[count{how, w}]++
 				b.mu.Unlock()
 				t.answer <- final
 				answered = true
@@ -151,6 +159,11 @@
 		} else {
 			end = line.Hand(message, until)
 		}
+		if end == transport.Open {
+			b.mu.Lock()
+			b.counts[count{"handed", none}]++
+			b.mu.Unlock()
+		}
 	}
 	for end == transport.Open {
 		var value, report []byte
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -58,12 +58,12 @@
 		b.retrieve(words("c=read,d=1000"), false, r, func() {}, left)
 	}
 	ended := 0
-	for name, n := range b.counts {
-		if strings.HasPrefix(name, "trip_") {
+	for c, n := range b.counts {
+		if strings.HasPrefix(c.what, "trip_") {
 			ended += n
 		}
 	}
-	if b.counts["trips"] == 0 || ended != b.counts["trips"] || b.held.Out() != 0 || b.heap != 0 {
+	if b.counts[count{"trips", none}] == 0 || ended != b.counts[count{"trips", none}] || b.held.Out() != 0 || b.heap != 0 {
 		t.Fatalf("%v, %d held, %d bytes", b.counts, b.held.Out(), b.heap)
 	}
 }
@@ -83,8 +83,8 @@
 		r := turn{make(chan []byte, 1), make(chan struct{})}
 		close(r.written)
 		b.retrieve(words("c=read,d=100"), false, r, func() {}, nil)
-		if answer := string(<-r.answer); answer != "-BUSY\r\n" || b.counts["trips"] != 0 {
-			t.Errorf("%q after %d trips", answer, b.counts["trips"])
+		if answer := string(<-r.answer); answer != "-BUSY\r\n" || b.counts[count{"trips", none}] != 0 {
+			t.Errorf("%q after %d trips", answer, b.counts[count{"trips", none}])
 		}
 	}
 }
@@ -107,8 +107,8 @@
 	r := turn{make(chan []byte, 1), make(chan struct{})}
 	close(r.written)
 	b.retrieve(words("c=read,d=50"), false, r, func() { t.Error("it counts as a good command") }, nil)
-	if answer := string(<-r.answer); !strings.HasPrefix(answer, "-ERR") || b.counts["trips"] != 0 || !b.open["id"] {
-		t.Errorf("%q after %d trips", answer, b.counts["trips"])
+	if answer := string(<-r.answer); !strings.HasPrefix(answer, "-ERR") || b.counts[count{"trips", none}] != 0 || !b.open["id"] {
+		t.Errorf("%q after %d trips", answer, b.counts[count{"trips", none}])
 	}
 	delete(b.open, "id")
 	b.retrieve(words("c=read,d=50"), false, r, func() {}, nil)
@@ -177,7 +177,7 @@
 	b.retrieve(words("c=read,d=50"), false, r, func() {}, nil)
 	answer, after := string(<-r.answer), 0
 	fmt.Sscanf(answer, "-BUSY %d\r\n", &after)
-	if after < 1 || after > 2000 || b.counts["dismissed"] != 1 || b.counts["trip_refused"] == 0 {
+	if after < 1 || after > 2000 || b.counts[count{"dismissed", 0}] != 1 || b.counts[count{"trip_refused", none}] == 0 {
 		t.Errorf("%q, %v", answer, b.counts)
 	}
 }
