--- a/cmd/hollylever/given.go
+++ b/cmd/hollylever/given.go
@@ -65,7 +65,7 @@
 		if a.into == &g.mgmt && *a.into == "" && !object.Get(a.field).Exists() {
 			continue // No door for operators.
 		}
-		if _, err := net.ResolveTCPAddr("tcp", *a.into); err != nil {
+		if _, err := net.ResolveTCPAddr("tcp", *a.into); err != nil || *a.into == "" {
 			return nil, fmt.Errorf("%s: %q is not an address and a port", at, *a.into)
 		}
 	}
--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -686,7 +686,9 @@
 		}
 		var out bytes.Buffer
 		cmd.Stderr = &out
+		stuck := time.AfterFunc(patience, func() { cmd.Process.Kill() }) // It serves: no error was found.
 		err := cmd.Run()
+		stuck.Stop()
 		text := out.String()
 		if err == nil || !strings.Contains(text, c.want) || strings.Count(text, "\n") != 1 {
 			t.Errorf("%v %s: %v, wrote %q, want %q", c.change, c.variable, err, text, c.want)
