--- a/cmd/hollylever/given.go
+++ b/cmd/hollylever/given.go
@@ -20,6 +20,7 @@
 	seed                                uint64
 	cores, memory                       float64
 	sockets                             int
+	inherited                           int // the descriptor of a listening socket, -1 if none is
 	known                               []byte
 	settings                            map[string]any
 }
@@ -49,7 +50,7 @@
 	object := gjson.ParseBytes(text)
 	g := &given{file: file, name: object.Get("name").String(), cores: object.Get("limits.cores").Num,
 		memory: object.Get("limits.memory_mb").Num, sockets: int(object.Get("limits.sockets").Num),
-		known: []byte(object.Get("known").Raw), settings: tables.Flat(object.Get("settings"))}
+		inherited: -1, known: []byte(object.Get("known").Raw), settings: tables.Flat(object.Get("settings"))}
 	if name := os.Getenv("LB_NAME"); name != "" {
 		g.name = name
 	}
@@ -69,6 +70,11 @@
 			return nil, fmt.Errorf("%s: %q is not an address and a port", at, *a.into)
 		}
 	}
+	if fd := os.Getenv("LB_LISTEN_FD"); fd != "" && !again {
+		if g.inherited, err = strconv.Atoi(fd); err != nil || g.inherited < 3 || g.inherited > 1<<20 {
+			return nil, fmt.Errorf("LB_LISTEN_FD: %q is not a descriptor", fd)
+		}
+	}
 	if g.seed, err = strconv.ParseUint(object.Get("seed").String(), 16, 64); err != nil {
 		return nil, fmt.Errorf("%s: seed: not a hexadecimal number of 64 bits", file)
 	}
--- a/cmd/hollylever/helper_test.go
+++ b/cmd/hollylever/helper_test.go
@@ -214,7 +214,12 @@
 		all[field] = value
 	}
 	file := fileWith(t, all)
-	p := &program{t: t, file: file, cmd: programWith(file, variables...), log: make(chan string, 10000), ended: make(chan error, 1)}
+	return started(t, file, programWith(file, variables...))
+}
+
+func started(t *testing.T, file string, cmd *exec.Cmd) *program {
+	t.Helper()
+	p := &program{t: t, file: file, cmd: cmd, log: make(chan string, 10000), ended: make(chan error, 1)}
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -21,7 +21,7 @@
 
 const (
 	reserve    = 32                     // descriptors that are for neither clients nor hosts
-	stragglers = 500 * time.Millisecond // after SIGTERM new clients go on coming for so long
+	stragglers = 500 * time.Millisecond // after SIGTERM clients go on coming and asking for so long
 	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
 	sweepEvery = 50 * time.Millisecond
 	tellEvery  = 10 * time.Second
@@ -57,8 +57,12 @@
 		return fmt.Errorf("%s: known: %w", told.file, err)
 	}
 	front := told.sockets - reserve - hosts
-	listener, err := transport.Listen(told.listen, front)
-	if err != nil {
+	var listener *transport.Listener
+	if told.inherited >= 0 {
+		if listener, err = transport.Inherit(told.inherited, front); err != nil {
+			return fmt.Errorf("LB_LISTEN_FD: %w", err)
+		}
+	} else if listener, err = transport.Listen(told.listen, front); err != nil {
 		return fmt.Errorf("%s: listen: %w", told.file, err)
 	}
 	listener.Odd = func(err error) { log.Warn().Err(err).Msg("accept failed") }
@@ -97,11 +101,16 @@
 			if now.discovery != told.discovery {
 				balancer.Move(now.discovery)
 			}
+			now.inherited = told.inherited
 			told = now
 		case <-stop:
 			balancer.Takes(false)
 			log.Info().Int("clients", listener.Count()).Msg("stopping")
 			until := time.Now().Add(lastAnswer + hardStop)
+			listener.Last()
+			if told.inherited >= 0 {
+				listener.Leave() // Whoever else holds the socket goes on accepting.
+			}
 			time.Sleep(stragglers)
 			all := listener.Close(until)
 			balancer.Summary(listener.Count())
--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -652,6 +652,8 @@
 		{nil, "LB_LISTEN=here", `LB_LISTEN: "here" is not an address`},
 		{nil, "LB_MGMT=up", `LB_MGMT: "up" is not an address`}, {map[string]any{"mgmt": "192.0.2.1:1"}, "", "mgmt: "},
 		{map[string]any{"mgmt": ""}, "", `mgmt: "" is not an address`},
+		{nil, "LB_LISTEN_FD=x", `LB_LISTEN_FD: "x" is not a descriptor`}, {nil, "LB_LISTEN_FD=2", "LB_LISTEN_FD: "},
+		{nil, "LB_LISTEN_FD=77", "LB_LISTEN_FD: descriptor 77: "},
 		{nil, "LB_DISCOVERY=there", `LB_DISCOVERY: "there" is not an address`},
 		{map[string]any{"name": nil}, "", "name: missing"},
 		{map[string]any{"listen": 5}, "", `listen: "5" is not an address`},
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -31,7 +33,8 @@
 	least    int
 	mu       sync.Mutex
 	room     sync.Cond // a client has gone, or is between commands
-	closed   bool
+	closed   bool      // accepts no more
+	last     bool      // each client goes with its last answer
 	clients  map[*Client]bool
 	all      sync.WaitGroup
 	Odd      func(err error) // told of accepts that went wrong
@@ -58,16 +61,40 @@
 	return [...]time.Duration{keepSilent, keepOnce, keepUsual}[min(c.good, 2)]
 }
 
+// Inherit takes clients from a listening socket that whoever started the program holds. It is never shut down: others
+// accept from it too, before and after.
+func Inherit(descriptor int, most int) (*Listener, error) {
+	if listens, err := syscall.GetsockoptInt(descriptor, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", descriptor, err)
+	} else if listens == 0 {
+		return nil, fmt.Errorf("descriptor %d does not listen", descriptor)
+	}
+	held := os.NewFile(uintptr(descriptor), "listening socket")
+	defer held.Close() // Ours is a copy of it.
+	inner, err := net.FileListener(held)
+	if err != nil {
+		return nil, err
+	}
+	if _, is := inner.(*net.TCPListener); !is {
+		return nil, fmt.Errorf("descriptor %d is no TCP socket", descriptor)
+	}
+	return newListener(inner, most), nil
+}
+
 // Listen listens on one address. It allows addresses to be used again at once, as a restart needs.
 func Listen(address string, most int) (*Listener, error) {
 	listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	l := &Listener{listener: listener, most: most, least: max(1, most/2), clients: map[*Client]bool{}, Odd: func(error) {}}
+	return newListener(listener, most), nil
+}
+
+func newListener(inner net.Listener, most int) *Listener {
+	l := &Listener{listener: inner, most: most, least: max(1, most/2), clients: map[*Client]bool{}, Odd: func(error) {}}
 	l.room.L = &l.mu
 	l.all.Add(1) // Serve counts too: Close must wait for a client that is just being accepted.
-	return l, nil
+	return l
 }
 
 // Address is where it listens.
@@ -225,7 +252,7 @@
 		if c.good > 0 { // Else its time runs from when it connected: noise does not make it last.
 			c.since = time.Now()
 		}
-		if c.going {
+		if c.going || c.owner.last {
 			c.goSoon()
 		}
 		c.owner.room.Signal()
@@ -244,6 +271,7 @@
 		c.half = len(c.Unread()) > 0
 		if c.going && c.busy == 0 && !(c.half && (c.good > 0 || len(c.owner.clients) < c.owner.most-c.owner.most/16)) {
 			if waits, ended := c.pending(); !waits && !ended {
+				c.Conn.Close() // At once: a retrieval that comes between the look and this meets a closed connection.
 				c.owner.mu.Unlock()
 				return Spared
 			}
@@ -263,13 +291,25 @@
 	}
 }
 
-// Close stops accepting, closes clients between retrievals, and waits until all are gone or the time is over.
-func (l *Listener) Close(until time.Time) bool {
+// Last lets each client go with its next answer: right after that it is least likely to ask.
+func (l *Listener) Last() {
+	l.mu.Lock()
+	l.last = true
+	l.mu.Unlock()
+}
+
+// Leave stops accepting. Clients that are connected stay.
+func (l *Listener) Leave() {
 	l.listener.Close()
 	l.mu.Lock()
 	l.closed = true
 	l.room.Signal()
 	l.mu.Unlock()
+}
+
+// Close stops accepting, closes clients between retrievals, and waits until all are gone or the time is over.
+func (l *Listener) Close(until time.Time) bool {
+	l.Leave()
 	gone := make(chan struct{})
 	go func() { l.all.Wait(); close(gone) }()
 	for {
