--- a/cmd/hollylever/door_test.go
+++ b/cmd/hollylever/door_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -73,3 +75,71 @@
 	c.answers("-BUSY")
 	p.figure("replies.read.overload", 1)
 }
+
+// Guards hosts that are out by hand, whatever discovery says meanwhile, at either process of an upgrade, and over a
+// file that somebody spoilt.
+func TestHostsOutByHand(t *testing.T) {
+	t.Parallel()
+	a, atA := host(t)
+	b, atB := host(t)
+	found, calls := discovery(t)
+	place := t.TempDir()
+	with := map[string]any{"mgmt": "127.0.0.1:0", "discovery": found}
+	known := list(4, true, entry("a/1", a, "Ready"), entry("b", b, "Ready"))
+	p := start(t, known, with, "TMPDIR="+place)
+	watch := next(t, calls, "a watch")
+	other := start(t, known, with, "TMPDIR="+place)
+	next(t, calls, "the other's watch")
+	for call, want := range map[string]int{"POST /cache-hosts/disable/": 400, "POST /cache-hosts/enable/c": 404,
+		"GET /cache-hosts/disable/b": 405, "POST /cache-hosts/disable/c": 404, "POST /cache-hosts/disable/a/1": 400,
+		"POST /cache-hosts/enable/b": 200, "POST /cache-hosts/disable/" + strings.Repeat("b", 600): 400} {
+		method, path, _ := strings.Cut(call, " ")
+		if code, text := p.calls(method, path); code != want {
+			t.Errorf("%s: %d %q, want %d", call, code, text, want)
+		}
+	}
+	says := func(to *program, path string) {
+		t.Helper()
+		if code, text := to.calls("POST", path); code != 200 {
+			t.Fatalf("%s: %d %q", path, code, text)
+		}
+	}
+	c, n := p.client(), 0
+	ask := func(from <-chan command) {
+		t.Helper()
+		n++
+		c.ask("C.GET", strconv.Itoa(n), strconv.Itoa(n), "c=read,d=3000")
+		next(t, from, "the retrieval").say(settled("v"))
+		c.answers("v")
+	}
+	says(p, "/cache-hosts/disable/b")
+	says(p, "/cache-hosts/disable/b") // Twice is one ban.
+	p.figure("targets_disabled", 1)
+	other.figure("targets_disabled", 1)
+	for range 30 {
+		ask(atA)
+	}
+	watch.say(list(5, false, entry("b", b, "Gone")))
+	p.figure("targets", 1)
+	p.figure("targets_disabled", 0)
+	watch.say(list(6, true, entry("a/1", a, "Ready"), entry("b", b, "Ready")))
+	p.figure("targets_disabled", 1)
+	if err := os.WriteFile(filepath.Join(place, "hollylever.bans"), []byte(`["b"`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.logged(`"message":"bans not taken"`)
+	for range 30 {
+		ask(atA)
+	}
+	none(t, atB)
+	says(other, "/cache-hosts/disable/a%2F1")
+	p.figure("targets_disabled", 2)
+	c.ask("C.GET", "k", "none", "c=read,d=3000").answers("-BUSY") // At once: nobody is left.
+	says(other, "/cache-hosts/enable/b")
+	p.figure("targets_disabled", 1)
+	for range 30 {
+		ask(atB)
+	}
+	third := start(t, known, with, "TMPDIR="+place) // One that starts later follows them too.
+	third.figure("targets_disabled", 1)
+}
--- a/cmd/hollylever/helper_test.go
+++ b/cmd/hollylever/helper_test.go
@@ -202,7 +202,7 @@
 
 func programWith(file string, variables ...string) *exec.Cmd {
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=", "TMPDIR=")
 	cmd.Env = append(cmd.Env, variables...)
 	return cmd
 }
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -52,7 +53,11 @@
 	idle, _ := told.settings["allowed.connIdle"].(float64)
 	dial, _ := told.settings["allowed.dialTimeout"].(float64)
 	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
-	balancer, err := routing.New(told.settings, told.known, told.discovery, told.seed, pool, memory/6, log)
+	bans := "" // Without a place of their own they last as long as the process.
+	if place := os.Getenv("TMPDIR"); place != "" {
+		bans = filepath.Join(place, "hollylever.bans")
+	}
+	balancer, err := routing.New(told.settings, told.known, told.discovery, told.seed, pool, memory/6, bans, log)
 	if err != nil {
 		return fmt.Errorf("%s: known: %w", told.file, err)
 	}
@@ -79,6 +84,7 @@
 	go listener.Serve(balancer.Serve)
 	balancer.Takes(true)
 	go balancer.Follow(ctx)
+	go balancer.FollowBans(ctx)
 	log.Info().Str("listen", listener.Address()).Str("mgmt", mgmt).Int("clients", front).Int("hosts", hosts).
 		Int64("memory_mb", int64(told.memory)).Msg("serving")
 
--- a/operators/door.go
+++ b/operators/door.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -23,12 +25,14 @@
 	answerFor   = 3 * time.Second
 	mostHead    = 4 << 10
 	mostBody    = 4 << 10
+	mostID      = 512
 )
 
 // Balancer is what the door asks. No call may wait on clients or hosts.
 type Balancer interface {
 	Ready() bool
 	Figures() routing.Figures
+	Ban(server string, out bool) error
 }
 
 // Open listens at the address and answers calls from now on. It gives where it listens.
@@ -57,11 +61,15 @@
 		return
 	}
 	path := r.URL.EscapedPath()
-	switch path {
-	case "/ready":
+	id, disable := strings.CutPrefix(path, "/cache-hosts/disable/")
+	id, enable := strings.CutPrefix(id, "/cache-hosts/enable/")
+	switch {
+	case path == "/ready":
 		d.ready(w, r)
-	case "/metrics":
+	case path == "/metrics":
 		d.metrics(w, r)
+	case disable || enable:
+		d.byHand(w, r, id, disable)
 	default:
 		http.Error(w, "unknown call", http.StatusNotFound)
 	}
@@ -102,6 +110,25 @@
 	io.WriteString(w, out.String())
 }
 
+func (d door) byHand(w http.ResponseWriter, r *http.Request, escaped string, out bool) {
+	if !meant(w, r, http.MethodPost) {
+		return
+	}
+	id, err := url.PathUnescape(escaped)
+	if err != nil || id == "" || len(id) > mostID || strings.Contains(escaped, "/") {
+		http.Error(w, "no id of a cache host", http.StatusBadRequest)
+		return
+	}
+	switch err := d.Ban(id, out); {
+	case errors.Is(err, routing.ErrNeverListed):
+		http.Error(w, "this id was never listed", http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	default:
+		fmt.Fprintf(w, "%q out by hand: %t\n", id, out)
+	}
+}
+
 type key int
 
 const callerOf key = 0
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -94,6 +94,7 @@
 	mostHeld int
 	mostHeap int64
 	taking   atomic.Bool // clients
+	bans     bans
 
 	mu        sync.Mutex // around all that follows, and the module
 	module    *choice.Balancer
@@ -103,7 +104,9 @@
 	servers   []server
 	places    tables.Indices // of servers
 	byName    map[string]int
-	knew      bool            // a server was known once
+	once      map[string]bool // names ever listed
+	names     []string        // the same, the oldest first
+	banned    map[string]bool // names of servers that are out by hand
 	open      map[string]bool // ids of retrievals that have no final answer yet
 	slots     []slot
 	held      tables.Indices // of retrievals
@@ -119,12 +122,12 @@
 }
 
 // New makes a balancer that knows a list from before, in discovery's form. It keeps at most so many bytes of
-// retrievals at once.
-func New(settings map[string]any, known []byte, discovery string, seed uint64, pool *transport.Pool, mostHeap int64,
+// retrievals at once, and what is out by hand in a file, if one is named.
+func New(settings map[string]any, known []byte, discovery string, seed uint64, pool *transport.Pool, mostHeap int64, bansIn string,
 	log zerolog.Logger) (*Balancer, error) {
 	b := &Balancer{log: log, discovery: discovery, letGo: func(error) {}, settings: settings, began: time.Now(), pool: pool, follow: make(chan struct{}, 1),
 		mostHeld: max(1, int(number(settings, "allowed.mostHeld"))), mostHeap: mostHeap, byName: map[string]int{},
-		open: map[string]bool{}, oneShot: map[int]bool{},
+		open: map[string]bool{}, once: map[string]bool{}, oneShot: map[int]bool{},
 		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
 		kinds: tables.Places(settings, "hostTypes", ""), zones: tables.Places(settings, "zones", ""),
 		fields: tables.Places(settings, "report.fields", ""), counts: map[count]int{}}
@@ -135,6 +138,8 @@
 	if settings["registryMode"] != "subscribe" {
 		b.Subscribe() // Where changes are to come unasked: here they come by a watch all the same.
 	}
+	b.bans.file = bansIn
+	b.lookAtBans()
 	return b, b.tell(context.Background(), known, true)
 }
 
@@ -221,7 +226,7 @@
 			changed = append(changed, h.name, from, to)
 		}
 		h.health = health
-		b.module.Row(now, s, h.name, health, h.started, h.kind, h.zone, h.cell, h.weight)
+		b.row(now, s)
 	}
 	err := protocol.List(line, func(index uint64, whole bool) {
 		b.index = index
@@ -237,6 +242,7 @@
 			b.servers[s].listed = false
 		}
 	}, func(name, address, status string, started int64, kind, zone string, cell int, weight float64) {
+		b.listedOnce(name)
 		s, known := b.byName[name]
 		if !known && healths[status] == choice.Gone {
 			return
@@ -258,7 +264,7 @@
 		if !stated {
 			z = -1
 		}
-		b.byName[name], b.knew = s, true
+		b.byName[name] = s
 		b.servers[s] = server{name, address, healths[status], started, k, z, cell, weight, true, b.servers[s].trips}
 		is(s, from, healths[status])
 	})
--- /dev/null
+++ b/routing/bans.go
@@ -0,0 +1,221 @@
+package routing
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"hollylever/choice"
+	"hollylever/transport"
+)
+
+const (
+	mostBans  = 1024
+	mostNames = 4096 // names once listed that are known
+	mostFile  = 1 << 20
+	lookEvery = 50 * time.Millisecond  // at the file, for what the other process of an upgrade wrote
+	lockFor   = 300 * time.Millisecond // a call may wait for the other one's
+)
+
+// ErrNeverListed says that no list ever had this server.
+var ErrNeverListed = errors.New("never listed")
+
+// bans are the servers out by hand, in a file that both processes of an upgrade follow; no file: in memory alone.
+type bans struct {
+	file    string
+	mu      sync.Mutex // around the file, within this process
+	seen    fs.FileInfo
+	damaged bool
+}
+
+// Ban takes a server out, or ends that. What it did lasts once it has returned.
+func (b *Balancer) Ban(name string, out bool) error {
+	b.mu.Lock()
+	listed := b.once[name] || b.banned[name]
+	b.mu.Unlock()
+	if !listed {
+		return ErrNeverListed
+	}
+	b.bans.mu.Lock()
+	defer b.bans.mu.Unlock()
+	unlock, err := b.bans.lock()
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	now, err := b.bans.read()
+	if err != nil || b.bans.file == "" {
+		b.mu.Lock() // A damaged file is made good by what is in force.
+		now = nil
+		for other := range b.banned {
+			now = append(now, other)
+		}
+		b.mu.Unlock()
+	}
+	now = slices.DeleteFunc(now, func(other string) bool { return other == name })
+	if out {
+		now = append(now, name)
+	}
+	if len(now) > mostBans {
+		return fmt.Errorf("%d servers are out by hand already", mostBans)
+	}
+	if err := b.bans.write(now); err != nil {
+		return err
+	}
+	b.lay(now)
+	return nil
+}
+
+// FollowBans takes what another process wrote, and closes connections to servers that are out as they become idle.
+func (b *Balancer) FollowBans(ctx context.Context) {
+	for tick := time.NewTicker(lookEvery); ctx.Err() == nil; <-tick.C {
+		b.lookAtBans()
+	}
+}
+
+func (b *Balancer) lookAtBans() {
+	b.bans.mu.Lock()
+	if stamp, err := os.Stat(b.bans.file); err == nil && !b.bans.knows(stamp) {
+		now, err := b.bans.read()
+		if err == nil {
+			b.lay(now)
+		} else if !b.bans.damaged {
+			b.log.Warn().Err(err).Msg("bans not taken") // What is in force stays.
+		}
+		b.bans.damaged = err != nil
+	}
+	b.bans.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name := range b.banned {
+		if s, known := b.byName[name]; known {
+			b.pool.Drop(transport.Peer{Server: s, Address: b.servers[s].address})
+		}
+	}
+}
+
+// lay puts bans over the list: the module hears of what changed as of changes of the list.
+func (b *Balancer) lay(names []string) {
+	var changed []string
+	b.mu.Lock()
+	before := b.banned
+	b.banned = map[string]bool{}
+	for _, name := range names {
+		b.banned[name] = true
+	}
+	now := b.now()
+	b.module.Listing(now, choice.Incremental)
+	for s := range b.servers {
+		if name := b.servers[s].name; name != "" && before[name] != b.banned[name] {
+			b.row(now, s)
+			changed = append(changed, name)
+		}
+	}
+	b.module.Listed(now)
+	b.mu.Unlock()
+	for _, name := range changed {
+		b.log.Info().Str("server", name).Bool("out", !before[name]).Msg("server by hand")
+	}
+}
+
+// row tells the module what stands of a server: by the list, and by hand.
+func (b *Balancer) row(now int64, s int) {
+	h := &b.servers[s]
+	health := h.health
+	if health == choice.Ready && b.banned[h.name] {
+		health = choice.Draining
+	}
+	b.module.Row(now, s, h.name, health, h.started, h.kind, h.zone, h.cell, h.weight)
+}
+
+// listedOnce remembers a name, in place of the oldest where there are too many.
+func (b *Balancer) listedOnce(name string) {
+	if b.once[name] {
+		return
+	}
+	if len(b.names) == mostNames {
+		delete(b.once, b.names[0])
+		b.names = slices.Delete(b.names, 0, 1)
+	}
+	b.names = append(b.names, name)
+	b.once[name] = true
+}
+
+func (f *bans) knows(stamp fs.FileInfo) bool {
+	return f.seen != nil && os.SameFile(f.seen, stamp) && f.seen.ModTime().Equal(stamp.ModTime()) && f.seen.Size() == stamp.Size()
+}
+
+// lock keeps the other process from changing the file at the same time.
+func (f *bans) lock() (unlock func(), err error) {
+	if f.file == "" {
+		return func() {}, nil
+	}
+	at, err := os.OpenFile(f.file+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(lockFor); ; time.Sleep(lockFor / 100) {
+		if err = syscall.Flock(int(at.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
+			return func() { at.Close() }, nil
+		}
+		if time.Now().After(end) { // Guards a call against another process that stands still with the lock.
+			at.Close()
+			return nil, err
+		}
+	}
+}
+
+// read gives the names in the file; none where there is no file yet.
+func (f *bans) read() ([]string, error) {
+	at, err := os.Open(f.file)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	} else if err != nil {
+		return nil, err
+	}
+	defer at.Close()
+	if f.seen, err = at.Stat(); err != nil {
+		return nil, err
+	}
+	text, err := io.ReadAll(io.LimitReader(at, mostFile))
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	if err := json.Unmarshal(text, &names); err != nil {
+		return nil, fmt.Errorf("%s: %w", f.file, err)
+	}
+	if len(names) > mostBans {
+		return nil, fmt.Errorf("%s: over %d names", f.file, mostBans)
+	}
+	return names, nil
+}
+
+// write puts the names in place of what the file holds, at one stroke.
+func (f *bans) write(names []string) error {
+	if f.file == "" {
+		return nil
+	}
+	slices.Sort(names)
+	text, err := json.Marshal(names)
+	if err != nil {
+		return err
+	}
+	aside := f.file + ".new"
+	if err := os.WriteFile(aside, text, 0o600); err != nil {
+		return err
+	}
+	if err := os.Rename(aside, f.file); err != nil {
+		return err
+	}
+	f.seen, err = os.Stat(f.file)
+	return err
+}
--- a/routing/figures.go
+++ b/routing/figures.go
@@ -44,7 +44,7 @@
 	for s := range b.servers {
 		if h := &b.servers[s]; h.name != "" && h.health != choice.Gone {
 			f.Servers++
-			if h.health == choice.Ready && b.module.Avoids(s) {
+			if b.banned[h.name] || h.health == choice.Ready && b.module.Avoids(s) {
 				f.Avoided++
 			}
 		}
--- a/routing/front.go
+++ b/routing/front.go
@@ -114,5 +114,5 @@
 func (b *Balancer) knowsAny() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.knew
+	return len(b.once) > 0
 }
