--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 	perAnswer   = 0.2 // credit that an answer earns
 	mostCredit  = 10.0
 	coldPart    = 0.3  // of the cold budget: machines differ, and so do balancers' parts of the traffic
+	proves      = 8.0  // answers prove half of what they can of a cold server: three times its part
 	leastRoom   = 0.1  // under one, reads are let in by chance
 	firstRoom   = 40.0 // aside: reads all may have out at the origin beyond two each, at first
 )
@@ -52,12 +53,7 @@
 
 type ran int8
 
-const (
-	running ran = iota // in flight
-	perhaps
-	never
-	done
-)
+const running, perhaps, never, done ran = 0, 1, 2, 3 // running: in flight
 
 type trip struct {
 	server int
@@ -624,6 +620,9 @@
 	rate := b.warmed.read(b.seen) / float64(memory) * b.pace * float64(second) / max(1, b.warm)
 	b.can = max(rate, b.can*math.Exp(-float64(now-b.canAt)/float64(10*memory)))
 	b.canAt = now
+	// What it settles, with little turned away or failed, proves that it can do more.
+	good := h.good.read(b.seen) * b.pace
+	part *= 1 + 2*good/(good+proves*(1+h.busy.read(b.seen)+h.bad.read(b.seen)))
 	rate = max(b.can*h.size, 0.5/b.balancers) * coldPart * b.multiple * part
 	h.room = min(h.room+rate*float64(now-h.roomAt)/float64(second), 1+rate*float64(b.tipAfter)/float64(second)/4)
 	h.roomAt = now
@@ -865,8 +864,8 @@
 func (b *Balancer) busy() bool { return !b.tells || b.heard == 0 || b.strains > mostIdle*b.heard }
 
 // crowded tells by Little's law that a new trip would wait too long, at the rate of answers: but misses
-// (aside) are answered at once and make no room. Guards against queues that make all answers late: once full
-// they stay full of work that nobody wants.
+// (aside) are answered at once and make no room; what servers turn away takes some, by its square.
+// Guards against queues that make all answers late: once full they stay full of work that nobody wants.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
 	w := &b.workloads[r.workload]
 	young := math.Exp(-float64(now-b.began) / float64(memory)) // Before it knows its rate: some for each server.
@@ -878,7 +877,8 @@
 		// It would most likely miss: it goes first, but keys must stay known, or all would be turned away for good.
 		part *= max(leastPart, 1-b.turned.read(b.seen)/(b.asked.read(b.seen)+1))
 	}
-	room := free + rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
+	full := b.all.busy.read(b.seen) / (b.all.answered.value + b.all.busy.value + 1)
+	room := (1-full)*free + (1-full)*(1-full)*rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
 	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -551,6 +551,36 @@
 }
 
 // Guards against queues that stay full of work nobody wants.
+// Guards a fleet with hosts out and others cold, which needs what the cold ones can do, and hosts that are full already.
+func TestAnswersMakeRoomAndBusyOnesTakeIt(t *testing.T) {
+	w := plain(t, 1, 0, nil)
+	sized(w, 20, 0, func(int) float64 { return 0 })
+	for range 400 {
+		i := w.ask(Harmless, w.b.chance.next(), second)
+		w.step(5 * ms)
+		w.answer(i, 0, OK)
+	}
+	room := func(good, busy float64) float64 {
+		h := &w.b.servers[0]
+		h.started, h.room, h.roomAt = w.now-second, 0, w.now-second/8
+		h.good, h.bad, h.busy = sum{good, w.b.seen}, sum{0, w.b.seen}, sum{busy, w.b.seen}
+		return w.b.coldRoom(w.now, 0)
+	}
+	if new, proven, full := room(0, 0), room(1000, 0), room(30, 30); proven < 2.5*new || proven > 3*new || full > 1.3*new {
+		t.Errorf("room of %g for a new one, %g for one that settles all, %g for one that is full", new, proven, full)
+	}
+	r := &retrieval{write: true}
+	for w.b.out = 0; !w.b.crowded(w.now, r); w.b.out++ {
+	}
+	before := w.b.out
+	w.b.all.busy.add(w.b.seen, w.b.all.answered.read(w.b.seen))
+	for w.b.out = 0; !w.b.crowded(w.now, r); w.b.out++ {
+	}
+	if w.b.out > before*2/3 {
+		t.Errorf("room for %d while half is turned away, for %d before", w.b.out, before)
+	}
+}
+
 func TestCrowdedFleetDismissesAtOnce(t *testing.T) {
 	w := plain(t, 1, 8, nil)
 	for range 400 {
