--- a/choice/choice.go
+++ b/choice/choice.go
@@ -221,14 +221,13 @@
 
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
-	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1,
+	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, zone: -1,
 		credit: 1, admit: 1, fetches: map[uint64]int{}, usual: float64(second),
 		chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
 	for range 8 {
 		b.chance.next()
 	}
 	b.aside, b.moving = b.text("extra.mode") == "aside", b.text("weights") == "live"
-	b.zone = -1
 	for i := range int(b.number("zones")) {
 		if b.text("zones."+strconv.Itoa(i)) == b.text("zone") {
 			b.zone = i
@@ -431,14 +430,12 @@
 
 func (b *Balancer) send(now int64, i, s int) {
 	r, h := &b.retrievals[i], &b.servers[s]
-	if s != b.origin {
-		if b.cold(now, s) {
-			h.room--
-		}
-		if len(r.trips) > 0 {
-			h.credit--
-			b.credit--
-		}
+	if s != b.origin && b.cold(now, s) {
+		h.room--
+	}
+	if s != b.origin && len(r.trips) > 0 {
+		h.credit--
+		b.credit--
 	}
 	r.trips = append(r.trips, trip{server: s, sent: now})
 	h.sent.add(b.seen, 1)
@@ -735,14 +732,18 @@
 
 // Started: the answer of a streamed retrieval has begun; it is the client's now and has no hard stop.
 func (b *Balancer) Started(now int64, i, t int) {
-	b.retrievals[i].due, b.retrievals[i].stop = math.MaxInt64, math.MaxInt64
+	r := &b.retrievals[i] // It gets no copy any more, and what still comes of it crowds no server.
+	r.due, r.stop, r.heldUntil, r.trips[t].ran = math.MaxInt64, math.MaxInt64, 0, done
+	b.count(now, r, r.trips[t].server, -1)
 }
 
 // Ended tells how a trip ended. A retrieval that has had its final answer may still have trips that end.
 func (b *Balancer) Ended(now int64, i, t, s, note int, how Outcome, took int64, noMore bool) {
 	b.passes(now)
 	r := &b.retrievals[i]
-	b.count(now, r, s, -1)
+	if r.trips[t].ran == running {
+		b.count(now, r, s, -1)
+	}
 	switch how {
 	case OK:
 		r.trips[t].ran = done
@@ -765,7 +766,7 @@
 		b.drop(now, i, r.missed)
 	case noMore:
 		b.drop(now, i, -1)
-	case r.out > 0: // Another trip may still answer.
+	case r.out > 0 || r.due == math.MaxInt64: // Another trip may still answer, or does.
 	case now >= r.stop || s == b.origin && how != Full && how != Unreached,
 		how == Errored && b.fails.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
 		b.finish(now, i)
@@ -937,10 +938,9 @@
 	}
 }
 
-// Probed: the result of a probe. This module sends none.
+// Probed and Told: what probes and other balancers tell. This module sends neither and heeds neither.
 func (b *Balancer) Probed(now int64, s int, how Outcome, took int64) {}
 
-// Told: a message of another balancer. This module sends none and heeds none.
 func (b *Balancer) Told(now int64, from int, data []byte) {}
 
 // Reported: a server's load report, its figures in the order of the settings; NaN for those that it lacks.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -581,6 +581,25 @@
 	}
 }
 
+// Guards other retrievals, and the client: a value that has begun crowds no server, gets no copy and is not called off.
+func TestWhatHasBegunIsTheClients(t *testing.T) {
+	w := plain(t, 1, 2, map[string]any{"allowed.secondCopies": true, "allowed.cancelling": true})
+	i := w.ask(Harmless, 1, 3*second)
+	s := w.asked[i].trips[0].server
+	w.b.send(w.now, i, 1-s) // A copy.
+	w.b.Started(w.now, i, 0)
+	if w.b.out != 1 || w.b.servers[s].out != 0 {
+		t.Fatalf("%d in flight, %d at the server", w.b.out, w.b.servers[s].out)
+	}
+	w.asked[i].stop = w.now + 20*second
+	w.step(10 * second) // No copy comes due.
+	w.answer(i, 1, Reset)
+	w.answer(i, 0, OK)
+	if len(w.asked[i].trips) != 2 || w.b.out != 0 || w.b.servers[0].out+w.b.servers[1].out != 0 || w.offCalled != 0 || len(w.b.live) != 0 {
+		t.Fatalf("%d in flight, %d called off", w.b.out, w.offCalled)
+	}
+}
+
 func TestCrowdedFleetDismissesAtOnce(t *testing.T) {
 	w := plain(t, 1, 8, nil)
 	for range 400 {
--- /dev/null
+++ b/cmd/hollylever/large_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+const tail = "\r\n$3\r\nhit\r\n$-1\r\n"
+
+func head(size int) string { return fmt.Sprintf("*3\r\n$%d\r\n", size) }
+
+// gets reads so many bytes.
+func (c client) gets(want string) {
+	c.t.Helper()
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(c.in, got); err != nil || string(got) != want {
+		c.t.Fatalf("%.30q, %v; want %.30q and %d bytes", got, err, want, len(want))
+	}
+}
+
+// A value over 64 KiB goes on as it comes; one that does not end as it should never looks whole, and never goes again.
+func TestLargeValues(t *testing.T) {
+	t.Parallel()
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), withDoor)
+	c, half := p.client(), strings.Repeat("v", 100<<10)
+	c.ask("C.GET", "k", "a", "c=read,d=3000")
+	h := next(t, came, "the retrieval")
+	h.say(head(2*len(half)) + half)
+	c.gets(fmt.Sprintf("$%d\r\n", 2*len(half)) + half) // The rest has not been sent.
+	p.figure("concurrent", 1)
+	for n := range half {
+		if n%2048 == 0 {
+			h.say(half[n : n+2048])
+		}
+	}
+	for _, piece := range strings.Split(tail, "") {
+		h.say(piece)
+	}
+	c.gets(half + "\r\n")
+	p.figure("replies.read.success", 1)
+	p.figure("concurrent", 0)
+	for n, end := range []func(h command){func(h command) { h.Close() }, func(h command) { h.say(half + "v" + tail) },
+		func(h command) { h.say(half + "\n\r" + tail) }} {
+		c := p.client().ask("C.GET", "k", fmt.Sprint("b", n), "c=read,d=3000")
+		h := next(t, came, "the retrieval")
+		h.say(head(2*len(half)) + half)
+		c.gets(fmt.Sprintf("$%d\r\n", 2*len(half)) + half)
+		end(h)
+		if rest, _ := io.ReadAll(c.in); len(rest) > len(half) {
+			t.Errorf("%d: the client takes a spoilt value for whole: %d bytes more", n, len(rest))
+		}
+		p.figure("replies.read.error", n+1)
+	}
+	none(t, came)
+	c.ask("C.GET", "k", "pieces", "c=read,d=3000")
+	h = next(t, came, "the retrieval")
+	pieces := time.NewTicker(150 * time.Millisecond)
+	defer pieces.Stop()
+	for _, piece := range []string{"*3\r\n", "$2\r\nv", "w\r\n$3\r\nhi", "t\r\n$-1\r\n"} {
+		h.say(piece)
+		<-pieces.C
+	}
+	c.answers("vw")
+	gone := p.client().ask("C.GET", "k", "gone", "c=read,d=3000")
+	h = next(t, came, "the retrieval")
+	h.say(head(2*len(half)) + half)
+	gone.gets(fmt.Sprintf("$%d\r\n", 2*len(half)) + half)
+	gone.Close()
+	h.say(half[:50000])
+	next(t, h.ended, "the end of what nobody reads any more")
+}
+
+// Guards the smallest memory against many large values at once, and clients that are slow to read them.
+func TestManyLargeValuesInLittleMemory(t *testing.T) {
+	t.Parallel()
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), withDoor)
+	const size, many = 4 << 20, 30
+	value, clients := strings.Repeat("v", size), []client{}
+	for n := range many {
+		c := p.client().ask("C.GET", strconv.Itoa(n), strconv.Itoa(n), "c=read,d=3000")
+		h := next(t, came, "the retrieval")
+		go h.say(head(size) + value + tail)
+		c.gets(fmt.Sprintf("$%d\r\nvvv", size))
+		clients = append(clients, c)
+	}
+	for _, c := range clients {
+		c.gets(value[3:] + "\r\n")
+	}
+	p.figure("replies.read.success", many)
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	_, line, _ := strings.Cut(string(text), "VmHWM:")
+	most := 0
+	fmt.Sscan(line, &most)
+	if err != nil || most == 0 || most > 32<<10 {
+		t.Errorf("%d KiB at the most, %v", most, err)
+	}
+}
--- a/protocol/answer.go
+++ b/protocol/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/tidwall/redcon"
 
@@ -62,6 +63,33 @@
 	return transport.Settled, value, report, note, length
 }
 
+// Large tells of an answer that begins with a value over MostValue: how long that is, and how far in it begins; 0 for
+// any other.
+func Large(came []byte) (size, from int) {
+	rest, is := bytes.CutPrefix(came, []byte("*3\r\n$"))
+	digits, _, ended := bytes.Cut(rest, []byte("\r\n"))
+	if !is || !ended || len(digits) == 0 || digits[0] < '1' || digits[0] > '9' {
+		return 0, 0
+	}
+	n, err := strconv.Atoi(string(digits))
+	if err != nil || n <= MostValue || n > MostLarge {
+		return 0, 0
+	}
+	return n, len("*3\r\n$\r\n") + len(digits)
+}
+
+// Rest takes off what stands behind a large value, as Answer does.
+func Rest(came []byte) (end transport.End, report []byte, note, length int) {
+	const before = "*3\r\n$1\r\nv\r\n"
+	end, _, report, note, length = Answer(append([]byte(before), came...))
+	return end, report, note, max(0, length-len(before))
+}
+
+// AppendBegun writes what stands before a large value.
+func AppendBegun(out []byte, size int) []byte {
+	return append(appendWhole(append(out, '$'), int64(size)), "\r\n"...)
+}
+
 // says tells whether an error line is the one named, alone or with a load report behind it. Any other is noise.
 func says(line []byte, what string) bool {
 	rest, is := bytes.CutPrefix(line, []byte(what))
--- a/protocol/frame.go
+++ b/protocol/frame.go
@@ -10,8 +10,11 @@
 	"hollylever/transport"
 )
 
-// MostValue is the longest bulk string there may be.
-const MostValue = 64 << 10
+// MostValue is the longest bulk string that is ever held whole; a host's value may be as long as MostLarge.
+const (
+	MostValue = 64 << 10
+	MostLarge = 4 << 20
+)
 
 const (
 	mostParts = 16
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -50,6 +50,7 @@
 	callOff
 	dismiss
 	giveUp
+	begins // a large value
 	ended
 )
 
@@ -59,10 +60,12 @@
 	trip, server int
 	address      string // of the server when the trip was decided on
 	at, until    int64
+	took         int64 // until a large value began
 	end          transport.End
 	note         int
 	load         []float64 // the host's report, nil if none came
 	answer       []byte
+	begun        *begun
 }
 
 // slot is a retrieval's place in the tables while it lives.
@@ -156,7 +159,7 @@
 // take finds a small index for a retrieval. Its channel holds all that it can ever be told, so that telling
 // never blocks.
 func (b *Balancer) take() (int, chan news) {
-	told := make(chan news, 3*max(1, int(number(b.settings, "allowed.mostTrips")))+2)
+	told := make(chan news, 4*max(1, int(number(b.settings, "allowed.mostTrips")))+2)
 	i := b.held.Take()
 	if i == len(b.slots) {
 		b.slots = append(b.slots, slot{})
--- a/routing/front.go
+++ b/routing/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strconv"
 	"time"
 
@@ -11,15 +12,22 @@
 
 const (
 	pipelined = 64               // commands of one client that are answered side by side
-	writeFor  = 10 * time.Second // how long a client may take to read an answer
+	writeFor  = 10 * time.Second // how long a client may take to read an answer, or a piece of a large one
+	pieceOf   = 16 << 10
 )
 
 // turn is the place of a command among its client's: the answer when it is there, and when that was written.
 type turn struct {
-	answer  chan []byte
+	answer  chan reply
 	written chan struct{}
 }
 
+// reply is what a client is sent: bytes, and behind them perhaps a large value as it comes.
+type reply struct {
+	bytes []byte
+	value *io.PipeReader
+}
+
 // Serve serves one client until it goes away. It reads on while retrievals are out, so that its going is seen.
 func (b *Balancer) Serve(c *transport.Client) {
 	left, written := make(chan struct{}), make(chan struct{})
@@ -68,7 +76,7 @@
 			answers <- ready(protocol.AppendWrong(nil, wrong))
 		case is:
 			own, _, _ := protocol.Command(bytes.Clone(c.Unread()[:length]))
-			t := turn{make(chan []byte, 1), make(chan struct{})}
+			t := turn{make(chan reply, 1), make(chan struct{})}
 			answers <- t
 			go b.retrieve(own, write, t, c.Good, left)
 		case bytes.EqualFold(words[0], []byte("PING")) && b.knowsAny():
@@ -86,15 +94,15 @@
 
 // ready is the turn of a command that has its answer at once.
 func ready(answer []byte) turn {
-	t := turn{make(chan []byte, 1), make(chan struct{})}
-	t.answer <- answer
+	t := turn{make(chan reply, 1), make(chan struct{})}
+	t.answer <- reply{bytes: answer}
 	return t
 }
 
 // write gives the client its answers in the order of its commands.
 func (b *Balancer) write(c *transport.Client, answers <-chan turn, left <-chan struct{}) {
 	for t := range answers {
-		var message []byte
+		var message reply
 		select {
 		case message = <-t.answer:
 		case <-left:
@@ -103,7 +111,7 @@
 			default:
 			}
 		}
-		if c.Hand(message, time.Now().Add(writeFor)) != transport.Open {
+		if c.Hand(message.bytes, time.Now().Add(writeFor)) != transport.Open || !passOn(c, message.value) {
 			c.Conn.Close() // The reader sees it and tells all that is out.
 		}
 		close(t.written)
@@ -111,6 +119,23 @@
 	}
 }
 
+// passOn gives the client a large value as it comes, and says whether all of it went out.
+func passOn(c *transport.Client, value *io.PipeReader) bool {
+	if value == nil {
+		return true
+	}
+	defer value.Close() // Whoever writes into it hears that nobody reads any more.
+	for piece := make([]byte, pieceOf); ; {
+		n, err := value.Read(piece)
+		if n > 0 && c.Hand(piece[:n], time.Now().Add(writeFor)) != transport.Open {
+			return false
+		}
+		if err != nil {
+			return err == io.EOF
+		}
+	}
+}
+
 func (b *Balancer) knowsAny() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/routing/life.go
+++ b/routing/life.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"errors"
+	"io"
 	"time"
 
 	"hollylever/choice"
@@ -9,14 +11,26 @@
 	"hollylever/transport"
 )
 
-const tailFor = 100 * time.Millisecond // how long the rest of an answer may take once more of it has come
+const (
+	tailFor     = 250 * time.Millisecond // how long the next piece of an answer that has begun may take
+	progressFor = 3 * time.Second        // the next one of a large value
+)
+
+var errCut = errors.New("the value breaks off")
+
+// begun is a large value that a trip has the beginning of: the retrieval takes it for its client, or not.
+type begun struct {
+	size  int
+	value *io.PipeReader
+	take  chan bool
+}
 
 // retrieve is the life of a retrieval, from its words at the door over its trips to its one final answer, and on
 // until its last trip has ended. good is called once it is begun, left is closed when its client goes away.
 func (b *Balancer) retrieve(words [][]byte, write bool, t turn, good func(), left <-chan struct{}) {
 	workload, tenant, patience, predicted, err := protocol.Fields(words[3])
 	if err != nil {
-		t.answer <- protocol.AppendWrong(nil, err.Error())
+		t.answer <- reply{bytes: protocol.AppendWrong(nil, err.Error())}
 		return
 	}
 	size := int64(0)
@@ -45,11 +59,11 @@
 		b.mu.Unlock()
 		switch {
 		case !known:
-			t.answer <- protocol.AppendWrong(nil, "unknown workload")
+			t.answer <- reply{bytes: protocol.AppendWrong(nil, "unknown workload")}
 		case twice: // Guards the one that is out: a host takes this for the same and could answer either.
-			t.answer <- protocol.AppendWrong(nil, "a retrieval of this id is open")
+			t.answer <- reply{bytes: protocol.AppendWrong(nil, "a retrieval of this id is open")}
 		default:
-			t.answer <- protocol.AppendDismissed(nil, 0) // Guards memory; it was never begun.
+			t.answer <- reply{bytes: protocol.AppendDismissed(nil, 0)} // Guards memory; it was never begun.
 		}
 		return
 	}
@@ -63,6 +77,7 @@
 
 	var lines []*transport.Line
 	over := 0 // trips that have ended
+	var large *begun
 	for answered := false; !answered || over < b.trips(i); {
 		select {
 		case <-left:
@@ -78,6 +93,9 @@
 			for _, line := range lines {
 				line.Withdraw()
 			}
+			if large != nil {
+				large.value.Close()
+			}
 		case n := <-told:
 			var final []byte
 			how := ""
@@ -95,10 +113,44 @@
 				final, how = protocol.AppendDismissed(nil, n.until), "dismissed"
 			case giveUp:
 				final, how = protocol.AppendGivenUp(nil), "given_up"
+			case begins:
+				b.mu.Lock()
+				takes := !b.slots[i].final
+				if takes {
+					b.slots[i].final = true
+					b.heap += 2 * pieceOf
+					size += 2 * pieceOf
+					b.module.Started(b.now(), i, n.trip)
+				}
+				b.mu.Unlock()
+				if n.begun.take <- takes; !takes {
+					continue
+				}
+				large, answered = n.begun, true // The client's from now on; it counts once it is whole.
+				for trip, line := range lines {
+					if trip != n.trip {
+						line.Cut()
+					}
+				}
+				t.answer <- reply{protocol.AppendBegun(nil, large.size), large.value}
 			case ended:
 				over++
 				b.mu.Lock()
-				now, outcome := b.now(), outcomes[n.end]
+				now, outcome, took := b.now(), outcomes[n.end], n.took
+				if took == 0 {
+					took = now - n.at
+				}
+				switch {
+				case large == nil:
+				case n.begun == large:
+					delete(b.open, id)
+					if how = "given_up"; outcome == choice.OK {
+						how = "settled"
+					}
+					b.counts[count{how, w}]++
+				case outcome == choice.OK:
+					outcome = choice.CalledOff // It came while the large value was begun: nobody waits for it.
+				}
 				if outcome == choice.OK && !b.slots[i].final {
 					b.slots[i].final = true
 					final, how = n.answer, "settled"
@@ -110,7 +162,7 @@
 				if n.load != nil {
 					b.module.Reported(now, n.server, n.load)
 				}
-				b.module.Ended(now, i, n.trip, n.server, n.note, outcome, now-n.at, b.slots[i].final)
+				b.module.Ended(now, i, n.trip, n.server, n.note, outcome, took, b.slots[i].final)
 				b.mu.Unlock()
 			}
 			if final != nil && !answered {
@@ -121,7 +173,7 @@
 				delete(b.open, id)
 				b.counts[count{how, w}]++
 				b.mu.Unlock()
-				t.answer <- final
+				t.answer <- reply{bytes: final}
 				answered = true
 			}
 		}
@@ -150,7 +202,7 @@
 // trip sends a retrieval to a server once and waits for how that ends. Careful: so that as little as can be is sent
 // of which nobody can tell whether it ran.
 func (b *Balancer) trip(line *transport.Line, words [][]byte, careful bool, n news, told chan<- news) {
-	until := b.at(n.until)
+	until, clean := b.at(n.until), true
 	end := line.Connect(transport.Peer{Server: n.server, Address: n.address}, until)
 	if end == transport.Open {
 		message := protocol.AppendRetrieval(nil, words, int64(time.Until(until)))
@@ -166,27 +218,96 @@
 		}
 	}
 	for end == transport.Open {
+		if large, from := protocol.Large(line.Unread()); large > 0 {
+			n.took = b.now() - n.at
+			line.Skip(from)
+			end, clean = b.pass(line, large, &n, told)
+			break
+		}
 		var value, report []byte
 		var length int
 		if end, value, report, n.note, length = protocol.Answer(line.Unread()); end == transport.Open {
-			begun := len(line.Unread()) > 0
-			if begun && until.Sub(time.Now()) > tailFor {
-				until = time.Now().Add(tailFor) // Guards against an answer that begins and does not end.
-			}
-			if end = line.Fill(until); end == transport.Silent && begun {
-				end = transport.Garbled
-			}
+			end = more(line, until)
 			continue
 		}
 		if end == transport.Settled {
 			n.answer = protocol.AppendSettled(nil, value)
 		}
-		if load := make([]float64, len(b.fields)); tables.Report(report, "=", b.fields, load) {
-			n.load = load
-		}
+		n.load = b.report(report)
 		line.Skip(length)
 	}
-	line.Done(end <= transport.TurnedAway)
+	line.Done(clean && end <= transport.TurnedAway)
 	n.what, n.end = ended, end
 	told <- n
 }
+
+// more reads the next piece of an answer. Guards against an answer that begins and does not end.
+func more(line *transport.Line, until time.Time) transport.End {
+	begun := len(line.Unread()) > 0
+	if begun && until.Sub(time.Now()) > tailFor {
+		until = time.Now().Add(tailFor)
+	}
+	end := line.Fill(until)
+	if end == transport.Silent && begun {
+		return transport.Garbled
+	}
+	return end
+}
+
+// pass hands a large value on as it comes, so that little of it is ever here, and reads what stands behind it. It says
+// how that ended, and whether the connection is clean.
+func (b *Balancer) pass(line *transport.Line, size int, n *news, told chan<- news) (end transport.End, clean bool) {
+	value, into := io.Pipe()
+	n.begun = &begun{size, value, make(chan bool, 1)}
+	n.what = begins
+	told <- *n
+	if !<-n.begun.take {
+		return transport.CalledOff, false
+	}
+	defer into.CloseWithError(errCut) // No more than a second Close where it is whole.
+	for ended := 0; ended < len("\r\n"); {
+		if line.Widen(); len(line.Unread()) == 0 {
+			if end = line.Fill(time.Now().Add(progressFor)); end != transport.Open {
+				return end, false
+			}
+		}
+		came := line.Unread()
+		if size > 0 {
+			came = came[:min(size, len(came))]
+			if _, err := into.Write(came); err != nil {
+				line.Cut() // Nobody reads it any more.
+				return transport.CalledOff, false
+			}
+			size -= len(came)
+			line.Skip(len(came))
+			continue
+		}
+		// Guards the client against a value that is not as long as was said: it must be able to tell.
+		if came[0] != "\r\n"[ended] {
+			return transport.Garbled, false
+		}
+		ended++
+		line.Skip(1)
+	}
+	into.Write([]byte("\r\n"))
+	into.Close()
+	for {
+		how, report, note, length := protocol.Rest(line.Unread())
+		if how == transport.Settled {
+			n.note, n.load = note, b.report(report)
+			line.Skip(length)
+			return transport.Settled, true
+		}
+		if how != transport.Open || more(line, time.Now().Add(tailFor)) != transport.Open {
+			return transport.Settled, false // The value was whole.
+		}
+	}
+}
+
+// report reads a host's load report, nil if there is none.
+func (b *Balancer) report(text []byte) []float64 {
+	if load := make([]float64, len(b.fields)); tables.Report(text, "=", b.fields, load) {
+		return load
+	}
+	return nil
+}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// Widen makes an empty buffer as large as one may stay, for much that is to come.
+func (c *Conn) Widen() {
+	if c.from == c.to && len(c.buffer) < keepBuffer {
+		c.buffer = make([]byte, keepBuffer)
+	}
+}
+
 // room makes some in the buffer: Garbled when a message is longer than it may grow.
 func (c *Conn) room() End {
 	switch {
