Starts in 12 MB; who inherits its socket holds half the memory, who goes drops idle connections

Tests: the door in a crowd at 16 MB and 128 descriptors, seen to fail (no start); Fade on a pool with an old connection.

--- a/cmd/hollylever/door_test.go
+++ b/cmd/hollylever/door_test.go
@@ -14,7 +14,8 @@
 // Guards operators against callers that hold the door and say nothing, and it against calls that make no sense.
 func TestDoorAnswersInACrowd(t *testing.T) {
 	t.Parallel()
-	p := start(t, list(0, true, entry("s", "127.0.0.1:1", "Ready")), withDoor)
+	p := start(t, list(0, true, entry("s", "127.0.0.1:1", "Ready")), map[string]any{"mgmt": "127.0.0.1:0",
+		"limits": map[string]any{"cores": 0.3, "memory_mb": 16, "sockets": 128}}) // Half of the smallest days.
 	for n := range 60 {
 		c, err := net.Dial("tcp", p.mgmt)
 		if err != nil {
--- a/cmd/hollylever/given.go
+++ b/cmd/hollylever/given.go
@@ -25,7 +25,10 @@
 	settings                            map[string]any
 }
 
-const mostFields = 16 // of a load report
+const (
+	mostFields  = 16 // of a load report
+	leastMemory = 12 // MB: what the program itself needs, and as much again
+)
 
 func within(value any, least, most float64) bool {
 	x, is := value.(float64)
@@ -100,7 +103,7 @@
 	}{
 		{g.name != "", "name", "missing"},
 		{g.cores > 0, "limits.cores", "not a number over 0"},
-		{g.memory >= 32, "limits.memory_mb", "not a number of at least 32"},
+		{g.memory >= leastMemory, "limits.memory_mb", "not a number of at least " + strconv.Itoa(leastMemory)},
 		{g.sockets >= 2*reserve, "limits.sockets", "not a number of at least " + strconv.Itoa(2*reserve)},
 		{object.Get("settings").IsObject(), "settings", "not an object"},
 		{workloads > 0, "settings.workloads", "names no workload"},
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -45,8 +45,11 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(told.cores)))
 	memory := int64(told.memory * (1 << 20))
+	if told.inherited >= 0 {
+		memory /= 2 // Guards against two processes over an upgrade, whose memory counts together.
+	}
 	debug.SetMemoryLimit(memory * 7 / 10)
-	debug.SetGCPercent(int(min(400, max(50, told.memory)))) // A small machine collects sooner.
+	debug.SetGCPercent(int(min(400, max(50, memory>>20)))) // A small machine collects sooner.
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("balancer", told.name).Logger()
 
 	hosts := (told.sockets - reserve) / 2
@@ -118,6 +121,7 @@
 				listener.Leave() // Whoever else holds the socket goes on accepting.
 			}
 			time.Sleep(stragglers)
+			pool.Fade()
 			all := listener.Close(until)
 			balancer.Summary(listener.Count())
 			log.Info().Bool("all_answered", all).Msg("stopped")
--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -661,6 +661,7 @@
 		{map[string]any{"seed": "none"}, "", "seed: not a hexadecimal number"},
 		{map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 192}}, "", "limits.sockets: not a number"},
 		{map[string]any{"limits": map[string]any{"cores": 1, "sockets": 1024}}, "", "limits.memory_mb: not a number"},
+		{map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 11, "sockets": 64}}, "", "limits.memory_mb: not a number of at least 12"},
 		{map[string]any{"limits": nil}, "", "limits.cores: not a number"},
 		{map[string]any{"known": nil}, "", "known: not a list"},
 		{map[string]any{"known": json.RawMessage(list(0, true, entry("s", "127.0.0.1:1", "Fine")))}, "", "known: entry 0 of the list: bad status"},
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -15,6 +15,8 @@
 // lookFor and twice the time that the connection took to come up is how long the last byte is held back.
 const lookFor = 2 * time.Millisecond
 
+const fadeFor = 20 * restFor
+
 // Peer is a server at an address. An address alone is not enough: a new server may have an old one's, whose open
 // connections stay silent or end at it.
 type Peer struct {
@@ -257,6 +259,14 @@
 	}
 }
 
+// Fade keeps idle connections no longer than for a moment: another process takes over, and what both hold counts together.
+func (p *Pool) Fade() {
+	p.mu.Lock()
+	p.keep = min(p.keep, fadeFor)
+	p.mu.Unlock()
+	p.Sweep()
+}
+
 // Count tells how many connections are open.
 func (p *Pool) Count() int {
 	p.mu.Lock()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -220,6 +220,23 @@
 }
 
 // Guards trips against what belongs to others: what comes right behind an answer, an address that has a new server.
+// Guards the descriptors of two processes over an upgrade, which count together.
+func TestWhoGoesKeepsNoIdleConnections(t *testing.T) {
+	address, _ := peer(t)
+	p := NewPool(8, time.Minute, time.Second)
+	old, young := connected(t, p, address), connected(t, p, address)
+	conn := old.Conn
+	old.Done(true)
+	young.Done(true)
+	conn.idleAt = conn.idleAt.Add(-time.Second)
+	if p.Sweep(); p.Count() != 2 {
+		t.Fatal("idle connections are not kept")
+	}
+	if p.Fade(); p.Count() != 1 {
+		t.Fatalf("%d idle connections are kept by one that goes", p.Count())
+	}
+}
+
 func TestConnectionIsUsedAgainOnlyForItsServerAndRested(t *testing.T) {
 	address, accepted := peer(t)
 	p := NewPool(8, time.Minute, time.Second)
