Clients' values up to 4 MiB, held whole out of a budget that all share

A large write ended as 'length out of bounds'. The length that a command announces now takes its whole buffer out of a sixth of the memory at once (first try: by doubling, where 24 clients at once took it piece by piece and none was settled); the buffer goes over to the retrieval without a copy, and trips write it from there. A dismissed client may send 4 MiB more before the close, or the reset would take the last word with it.

--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -73,6 +73,7 @@
 	} else if listener, err = transport.Listen(told.listen, front); err != nil {
 		return fmt.Errorf("%s: listen: %w", told.file, err)
 	}
+	listener.Budget = transport.NewBudget(memory / 6)
 	listener.Odd = func(err error) { log.Warn().Err(err).Msg("accept failed") }
 
 	mgmt := "" // No door for operators.
--- a/protocol/answer.go
+++ b/protocol/answer.go
@@ -20,7 +20,7 @@
 // what has come, as the load report does, the note on how it went, and its length; Open and 0 while it is not all
 // there.
 func Answer(came []byte) (end transport.End, value, report []byte, note, length int) {
-	length, err := whole(came)
+	length, err := whole(came, MostValue)
 	if err != nil {
 		return transport.Garbled, nil, nil, 0, 0
 	}
--- a/protocol/command.go
+++ b/protocol/command.go
@@ -22,7 +22,7 @@
 	if len(came) > 0 && came[0] != '*' {
 		return nil, 0, errCommand
 	}
-	if length, err = whole(came); err != nil || length == 0 {
+	if length, err = whole(came, MostLarge); err != nil || length == 0 {
 		return nil, 0, err
 	}
 	if len(came) > 1 && (came[1] < '1' || came[1] > '9') {
@@ -35,6 +35,12 @@
 	return words, length, nil
 }
 
+// Needs tells how long a command that is not all there must be at least.
+func Needs(came []byte) int {
+	_, need, _ := frame(came, MostLarge)
+	return need
+}
+
 // Fields takes apart the list of names and values of a retrieval. Times are in nanoseconds. What is not known is
 // let be.
 func Fields(list []byte) (workload, tenant []byte, patience, predicted int64, err error) {
@@ -95,10 +101,14 @@
 	return hash
 }
 
-// AppendRetrieval writes a retrieval as it came, but for d: how long this trip will be waited for.
-func AppendRetrieval(out []byte, words [][]byte, wait int64) []byte {
+// AppendRetrieval writes a retrieval as it came, but for d: how long this trip will be waited for. A value over MostValue
+// and the line end behind it are not copied: they follow, as they stood in the command.
+func AppendRetrieval(out []byte, words [][]byte, wait int64) (message, follows []byte) {
 	out = redcon.AppendArray(out, len(words))
 	for i, word := range words {
+		if i == 4 && len(word) > MostValue {
+			return AppendBegun(out, len(word)), word[:len(word)+len("\r\n")]
+		}
 		if i != 3 {
 			out = redcon.AppendBulk(out, word)
 			continue
@@ -117,7 +127,7 @@
 		}
 		out = redcon.AppendBulk(out, list)
 	}
-	return out
+	return out, nil
 }
 
 // Retrieval tells whether the words are a retrieval, whether it writes, and what is wrong with it otherwise.
--- a/routing/front.go
+++ b/routing/front.go
@@ -63,6 +63,11 @@
 			} else if until.IsZero() {
 				until = c.Whole()
 			}
+			if c.Grow(protocol.Needs(c.Unread())) == transport.NoRoom {
+				c.Begin()
+				answers <- ready(protocol.AppendDismissed(nil, 0)) // It was never begun, and can't be read any further.
+				return transport.Garbled
+			}
 			if end := c.Fill(until); end != transport.Open {
 				return end
 			}
@@ -75,10 +80,11 @@
 		case wrong != "":
 			answers <- ready(protocol.AppendWrong(nil, wrong))
 		case is:
-			own, _, _ := protocol.Command(bytes.Clone(c.Unread()[:length]))
+			own, _, _ := protocol.Command(c.Take(length))
 			t := turn{make(chan reply, 1), make(chan struct{})}
 			answers <- t
 			go b.retrieve(own, write, t, c.Good, left)
+			continue
 		case bytes.EqualFold(words[0], []byte("PING")) && b.knowsAny():
 			c.Good()
 			answers <- ready(protocol.AppendPong(nil))
--- a/routing/life.go
+++ b/routing/life.go
@@ -205,8 +205,14 @@
 	until, clean := b.at(n.until), true
 	end := line.Connect(transport.Peer{Server: n.server, Address: n.address}, until)
 	if end == transport.Open {
-		message := protocol.AppendRetrieval(nil, words, int64(time.Until(until)))
-		if careful {
+		message, follows := protocol.AppendRetrieval(nil, words, int64(time.Until(until)))
+		if follows != nil {
+			if end = line.Begin(message, until); end == transport.Open {
+				message = follows
+			}
+		}
+		if end != transport.Open {
+		} else if careful {
 			end = line.HandCarefully(message, until)
 		} else {
 			end = line.Hand(message, until)
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -3,7 +3,9 @@
 package transport
 
 import (
+	"bytes"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -13,13 +15,35 @@
 	keepBuffer  = 16 << 10 // an empty buffer over this is let go
 	// MostBuffer bounds what one message may hold: a value of 64 KiB with its command around it.
 	MostBuffer = 72 << 10
+	// MostMessage bounds one of a client that is allowed more, out of a budget.
+	MostMessage = 4<<20 + 8<<10
 )
 
+// Budget is what buffers may take beyond MostBuffer, all together.
+type Budget struct{ left atomic.Int64 }
+
+// NewBudget makes one of so many bytes.
+func NewBudget(bytes int64) *Budget {
+	b := &Budget{}
+	b.left.Store(bytes)
+	return b
+}
+
+func (b *Budget) take(n int) bool {
+	if b == nil || b.left.Add(int64(-n)) >= 0 {
+		return b != nil
+	}
+	b.left.Add(int64(n))
+	return false
+}
+
 // Conn is a connection with its buffer, which grows as it needs and is compacted in place.
 type Conn struct {
 	net.Conn
 	buffer   []byte
 	from, to int
+	budget   *Budget // for more than MostBuffer; nil: none
+	owes     int     // to it
 	peer     Peer
 	idleAt   time.Time // pool: since when it has been idle
 }
@@ -33,10 +57,42 @@
 		c.from, c.to = 0, 0
 		if len(c.buffer) > keepBuffer {
 			c.buffer = nil // Guards memory against many idle connections that once carried a large value.
+			c.repay()
 		}
 	}
 }
 
+// Take is done with n bytes and gives them away to stay: the buffer itself where it is large and holds nothing else.
+func (c *Conn) Take(n int) []byte {
+	own := c.buffer[c.from : c.from+n]
+	if n <= MostBuffer || c.from+n != c.to {
+		own = bytes.Clone(own)
+	}
+	c.Skip(n)
+	return own
+}
+
+// Grow makes the buffer large enough for a message of n bytes: NoRoom when the budget has none left.
+func (c *Conn) Grow(n int) End {
+	if n <= MostBuffer || n <= len(c.buffer) {
+		return Open
+	}
+	if n = min(n, MostMessage); c.owes > 0 || !c.budget.take(n) {
+		return NoRoom
+	}
+	c.owes = n
+	grown := make([]byte, n)
+	c.from, c.to, c.buffer = 0, copy(grown, c.Unread()), grown
+	return Open
+}
+
+func (c *Conn) repay() {
+	if c.owes > 0 {
+		c.budget.left.Add(int64(c.owes))
+		c.owes = 0
+	}
+}
+
 // Widen makes an empty buffer as large as one may stay, for much that is to come.
 func (c *Conn) Widen() {
 	if c.from == c.to && len(c.buffer) < keepBuffer {
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -14,7 +14,7 @@
 
 const (
 	lingerFor  = time.Second
-	mostLinger = 1 << 20
+	mostLinger = MostMessage
 
 	keepSilent = 2 * time.Second // from when it connected, with no good command
 	keepOnce   = 5 * time.Second // after one
@@ -37,6 +37,7 @@
 	last     bool      // each client goes with its last answer
 	clients  map[*Client]bool
 	all      sync.WaitGroup
+	Budget   *Budget         // for clients' large values; nil: none
 	Odd      func(err error) // told of accepts that went wrong
 }
 
@@ -123,7 +124,7 @@
 			continue
 		}
 		pause, odd = time.Millisecond, false
-		c := &Client{Conn: Conn{Conn: inner}, owner: l, came: time.Now(), since: time.Now()}
+		c := &Client{Conn: Conn{Conn: inner, budget: l.Budget}, owner: l, came: time.Now(), since: time.Now()}
 		l.mu.Lock()
 		for l.spare(); len(l.clients) >= l.most && !l.closed; l.spare() {
 			l.room.Wait() // All may be at work: the first that has its answer makes room.
@@ -135,6 +136,7 @@
 			defer l.all.Done()
 			serve(c)
 			c.Close()
+			c.repay()
 			l.mu.Lock()
 			delete(l.clients, c) // Only now: until here it had its descriptor.
 			l.room.Signal()
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -96,6 +96,9 @@
 	return Open
 }
 
+// Begin gives a part of the message to the connection, to which more belongs.
+func (l *Line) Begin(part []byte, until time.Time) End { return l.unlessCut(l.Conn.Hand(part, until)) }
+
 // Hand gives the message to the connection.
 func (l *Line) Hand(message []byte, until time.Time) End {
 	end := l.Conn.Hand(message, until)
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -300,6 +300,22 @@
 }
 
 // Guards what is under way at clients: with all at work a new one waits for room, and is not cut off.
+// Guards memory against clients' large values: over the usual size buffers grow out of what all share.
+func TestLargeBuffersShareABudget(t *testing.T) {
+	budget, most := NewBudget(5*MostBuffer), 2*MostBuffer
+	a, b, c := &Conn{budget: budget}, &Conn{budget: budget}, &Conn{budget: budget}
+	if x, y, z := a.Grow(most), b.Grow(most), c.Grow(most); x != Open || y != Open || z != NoRoom || len(a.buffer) != most {
+		t.Fatalf("%v, %v, %v, %d bytes", x, y, z, len(a.buffer))
+	}
+	a.to = most
+	if own := a.Take(most); len(own) != most || a.buffer != nil || c.Grow(most) != Open {
+		t.Fatal("what one has done with is not the others'")
+	}
+	if (&Conn{}).Grow(most) != NoRoom {
+		t.Fatal("a connection without a budget grows over the usual size")
+	}
+}
+
 func TestNewClientWaitsForRoom(t *testing.T) {
 	l, err := Listen("127.0.0.1:0", 1)
 	if err != nil {
