--- a/cmd/hollylever/door_test.go
+++ b/cmd/hollylever/door_test.go
@@ -58,18 +58,18 @@
 	h := next(t, came, "the retrieval")
 	p.figure("concurrent", 1)
 	p.figure("dispatches", 1)
-	h.say(settled("v"))
+	h.Say(settled("v"))
 	c.answers("v")
 	p.figure("replies.read.success", 1)
 	p.figure("concurrent", 0)
 	c.ask("C.GET", "k", "b", "c=book,d=3000")
-	next(t, came, "the one-shot").say("-ERR failed\r\n")
+	next(t, came, "the one-shot").Say("-ERR failed\r\n")
 	c.answers("-ERR given up")
 	p.figure("replies.book.error", 1)
 	p.figure("dispatches", 2)
 	go func() {
 		for h := range came {
-			h.say("-BUSY\r\n")
+			h.Say("-BUSY\r\n")
 		}
 	}()
 	c.ask("C.GET", "k", "c", "c=read,d=3000")
@@ -110,7 +110,7 @@
 		t.Helper()
 		n++
 		c.ask("C.GET", strconv.Itoa(n), strconv.Itoa(n), "c=read,d=3000")
-		next(t, from, "the retrieval").say(settled("v"))
+		next(t, from, "the retrieval").Say(settled("v"))
 		c.answers("v")
 	}
 	says(p, "/cache-hosts/disable/b")
@@ -120,10 +120,10 @@
 	for range 30 {
 		ask(atA)
 	}
-	watch.say(list(5, false, entry("b", b, "Gone")))
+	watch.Say(list(5, false, entry("b", b, "Gone")))
 	p.figure("targets", 1)
 	p.figure("targets_disabled", 0)
-	watch.say(list(6, true, entry("a/1", a, "Ready"), entry("b", b, "Ready")))
+	watch.Say(list(6, true, entry("a/1", a, "Ready"), entry("b", b, "Ready")))
 	p.figure("targets_disabled", 1)
 	if err := os.WriteFile(filepath.Join(place, "hollylever.bans"), []byte(`["b"`), 0o600); err != nil {
 		t.Fatal(err)
--- a/cmd/hollylever/helper_test.go
+++ b/cmd/hollylever/helper_test.go
@@ -3,12 +3,10 @@
 import (
 	"bufio"
 	"encoding/json"
-	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +16,8 @@
 	"testing"
 	"time"
 	"unsafe"
+
+	"hollylever/standin"
 )
 
 // The tests start the program itself (this binary, by a variable) and speak to it over loopback, between clients,
@@ -34,83 +34,28 @@
 	os.Exit(m.Run())
 }
 
-const settings = `{"allowed":{"cancelling":true,"connIdle":5000,"dialTimeout":200,"mostHeld":20000,"mostTrips":3,
-"secondCopies":true,"retryAfter":false},"balancers":1,"hostTypes":["std"],"zones":["z"],"registryMode":"subscribe",
-"tenants":[{"name":"acme","quotaRps":100000}],"extra":{"mode":"through"},
-"invariants":{"askEvery":10000,"drainGrace":2500,"startCapacity":0.2,"warmUp":20000,"fallMultiple":2.5,"tipAfter":3000},
-"workloads":[
-{"name":"read","effect":"free","group":"all","expectedTime":5000,"hardStop":3000,"value":1,"tardyValue":0.2},
-{"name":"report","effect":"guarded","group":"all","dedupWindow":4000,"expectedTime":5000,"hardStop":3000,"value":1,"tardyValue":0.2},
-{"name":"book","effect":"single_shot","group":"all","expectedTime":5000,"hardStop":3000,"value":1,"tardyValue":0.2}]}`
+const settings = standin.Settings
 
-// command is what a host was sent, and the connection to answer on.
-type command struct {
-	words []string
-	*net.TCPConn
-	ended <-chan struct{} // the program has closed it
-}
+// The stand-ins, under the names that the tests use.
+type (
+	command = standin.Command
+	call    = standin.Call
+)
 
-func (c command) say(text string) { io.WriteString(c, text) }
+const unavailable = standin.Unavailable
 
-func settled(value string) string {
-	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
-}
+var words, settled, list, message = standin.Words, standin.Settled, standin.List, standin.Message
+
+func entry(name, address, status string) string { return standin.Entry(name, address, status) }
 
-// host is a stand-in for a cache host: it hands over each command that it has got whole.
+// host is a scripted cache host.
 func host(t *testing.T) (string, <-chan command) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	h, err := standin.Scripted()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	came := make(chan command, 10000)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				ended := make(chan struct{})
-				defer close(ended)
-				for in := bufio.NewReader(c); ; {
-					words, err := message(in)
-					if err != nil {
-						return
-					}
-					came <- command{words, c.(*net.TCPConn), ended}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), came
-}
-
-// message reads one message: its words, or the one line or string that it is.
-func message(in *bufio.Reader) ([]string, error) {
-	line, err := in.ReadString('\n')
-	if err != nil {
-		return nil, err
-	}
-	line = strings.TrimRight(line, "\r\n")
-	n, _ := strconv.Atoi(line[1:])
-	switch line[0] {
-	case '$':
-		text := make([]byte, n+2)
-		_, err := io.ReadFull(in, text)
-		return []string{string(text[:n])}, err
-	case '*':
-		var words []string
-		for range n {
-			word, err := message(in)
-			if err != nil {
-				return nil, err
-			}
-			words = append(words, word...)
-		}
-		return words, nil
-	}
-	return []string{line}, nil
+	t.Cleanup(h.Close)
+	return h.Address, h.Came
 }
 
 func next[T any](t *testing.T, from <-chan T, what string) T {
@@ -124,49 +69,10 @@
 	}
 }
 
-// call is a watch that the program asked for at the stand-in for discovery: what it is to say, line by line.
-type call struct {
-	since string
-	lines chan string
-}
-
-const unavailable = "503" // in place of the first line
-
-func (c call) say(line string) { c.lines <- line }
-func (c call) end()            { close(c.lines) }
-
 func discovery(t *testing.T) (string, <-chan call) {
-	calls := make(chan call, 100)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := call{r.URL.Query().Get("since"), make(chan string, 100)}
-		calls <- c
-		for {
-			select {
-			case line, more := <-c.lines:
-				if line == unavailable {
-					w.WriteHeader(http.StatusServiceUnavailable)
-				}
-				if line == unavailable || !more {
-					return
-				}
-				io.WriteString(w, line+"\n")
-				w.(http.Flusher).Flush()
-			case <-r.Context().Done():
-				return
-			}
-		}
-	}))
-	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return s.Listener.Addr().String(), calls
-}
-
-func entry(name, address, status string) string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"z","type":"std","group":0,"status":%q,"weight":1.0,"since_ms":0}`,
-		name, address, status)
-}
-
-func list(index int, whole bool, entries ...string) string {
-	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, whole, strings.Join(entries, ","))
+	d := standin.ScriptedDiscovery()
+	t.Cleanup(d.Close)
+	return d.Address, d.Calls
 }
 
 type program struct {
@@ -269,14 +175,6 @@
 	return client{p.t, c.(*net.TCPConn), bufio.NewReader(c)}
 }
 
-func words(list ...string) string {
-	out := fmt.Sprintf("*%d\r\n", len(list))
-	for _, word := range list {
-		out += fmt.Sprintf("$%d\r\n%s\r\n", len(word), word)
-	}
-	return out
-}
-
 func (c client) ask(list ...string) client { io.WriteString(c, words(list...)); return c }
 
 func (c client) answers(want string) {
@@ -298,7 +196,7 @@
 	t.Helper()
 	select {
 	case c := <-came:
-		t.Fatalf("a host is sent %q again", c.words)
+		t.Fatalf("a host is sent %q again", c.Words)
 	default:
 	}
 }
--- a/cmd/hollylever/large_test.go
+++ b/cmd/hollylever/large_test.go
@@ -31,25 +31,25 @@
 	c, half := p.client(), strings.Repeat("v", 100<<10)
 	c.ask("C.GET", "k", "a", "c=read,d=3000")
 	h := next(t, came, "the retrieval")
-	h.say(head(2*len(half)) + half)
+	h.Say(head(2*len(half)) + half)
 	c.gets(fmt.Sprintf("$%d\r\n", 2*len(half)) + half) // The rest has not been sent.
 	p.figure("concurrent", 1)
 	for n := range half {
 		if n%2048 == 0 {
-			h.say(half[n : n+2048])
+			h.Say(half[n : n+2048])
 		}
 	}
 	for _, piece := range strings.Split(tail, "") {
-		h.say(piece)
+		h.Say(piece)
 	}
 	c.gets(half + "\r\n")
 	p.figure("replies.read.success", 1)
 	p.figure("concurrent", 0)
-	for n, end := range []func(h command){func(h command) { h.Close() }, func(h command) { h.say(half + "v" + tail) },
-		func(h command) { h.say(half + "\n\r" + tail) }} {
+	for n, end := range []func(h command){func(h command) { h.Close() }, func(h command) { h.Say(half + "v" + tail) },
+		func(h command) { h.Say(half + "\n\r" + tail) }} {
 		c := p.client().ask("C.GET", "k", fmt.Sprint("b", n), "c=read,d=3000")
 		h := next(t, came, "the retrieval")
-		h.say(head(2*len(half)) + half)
+		h.Say(head(2*len(half)) + half)
 		c.gets(fmt.Sprintf("$%d\r\n", 2*len(half)) + half)
 		end(h)
 		if rest, _ := io.ReadAll(c.in); len(rest) > len(half) {
@@ -63,17 +63,17 @@
 	pieces := time.NewTicker(150 * time.Millisecond)
 	defer pieces.Stop()
 	for _, piece := range []string{"*3\r\n", "$2\r\nv", "w\r\n$3\r\nhi", "t\r\n$-1\r\n"} {
-		h.say(piece)
+		h.Say(piece)
 		<-pieces.C
 	}
 	c.answers("vw")
 	gone := p.client().ask("C.GET", "k", "gone", "c=read,d=3000")
 	h = next(t, came, "the retrieval")
-	h.say(head(2*len(half)) + half)
+	h.Say(head(2*len(half)) + half)
 	gone.gets(fmt.Sprintf("$%d\r\n", 2*len(half)) + half)
 	gone.Close()
-	h.say(half[:50000])
-	next(t, h.ended, "the end of what nobody reads any more")
+	h.Say(half[:50000])
+	next(t, h.Ended, "the end of what nobody reads any more")
 }
 
 // Guards the smallest memory against many large values at once, and clients that are slow to read them.
@@ -86,7 +86,7 @@
 	for n := range many {
 		c := p.client().ask("C.GET", strconv.Itoa(n), strconv.Itoa(n), "c=read,d=3000")
 		h := next(t, came, "the retrieval")
-		go h.say(head(size) + value + tail)
+		go h.Say(head(size) + value + tail)
 		c.gets(fmt.Sprintf("$%d\r\nvvv", size))
 		clients = append(clients, c)
 	}
@@ -98,7 +98,7 @@
 	served := make(chan bool)
 	go func() {
 		for h := range came {
-			h.say(settled(strconv.Itoa(len(h.words[4]))))
+			h.Say(settled(strconv.Itoa(len(h.Words[4]))))
 		}
 	}()
 	for n, c := range clients {
--- a/cmd/hollylever/main_test.go
+++ b/cmd/hollylever/main_test.go
@@ -26,19 +26,19 @@
 	c.answers("+PONG")
 	c.ask("C.GET", "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41", "c=read,t=acme,d=3000,r=1,h=250,size=7")
 	h := next(t, came, "the retrieval")
-	wait, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimPrefix(h.words[3], "c=read,t=acme,d="), ",r=1,h=250,size=7"))
-	if h.words[0] != "C.GET" || h.words[1] != "7f3a9c21e0b4d655" || h.words[2] != "9b1f03aa5c7e2d41" || wait < 1 || wait > 3000 {
-		t.Fatalf("the host is sent %q", h.words)
+	wait, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimPrefix(h.Words[3], "c=read,t=acme,d="), ",r=1,h=250,size=7"))
+	if h.Words[0] != "C.GET" || h.Words[1] != "7f3a9c21e0b4d655" || h.Words[2] != "9b1f03aa5c7e2d41" || wait < 1 || wait > 3000 {
+		t.Fatalf("the host is sent %q", h.Words)
 	}
-	h.say(settled("a value"))
+	h.Say(settled("a value"))
 	c.answers("a value")
 	big := strings.Repeat("v", 64<<10)
 	c.ask("C.SET", "not hex", "id2", "c=report,t=nobody,d=3000,k=5c0f", big)
 	h = next(t, came, "the write")
-	if len(h.words) != 5 || h.words[4] != big || !strings.HasSuffix(h.words[3], ",k=5c0f") {
-		t.Fatalf("the host is sent %.100q", h.words)
+	if len(h.Words) != 5 || h.Words[4] != big || !strings.HasSuffix(h.Words[3], ",k=5c0f") {
+		t.Fatalf("the host is sent %.100q", h.Words)
 	}
-	h.say(settled(big))
+	h.Say(settled(big))
 	c.answers(big)
 	for _, bad := range []struct{ command, want string }{
 		{words("HELLO", "3"), `-ERR unknown command "HELLO"`},
@@ -112,7 +112,7 @@
 		next(t, done, "the end of a bad client")
 	}
 	none(t, came)
-	h.say(settled("v"))
+	h.Say(settled("v"))
 	usual.answers("v")
 	usual.ask("PING").answers("+PONG")
 }
@@ -132,7 +132,7 @@
 	}
 	slices.Reverse(first)
 	for _, h := range first {
-		h.say(settled(h.words[1]))
+		h.Say(settled(h.Words[1]))
 	}
 	done := make(chan struct{})
 	defer close(done)
@@ -140,7 +140,7 @@
 		for {
 			select {
 			case h := <-came:
-				h.say(settled(h.words[1]))
+				h.Say(settled(h.Words[1]))
 			case <-done:
 				return
 			}
@@ -161,18 +161,18 @@
 		answer           func(command)
 		trips            int // 0: any number
 	}{
-		{"settled", "c=book,t=acme,d=3000", "v", func(c command) { c.say(settled("v")) }, 1},
-		{"error", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("-ERR failed inflight=1,util=0.5\r\n") }, 1},
-		{"turned away", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.say("-BUSY\r\n") }, 0},
-		{"turned away with a report", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.say("-BUSY inflight=1,util=0.5\r\n") }, 0},
+		{"settled", "c=book,t=acme,d=3000", "v", func(c command) { c.Say(settled("v")) }, 1},
+		{"error", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("-ERR failed inflight=1,util=0.5\r\n") }, 1},
+		{"turned away", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.Say("-BUSY\r\n") }, 0},
+		{"turned away with a report", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.Say("-BUSY inflight=1,util=0.5\r\n") }, 0},
 		{"reset", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.SetLinger(0); c.Close() }, 1},
 		{"ends", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Close() }, 1},
-		{"ends amid the answer", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$5\r\nab"); c.Close() }, 1},
-		{"begins and does not end", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$50\r\nab") }, 1},
-		{"an error line of its own", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("-SYNTAX\r\n") }, 1},
-		{"garbled", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("HTTP/1.1 400 Bad Request\r\n") }, 1},
-		{"a null for a value", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n") }, 1},
-		{"too long", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.say("*3\r\n$4194305\r\n") }, 1},
+		{"ends amid the answer", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("*3\r\n$5\r\nab"); c.Close() }, 1},
+		{"begins and does not end", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("*3\r\n$50\r\nab") }, 1},
+		{"an error line of its own", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("-SYNTAX\r\n") }, 1},
+		{"garbled", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("HTTP/1.1 400 Bad Request\r\n") }, 1},
+		{"a null for a value", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n") }, 1},
+		{"too long", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("*3\r\n$4194305\r\n") }, 1},
 		{"silent", "c=book,t=acme,d=500", "-ERR given up", func(c command) {}, 1},
 		{"a silent read", "c=read,t=acme,d=500", "-BUSY", func(c command) {}, 1},
 	} {
@@ -219,7 +219,7 @@
 	for n := range 20 {
 		c.ask("C.SET", "k", strconv.Itoa(n), "c=book,t=acme,d=3000", "v")
 		h := next(t, came, "the write")
-		h.say(settled("v"))
+		h.Say(settled("v"))
 		h.Close()
 		c.answers("v")
 	}
@@ -231,7 +231,7 @@
 	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
 	h := next(t, came, "the retrieval")
 	c.Close()
-	next(t, h.ended, "the end of the connection of a trip whose client has gone")
+	next(t, h.Ended, "the end of the connection of a trip whose client has gone")
 	none(t, came)
 	p.client().ask("PING").answers("+PONG")
 }
@@ -245,7 +245,7 @@
 	p.client().ask("PING").answers("+PONG")
 	none(t, came)
 	io.WriteString(c, whole[len(whole)-5:])
-	next(t, came, "the retrieval").say(settled("v"))
+	next(t, came, "the retrieval").Say(settled("v"))
 	c.answers("v")
 
 	// Clients that ask for large values and read none of them until all have asked.
@@ -256,7 +256,7 @@
 		for {
 			select {
 			case h := <-came:
-				go h.say(big)
+				go h.Say(big)
 			case <-done:
 				return
 			}
@@ -294,46 +294,46 @@
 	b, fromB := host(t)
 	d, calls := discovery(t)
 	p := start(t, list(4, true, entry("a", a, "Ready")), map[string]any{"discovery": d})
-	next(t, calls, "the first watch").say(unavailable) // Down at the start: the known list serves.
+	next(t, calls, "the first watch").Say(unavailable) // Down at the start: the known list serves.
 	p.logged("list lost")
 	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
-	next(t, fromA, "the retrieval").say(settled("v"))
+	next(t, fromA, "the retrieval").Say(settled("v"))
 	c.answers("v")
 	w := next(t, calls, "the second watch")
-	if w.since != "4" {
-		t.Fatalf("it is asked for since %s", w.since)
+	if w.Since != "4" {
+		t.Fatalf("it is asked for since %s", w.Since)
 	}
-	w.say(list(5, true, entry("a", a, "Ready"), entry("b", b, "Ready")))
+	w.Say(list(5, true, entry("a", a, "Ready"), entry("b", b, "Ready")))
 	p.logged("list followed again")
-	w.say("")
-	w.say(list(6, false, entry("a", a, "Terminating")))
+	w.Say("")
+	w.Say(list(6, false, entry("a", a, "Terminating")))
 	p.logged(`"server":"a","from":"Ready","to":"Terminating"`)
 	drained := func() {
 		t.Helper()
 		for n := range 20 {
 			c.ask("C.GET", strconv.Itoa(n), "id", "c=read,t=acme,d=3000")
-			next(t, fromB, "the retrieval").say(settled("v"))
+			next(t, fromB, "the retrieval").Say(settled("v"))
 			c.answers("v")
 		}
 		none(t, fromA)
 	}
 	drained()
-	w.say(list(7, false, entry("a", a, "Ready"))[:60]) // A damaged line changes nothing.
+	w.Say(list(7, false, entry("a", a, "Ready"))[:60]) // A damaged line changes nothing.
 	p.logged("list lost")
 	drained()
 	w = next(t, calls, "the third watch")
-	if w.since != "6" {
-		t.Fatalf("it is asked for since %s", w.since)
+	if w.Since != "6" {
+		t.Fatalf("it is asked for since %s", w.Since)
 	}
-	w.say(list(8, false, entry("b", b, "Gone"), entry("a", a, "Ready")))
+	w.Say(list(8, false, entry("b", b, "Gone"), entry("a", a, "Ready")))
 	p.logged(`"server":"a","from":"Terminating","to":"Ready"`)
 	c.ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
-	next(t, fromA, "the retrieval").say(settled("v"))
+	next(t, fromA, "the retrieval").Say(settled("v"))
 	c.answers("v")
-	w.end() // It ends.
+	w.End() // It ends.
 	p.logged("list lost")
 	w = next(t, calls, "the fourth watch") // It falls silent.
-	w.say("")
+	w.Say("")
 	p.logged("list followed again")
 	p.logged("discovery is silent")
 	next(t, calls, "the fifth watch")
@@ -346,7 +346,7 @@
 	p := start(t, list(4, true, entry("s", at, "Ready")), map[string]any{"discovery": d})
 	next(t, calls, "the first watch")
 	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
-	next(t, came, "the retrieval").say(settled("v"))
+	next(t, came, "the retrieval").Say(settled("v"))
 	c.answers("v")
 	p.logged("discovery is silent")
 	next(t, calls, "the second watch")
@@ -360,7 +360,7 @@
 	second, callsThere := discovery(t)
 	p := start(t, list(4, true, entry("s", at, "Ready")), nil, "LB_DISCOVERY="+first)
 	old := next(t, calls, "the first watch")
-	old.say("")
+	old.Say("")
 	c := p.client().ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
 	h := next(t, came, "the retrieval")
 	good, _ := os.ReadFile(p.file)
@@ -375,21 +375,21 @@
 	os.Remove(p.file)
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.logged("configuration not taken")
-	old.say(list(5, false, entry("s", at, "Ready"))) // It is followed still.
+	old.Say(list(5, false, entry("s", at, "Ready"))) // It is followed still.
 	os.WriteFile(p.file, []byte(with(second)), 0o600)
 	p.cmd.Process.Signal(syscall.SIGHUP)
-	next(t, callsThere, "a watch at the new address").say(unavailable)
+	next(t, callsThere, "a watch at the new address").Say(unavailable)
 	w := next(t, callsThere, "another watch there")
-	if w.since != "0" {
-		t.Errorf("it is asked for since %s", w.since)
+	if w.Since != "0" {
+		t.Errorf("it is asked for since %s", w.Since)
 	}
-	old.say(list(9, true, entry("s", at, "Gone"))) // The old one counts no more.
-	w.say(list(2, true, entry("n", moved, "Ready")))
+	old.Say(list(9, true, entry("s", at, "Gone"))) // The old one counts no more.
+	w.Say(list(2, true, entry("n", moved, "Ready")))
 	p.logged(`"server":"n"`)
-	h.say(settled("v"))
+	h.Say(settled("v"))
 	c.answers("v")
 	c.ask("C.GET", "k", "2", "c=read,t=acme,d=3000")
-	next(t, fromMoved, "the retrieval").say(settled("v"))
+	next(t, fromMoved, "the retrieval").Say(settled("v"))
 	c.answers("v")
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.cmd.Process.Signal(syscall.SIGTERM)
@@ -417,8 +417,8 @@
 	second := next(t, came, "the straggler's retrieval")
 	idle.ends()
 	half.ends()
-	first.say(settled("1"))
-	second.say(settled("2"))
+	first.Say(settled("1"))
+	second.Say(settled("2"))
 	busy.answers("1")
 	late.answers("2")
 	busy.ends()
@@ -439,7 +439,7 @@
 	c.ends()
 	p = start(t, list(0, true, entry("gone", "127.0.0.1:1", "Gone"), entry("s", at, "Ready")), map[string]any{"listen": p.address})
 	c = p.client().ask("C.GET", "k", "2", "c=read,t=acme,d=3000")
-	next(t, came, "the retrieval").say(settled("v"))
+	next(t, came, "the retrieval").Say(settled("v"))
 	c.answers("v")
 }
 
@@ -458,7 +458,7 @@
 		}
 		c := p.client()
 		c.ask("C.GET", "k", "1", "c=read,t=acme,d=3000")
-		next(t, came, "the retrieval").say(settled("v"))
+		next(t, came, "the retrieval").Say(settled("v"))
 		c.answers("v")
 		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
 		p.cmd.Process.Signal(syscall.SIGTERM)
@@ -504,18 +504,18 @@
 			for c := range came {
 				mu.Lock()
 				if stop := drains[n]; !stop.IsZero() && time.Since(stop) > grace+50*time.Millisecond {
-					t.Errorf("host %d is sent %q after its grace", n, c.words)
+					t.Errorf("host %d is sent %q after its grace", n, c.Words)
 				}
 				begun[n] = append(begun[n], time.Now())
 				report := fmt.Sprintf("served_ps=%d,pending=%d,cpu_share=%.2f", len(begun[n]), 0, float64(held)/places)
 				if held == places {
 					mu.Unlock()
-					c.say("-BUSY " + report + "\r\n")
+					c.Say("-BUSY " + report + "\r\n")
 					continue
 				}
 				held++
-				ran[c.words[2]]++
-				from[c.words[2][:1]]++
+				ran[c.Words[2]]++
+				from[c.Words[2][:1]]++
 				breaks := len(begun[n])%25 == 0 // It has run, and nobody hears of it.
 				mu.Unlock()
 				time.AfterFunc(service, func() {
@@ -526,7 +526,7 @@
 						c.Close()
 						return
 					}
-					c.say(fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$%d\r\n%s\r\n", len(c.words[2]), c.words[2], len(report), report))
+					c.Say(fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$%d\r\n%s\r\n", len(c.Words[2]), c.Words[2], len(report), report))
 				})
 			}
 		}()
@@ -547,7 +547,7 @@
 	}
 	say := func(index int, whole bool, rows ...string) {
 		for _, w := range watches {
-			w.say(list(index, whole, rows...))
+			w.Say(list(index, whole, rows...))
 		}
 	}
 	alive := time.NewTicker(time.Second)
@@ -555,7 +555,7 @@
 	go func() {
 		for range alive.C { // As discovery does while nothing changes.
 			for _, w := range watches {
-				w.say("")
+				w.Say("")
 			}
 		}
 	}()
--- a/cmd/hollylever/upgrade_test.go
+++ b/cmd/hollylever/upgrade_test.go
@@ -52,7 +52,7 @@
 		t.Errorf("ready after SIGTERM: %d", code)
 	}
 	idle.ask("C.GET", "k", "b", "c=read,d=3000")
-	next(t, came, "what an idle client asks after SIGTERM").say(settled("once more"))
+	next(t, came, "what an idle client asks after SIGTERM").Say(settled("once more"))
 	idle.answers("once more")
 	idle.ends()
 	for range 20 { // All that come now are the new one's.
@@ -63,14 +63,14 @@
 		c.Close()
 	}
 	silent.ends()
-	h.say(settled("the last"))
+	h.Say(settled("the last"))
 	out.answers("the last")
 	out.ends()
 	if err := next(t, old.ended, "the end of the old version"); err != nil {
 		t.Errorf("the old version ends with %v", err)
 	}
 	c := young.client().ask("C.GET", "k", "c", "c=read,d=3000")
-	next(t, came, "a retrieval at the new version").say(settled("served"))
+	next(t, came, "a retrieval at the new version").Say(settled("served"))
 	c.answers("served")
 	young.cmd.Process.Signal(syscall.SIGTERM) // A planned restart: nobody accepts for a while, and nobody is refused.
 	c.ends()
--- /dev/null
+++ b/cmd/hollylever/upgrades_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"hollylever/standin"
+)
+
+// upgrades is how many the test plays: some here, hundreds by hand with HOLLYLEVER_UPGRADES.
+func upgrades() int {
+	if n, err := strconv.Atoi(os.Getenv("HOLLYLEVER_UPGRADES")); err == nil {
+		return n
+	}
+	return 3
+}
+
+// town is a fleet of cache hosts before one origin, with discovery and a platform.
+type town struct {
+	*standin.Platform
+	origin    *standin.Origin
+	hosts     []*standin.Host
+	discovery *standin.Discovery
+}
+
+var townLimits = standin.Limits{Cores: 0.5, MemoryMB: 64, Sockets: 384}
+
+func newTown(t *testing.T, hosts, core int, limits standin.Limits, variables ...string) *town {
+	t.Helper()
+	w := &town{origin: standin.NewOrigin(20*time.Millisecond, 16), discovery: standin.NewDiscovery()}
+	t.Cleanup(w.discovery.Close)
+	manner := standin.Manner{Takes: time.Millisecond, AtOnce: 4, Queue: 64, WarmUp: 20 * time.Second, ColdPart: 0.2, Tips: 2.5}
+	entries := map[string]string{}
+	for n := range hosts {
+		h, err := standin.NewHost(fmt.Sprint("s-", n), w.origin, manner)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(h.Close)
+		w.hosts = append(w.hosts, h)
+		entries[h.Name] = standin.Entry(h.Name, h.Address, "Ready")
+	}
+	w.discovery.Tell(entries)
+	var err error
+	if w.Platform, err = standin.NewPlatform(t.TempDir(), w.discovery.Whole(), w.discovery.Address, limits, core, os.Args[0],
+		append([]string{asProgram + "=1"}, variables...)...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	return w
+}
+
+func (w *town) start(t *testing.T) *standin.Process {
+	t.Helper()
+	p, err := w.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Cmd.Process.Kill() })
+	return p
+}
+
+// Guards clients and hosts over upgrades under load, on one core that something else uses too: nobody meets a closed
+// door, no effect comes twice, and no process stands still.
+func TestUpgrades(t *testing.T) {
+	t.Parallel()
+	core := -1
+	if n, err := strconv.Atoi(os.Getenv("HOLLYLEVER_CORE")); err == nil {
+		core = n // By hand: all processes and a neighbour on it.
+		defer standin.Neighbour(core, 0.5, time.Hour)()
+	}
+	w := newTown(t, 6, core, townLimits)
+	p := w.start(t)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	clients := standin.Ask(ctx, w.Address, standin.Load{Rate: 150, Keys: 2000, Seed: 7, Patience: 2 * time.Second, Books: 0.1})
+	most, stood := 0, 0
+	for n := range upgrades() {
+		time.Sleep(300 * time.Millisecond) // Some load on it; nothing is waited for.
+		young, err := w.Start()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := young.Ready(patience); err != nil {
+			t.Fatal(err)
+		}
+		most = max(most, p.Descriptors()+young.Descriptors())
+		if p.Stop(3700 * time.Millisecond) {
+			t.Errorf("%d: the old process had to be killed", n)
+		}
+		if p.Err != nil {
+			t.Errorf("%d: the old process ends with %v", n, p.Err)
+		}
+		for _, line := range p.Log("stood still") {
+			stood++
+			t.Log(n, line)
+		}
+		if f := clients.Figures(); len(f.Standstills) > 0 && n%20 == 0 {
+			t.Logf("%d: %+v", n, f)
+		}
+		p = young
+	}
+	end()
+	f := clients.Wait()
+	t.Logf("%+v; %d lines of standstills, %d descriptors at most", f, stood, most)
+	if f.Door > 0 || f.Wrong > 0 || f.Late > 0 || w.origin.Twice() > 0 || most > townLimits.Sockets {
+		t.Errorf("%+v, %d effects twice, %d descriptors", f, w.origin.Twice(), most)
+	}
+	if settled := f.Settled; settled < f.Asked*9/10 {
+		t.Errorf("%d of %d retrievals settled", settled, f.Asked)
+	}
+}
--- /dev/null
+++ b/standin/clients.go
@@ -0,0 +1,178 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Load is what clients ask: so many retrievals a second, at even distance, whatever is answered.
+type Load struct {
+	Rate     int
+	Keys     int // Zipf over so many
+	Seed     uint64
+	Patience time.Duration
+	Books    float64 // the part that are one-shots
+}
+
+// Clients ask at an address over kept connections, and open more when all are busy.
+type Clients struct {
+	mu      sync.Mutex
+	idle    []*asker
+	figures ClientFigures
+	out     map[string]time.Time // retrievals without an answer, since when
+	last    time.Time            // when an answer came last, or nothing was out
+	all     sync.WaitGroup
+}
+
+type asker struct {
+	*net.TCPConn
+	in *bufio.Reader
+}
+
+// ClientFigures are what clients have seen.
+type ClientFigures struct {
+	Asked, Settled, Dismissed, GivenUp int
+	Late                               int           // no answer within the patience and a quarter of a second
+	Door                               int           // met a refused or reset connection, or one that ended unread
+	Wrong                              int           // an answer that is another's
+	Silence                            time.Duration // the longest time in which retrievals were out and no answer came
+	Standstills                        []time.Duration
+}
+
+const (
+	standstill = 250 * time.Millisecond // a silence over it is noted
+	mostNoted  = 1000
+	slack      = 250 * time.Millisecond
+)
+
+// Ask puts the load on an address until the context ends, and gives what was seen once all have their answer.
+func Ask(ctx context.Context, address string, load Load) *Clients {
+	c := &Clients{out: map[string]time.Time{}, last: time.Now()}
+	chance := rand.New(rand.NewPCG(load.Seed, 1))
+	zipf := rand.NewZipf(chance, 1.1, 8, uint64(max(1, load.Keys-1)))
+	c.all.Add(1)
+	go func() {
+		defer c.all.Done()
+		began, n := time.Now(), 0
+		for tick := time.NewTicker(5 * time.Millisecond); ctx.Err() == nil; {
+			select {
+			case <-ctx.Done():
+			case <-tick.C:
+			}
+			c.look(time.Now())
+			for ; n < int(time.Since(began).Seconds()*float64(load.Rate)); n++ {
+				words := []string{"C.GET", fmt.Sprintf("%016x", zipf.Uint64()+1), fmt.Sprintf("%x-%x", load.Seed, n),
+					fmt.Sprintf("c=read,d=%d", load.Patience.Milliseconds())}
+				if chance.Float64() < load.Books {
+					words[0], words[3] = "C.SET", strings.Replace(words[3], "read", "book", 1)
+					words = append(words, "v")
+				}
+				c.all.Add(1)
+				go func() {
+					defer c.all.Done()
+					c.ask(address, words, load.Patience)
+				}()
+			}
+		}
+	}()
+	return c
+}
+
+// look notes how long nothing has come.
+func (c *Clients) look(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.out) == 0 {
+		c.last = now
+	}
+	c.figures.Silence = max(c.figures.Silence, now.Sub(c.last))
+}
+
+// ask is one retrieval: over an idle connection, if that ends unread once more over a new one.
+func (c *Clients) ask(address string, words []string, patience time.Duration) {
+	until := time.Now().Add(patience + slack)
+	c.mu.Lock()
+	c.figures.Asked++
+	c.out[words[2]] = time.Now()
+	var a *asker
+	if n := len(c.idle); n > 0 {
+		a, c.idle = c.idle[n-1], c.idle[:n-1]
+	}
+	c.mu.Unlock()
+	kept := a != nil
+	var answer []string
+	var err error
+	for {
+		if a == nil {
+			var conn net.Conn
+			if conn, err = net.DialTimeout("tcp", address, time.Until(until)); err != nil {
+				break
+			}
+			a = &asker{conn.(*net.TCPConn), bufio.NewReader(conn)}
+		}
+		a.SetDeadline(until)
+		if _, err = a.Write([]byte(Words(words...))); err == nil {
+			answer, err = Message(a.in)
+		}
+		if err != nil {
+			a.Close()
+			if late, is := err.(net.Error); kept && !(is && late.Timeout()) {
+				a, kept = nil, false
+				continue
+			}
+			a = nil
+		}
+		break
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	delete(c.out, words[2])
+	if silence := now.Sub(c.last); silence > standstill && len(c.figures.Standstills) < mostNoted {
+		c.figures.Standstills = append(c.figures.Standstills, silence)
+	}
+	c.last = now
+	late, is := err.(net.Error)
+	switch {
+	case err != nil && is && late.Timeout():
+		c.figures.Late++
+	case err != nil:
+		c.figures.Door++
+	case len(answer) == 1 && strings.HasPrefix(answer[0], "-BUSY"):
+		c.figures.Dismissed++
+	case len(answer) == 1 && strings.HasPrefix(answer[0], "-"):
+		c.figures.GivenUp++
+	case len(answer) == 1 && strings.HasPrefix(answer[0], words[1]+"@"+words[2]):
+		c.figures.Settled++
+	default:
+		c.figures.Wrong++
+	}
+	if a != nil {
+		c.idle = append(c.idle, a)
+	}
+}
+
+// Figures tells what was seen so far.
+func (c *Clients) Figures() ClientFigures {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.figures
+}
+
+// Wait waits until all that was asked has ended, and closes the connections.
+func (c *Clients) Wait() ClientFigures {
+	c.all.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.idle {
+		a.Close()
+	}
+	c.idle = nil
+	return c.figures
+}
