The program notices that it stood still, and says which of eight causes kept it

Need: balancers were seen to answer nothing for up to two seconds after an upgrade; no log told why. Change: watch/ beats every 25 ms, probes the module's lock, times accepted connections in hand and writes of the log, and reads run delay, CPU and the collector's pauses over a gap; a pure judge names stopped, starved, collector, runtime, lock, accept or log in one line, 'stood still'. Suspects closed on the way: the log goes through zerolog's diode, so nobody waits for who reads it; on an inherited socket an accept no longer waits for room with a connection in hand; a stop no longer waits for an accept that the kernel holds because another holder of the socket ended its non-blocking mode.

--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -14,10 +15,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"hollylever/operators"
 	"hollylever/routing"
 	"hollylever/transport"
+	"hollylever/watch"
 )
 
 const (
@@ -26,6 +29,8 @@
 	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
 	sweepEvery = 50 * time.Millisecond
 	tellEvery  = 10 * time.Second
+	mostLines  = 512                    // of the log that wait to be written
+	flushFor   = 100 * time.Millisecond // for them at the end
 )
 
 func main() {
@@ -50,7 +55,11 @@
 	}
 	debug.SetMemoryLimit(memory * 7 / 10)
 	debug.SetGCPercent(int(min(400, max(50, memory>>20)))) // A small machine collects sooner.
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("balancer", told.name).Logger()
+	// Nobody waits for the log: whoever reads it may stand still.
+	var wrote watch.Mark
+	out := diode.NewWriter(watch.Writer{Writer: os.Stderr, Mark: &wrote}, mostLines, 0, nil)
+	defer flush(out)
+	log := zerolog.New(out).With().Timestamp().Str("balancer", told.name).Logger()
 
 	hosts := (told.sockets - reserve) / 2
 	idle, _ := told.settings["allowed.connIdle"].(float64)
@@ -85,6 +94,9 @@
 
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
+	still := watch.New(balancer.Lock(), log, &wrote)
+	listener.InHand = &still.Accept
+	go still.Run(ctx)
 	go listener.Serve(balancer.Serve)
 	balancer.Takes(true)
 	go balancer.Follow(ctx)
@@ -131,6 +143,16 @@
 	}
 }
 
+// flush writes what the log still holds, for a moment: whoever should read it may be gone.
+func flush(out io.Closer) {
+	done := make(chan struct{})
+	go func() { out.Close(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(flushFor):
+	}
+}
+
 // longest is the longest hard stop of all workloads.
 func longest(settings map[string]any) time.Duration {
 	most, count := 0.0, settings["workloads"].(float64)
--- a/routing/figures.go
+++ b/routing/figures.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 
 	"hollylever/choice"
 )
@@ -77,3 +78,6 @@
 	}
 	line.Msg("summary")
 }
+
+// Lock is the one round the module, for who looks whether it is to be had.
+func (b *Balancer) Lock() sync.Locker { return &b.mu }
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -39,8 +41,21 @@
 	all      sync.WaitGroup
 	Budget   *Budget         // for clients' large values; nil: none
 	Odd      func(err error) // told of accepts that went wrong
+	InHand   Mark            // around the time for which an accepted connection waits for room
+	shared   bool            // others accept from the socket too
+}
+
+// Mark is told of the beginning and the end of something that should not take long.
+type Mark interface {
+	Begin()
+	End()
 }
 
+type unmarked struct{}
+
+func (unmarked) Begin() {}
+func (unmarked) End()   {}
+
 // Client is a client's connection. It is busy while something of it is being answered.
 type Client struct {
 	Conn
@@ -79,7 +94,9 @@
 	if _, is := inner.(*net.TCPListener); !is {
 		return nil, fmt.Errorf("descriptor %d is no TCP socket", descriptor)
 	}
-	return newListener(inner, most), nil
+	l := newListener(inner, most)
+	l.shared = true
+	return l, nil
 }
 
 // Listen listens on one address. It allows addresses to be used again at once, as a restart needs.
@@ -92,7 +109,8 @@
 }
 
 func newListener(inner net.Listener, most int) *Listener {
-	l := &Listener{listener: inner, most: most, least: max(1, most/2), clients: map[*Client]bool{}, Odd: func(error) {}}
+	l := &Listener{listener: inner, most: most, least: max(1, most/2), clients: map[*Client]bool{}, Odd: func(error) {},
+		InHand: unmarked{}}
 	l.room.L = &l.mu
 	l.all.Add(1) // Serve counts too: Close must wait for a client that is just being accepted.
 	return l
@@ -107,6 +125,11 @@
 	defer l.all.Done()
 	pause, odd := time.Millisecond, false
 	for {
+		if l.shared { // Guards a client against waiting here in hand: another process may have room for it.
+			l.mu.Lock()
+			l.awaitRoom()
+			l.mu.Unlock()
+		}
 		inner, err := l.listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -126,8 +149,10 @@
 		pause, odd = time.Millisecond, false
 		c := &Client{Conn: Conn{Conn: inner, budget: l.Budget}, owner: l, came: time.Now(), since: time.Now()}
 		l.mu.Lock()
-		for l.spare(); len(l.clients) >= l.most && !l.closed; l.spare() {
-			l.room.Wait() // All may be at work: the first that has its answer makes room.
+		if l.spare(); len(l.clients) >= l.most {
+			l.InHand.Begin()
+			l.awaitRoom()
+			l.InHand.End()
 		}
 		l.clients[c] = true
 		l.mu.Unlock()
@@ -145,6 +170,13 @@
 	}
 }
 
+// awaitRoom waits for it: all may be at work, and the first that has its answer makes some. Under the lock.
+func (l *Listener) awaitRoom() {
+	for ; len(l.clients) >= l.most && !l.closed; l.spare() {
+		l.room.Wait()
+	}
+}
+
 // shrink guards connections to hosts against clients that take every descriptor where there are fewer than was
 // told: the clients' part becomes a tenth less than are connected, at least half of what it was at first.
 func (l *Listener) shrink() {
@@ -192,6 +224,9 @@
 
 // Sweep asks those to go that have been idle too long.
 func (l *Listener) Sweep() {
+	if l.shared {
+		l.Unblock()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.clients {
@@ -293,6 +328,26 @@
 	}
 }
 
+// Unblock guards accepts against whoever else holds the socket: the mode in which they do not wait in the kernel is shared
+// by all, and starting a process with it may end that mode. It tells whether that was so.
+func (l *Listener) Unblock() (was bool) {
+	inner, is := l.listener.(syscall.Conn)
+	if !is {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		flags, err := unix.FcntlInt(fd, unix.F_GETFL, 0)
+		if was = err == nil && flags&unix.O_NONBLOCK == 0; was {
+			unix.SetNonblock(int(fd), true)
+		}
+	})
+	return was
+}
+
 // Last lets each client go with its next answer: right after that it is least likely to ask.
 func (l *Listener) Last() {
 	l.mu.Lock()
@@ -302,7 +357,12 @@
 
 // Leave stops accepting. Clients that are connected stay.
 func (l *Listener) Leave() {
-	l.listener.Close()
+	if l.shared { // Guards the stop: an accept that waits in the kernel keeps Close waiting for the next client.
+		l.Unblock()
+		go l.listener.Close()
+	} else {
+		l.listener.Close()
+	}
 	l.mu.Lock()
 	l.closed = true
 	l.room.Signal()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -503,3 +503,80 @@
 		}
 	}
 }
+
+// inherited is a listener on a socket that others hold too.
+func inherited(t *testing.T, most int) (*Listener, *os.File) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	held, err := inner.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { held.Close() })
+	copied, err := syscall.Dup(int(held.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := Inherit(copied, most)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, held
+}
+
+// Guards a stop against an accept that waits in the kernel, as one does once whoever holds the socket too ends the mode in
+// which it does not.
+func TestStopWaitsForNoAccept(t *testing.T) {
+	l, held := inherited(t, 4)
+	served := make(chan bool, 4)
+	go l.Serve(func(c *Client) { served <- true })
+	held.Fd() // As starting a process with it does.
+	if !l.Unblock() || l.Unblock() {
+		t.Fatal("the mode in which accepts wait is not seen, or not ended")
+	}
+	held.Fd()
+	syscall.SetNonblock(int(held.Fd()), false)
+	c, err := net.Dial("tcp", l.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	<-served // The next accept waits in the kernel.
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	if l.Leave(); time.Since(began) > time.Second {
+		t.Errorf("it took %v to leave", time.Since(began))
+	}
+}
+
+// Guards clients over an upgrade: one that there is no room for stays where another process can take it.
+func TestNoClientWaitsInHandOfASharedListener(t *testing.T) {
+	l, _ := inherited(t, 1)
+	busy := make(chan *Client, 4)
+	go l.Serve(func(c *Client) { c.Begin(); busy <- c; c.Read(make([]byte, 1)) })
+	for range 2 {
+		c, err := net.Dial("tcp", l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	<-busy
+	raw, _ := l.listener.(*net.TCPListener).SyscallConn()
+	taken := false
+	for end := soon(); !taken && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		raw.Control(func(fd uintptr) {
+			if n, _, err := syscall.Accept(int(fd)); err == nil { // Without waiting: the socket is in that mode.
+				syscall.Close(n)
+				taken = true
+			}
+		})
+		if taken {
+			return
+		}
+	}
+	t.Error("the second client is in hand of a listener that has no room")
+}
--- /dev/null
+++ b/watch/judge.go
@@ -0,0 +1,70 @@
+// Package watch notices that the program stood still, and says why. cmd/hollylever starts it; what it looks at (the
+// module's lock, accepts, writes of the log) is handed in as marks and a lock. While all is well it costs a
+// wake-up every 25 ms and some readings of the kernel's and the runtime's counts every 100 ms, nothing a retrieval.
+//
+// judge.go decides, from what was seen over one gap, what kept the program; it has no clock and no I/O.
+package watch
+
+import "time"
+
+// Over is the least time that counts as standing still.
+const Over = 100 * time.Millisecond
+
+// Gap is what was seen over the time in question.
+type Gap struct {
+	Beat   time.Duration // how late the beat woke
+	CPU    time.Duration // that the process used
+	Waited time.Duration // that its threads were ready to run and did not
+	Pause  time.Duration // longest pause of the collector
+	Lock   time.Duration // for which the module's lock was not to be had
+	Accept time.Duration // for which an accepted connection waited in hand
+	Log    time.Duration // in a write of the log
+	Known  bool          // Waited is known here
+}
+
+// Cause is what kept the program.
+type Cause string
+
+// The causes, as the log names them.
+const (
+	Stopped   Cause = "stopped"   // it was not run, and asked for no run: stopped or frozen from outside
+	Starved   Cause = "starved"   // it was ready to run, and others ran
+	NotRun    Cause = "not run"   // one of the two; this kernel does not tell which
+	Collector Cause = "collector" // a pause of the collector
+	Runtime   Cause = "runtime"   // it ran, something else of it
+	Lock      Cause = "lock"
+	Accept    Cause = "accept"
+	Log       Cause = "log"
+)
+
+// Finding is a cause and for how long.
+type Finding struct {
+	Cause Cause
+	For   time.Duration
+}
+
+// Judge names what kept the program over a gap, if anything did. A program that did not run at all explains
+// everything else that was late; what waited by itself is told apart from it by how much longer it did.
+func Judge(g Gap) (found []Finding) {
+	if g.Beat >= Over {
+		cause := Runtime
+		switch {
+		case g.Known && g.Waited >= g.Beat/2:
+			cause = Starved
+		case g.Pause >= g.Beat/2:
+			cause = Collector
+		case g.CPU > g.Beat/4:
+		case g.Known:
+			cause = Stopped
+		default:
+			cause = NotRun
+		}
+		found = append(found, Finding{cause, g.Beat})
+	}
+	for _, own := range []Finding{{Lock, g.Lock}, {Accept, g.Accept}, {Log, g.Log}} {
+		if own.For >= Over && own.For-g.Beat >= Over/2 {
+			found = append(found, own)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/watch/watch.go
@@ -0,0 +1,137 @@
+package watch
+
+import (
+	"context"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	beatEvery  = 25 * time.Millisecond
+	countEvery = 4               // beats
+	sayAgain   = 2 * time.Second // for one cause; what comes before that is counted
+	mostStacks = 64 << 10
+	mostWhere  = 3 // places named
+)
+
+// Watch is what looks. Its marks are handed to what they are around.
+type Watch struct {
+	Accept Mark
+
+	lock   Mark
+	wrote  *Mark // around writes of the log
+	module sync.Locker
+	log    zerolog.Logger
+	lines  chan func()
+	before counts
+	now    counts
+	said   map[Cause]time.Time
+	passed map[Cause]int
+}
+
+// New makes a watch over a lock, that says what it finds to a log.
+func New(module sync.Locker, log zerolog.Logger, wrote *Mark) *Watch {
+	return &Watch{module: module, log: log, wrote: wrote, lines: make(chan func(), 16), said: map[Cause]time.Time{}, passed: map[Cause]int{}}
+}
+
+// Run looks until the context ends.
+func (w *Watch) Run(ctx context.Context) {
+	go w.probe(ctx)
+	go func() { // A log that does not take a line must not keep the beat.
+		for {
+			select {
+			case say := <-w.lines:
+				say()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	w.before.read()
+	due := time.Now().Add(beatEvery)
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(time.Until(due))
+		now := time.Now()
+		late := now.Sub(due)
+		if w.look(late, now); n%countEvery == 0 || late >= Over {
+			w.before.read()
+		}
+		due = now.Add(beatEvery)
+	}
+}
+
+// probe takes the module's lock now and then, as a retrieval would.
+func (w *Watch) probe(ctx context.Context) {
+	for tick := time.NewTicker(beatEvery); ctx.Err() == nil; <-tick.C {
+		w.lock.Begin()
+		w.module.Lock()
+		w.module.Unlock()
+		w.lock.End()
+	}
+}
+
+// look judges what came since the last beat.
+func (w *Watch) look(late time.Duration, now time.Time) {
+	g := Gap{Beat: late}
+	var stuck bool
+	g.Lock, stuck = w.lock.take()
+	g.Accept, _ = w.Accept.take()
+	g.Log, _ = w.wrote.take()
+	if max(g.Beat, g.Lock, g.Accept, g.Log) < Over {
+		return
+	}
+	w.now.read()
+	g.CPU, g.Waited, g.Known = w.now.cpu-w.before.cpu, w.now.waited-w.before.waited, w.now.known
+	g.Pause = longest(w.now.pauses, w.before.pauses, w.now.metrics[0])
+	latency := longest(w.now.latencies, w.before.latencies, w.now.metrics[1])
+	for _, f := range Judge(g) {
+		if since, said := w.said[f.Cause]; said && now.Sub(since) < sayAgain {
+			w.passed[f.Cause]++ // One that lasts is not said at each beat.
+			continue
+		}
+		where := ""
+		if f.Cause == Lock && stuck {
+			where = places()
+		}
+		passed, cycles := w.passed[f.Cause], w.now.metrics[2].Value.Uint64()-w.before.metrics[2].Value.Uint64()
+		w.said[f.Cause], w.passed[f.Cause] = now, 0
+		say := func() {
+			w.log.Warn().Str("cause", string(f.Cause)).Int64("for_ms", f.For.Milliseconds()).
+				Int64("beat_ms", g.Beat.Milliseconds()).Int64("cpu_ms", g.CPU.Milliseconds()).Int64("waited_ms", g.Waited.Milliseconds()).
+				Int64("pause_ms", g.Pause.Milliseconds()).Int64("latency_ms", latency.Milliseconds()).Uint64("collections", cycles).
+				Int64("lock_ms", g.Lock.Milliseconds()).Int64("accept_ms", g.Accept.Milliseconds()).Int64("log_ms", g.Log.Milliseconds()).
+				Int("goroutines", runtime.NumGoroutine()).Int("more", passed).Str("where", where).Msg("stood still")
+		}
+		select {
+		case w.lines <- say:
+		default: // The log takes nothing.
+			w.passed[f.Cause] = passed + 1
+		}
+	}
+}
+
+// places names where goroutines of the program stand that neither wait for the network, a channel, nor the lock: who has it.
+func places() string {
+	text := make([]byte, mostStacks)
+	text = text[:runtime.Stack(text, true)]
+	var found []string
+	for _, one := range strings.Split(string(text), "\n\n") {
+		head, rest, _ := strings.Cut(one, "\n")
+		if strings.Contains(head, "IO wait") || strings.Contains(head, "chan ") || strings.Contains(head, "select") ||
+			strings.Contains(head, "Mutex.Lock") || strings.Contains(head, "semacquire") || strings.Contains(rest, "watch.places") {
+			continue
+		}
+		for _, line := range strings.Split(rest, "\n") {
+			if at, is := strings.CutPrefix(line, "hollylever/"); is {
+				name, _, _ := strings.Cut(at, "(0x")
+				found = append(found, name)
+				break
+			}
+		}
+	}
+	return strings.Join(found[:min(len(found), mostWhere)], " ")
+}
