What a balancer learnt goes along to the process that comes after it

Need: a new process knew none of the old one's rates and keys; each key was fetched for 4 hosts on upgrades. Hosts that restarted since are cold, keys there are forgotten; sums fade over the gap; a stepped clock moves nothing. The module has the part of the cold room that is this process's.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -176,6 +176,7 @@
 	all                   kind
 	ready                 []int   // caches that the list calls ready
 	size, warm            float64 // of them all, and of those that are not cold by the last list
+	part                  float64 // of this balancer's cold room that this process has
 	best                  []ranked
 	scope                 Scope
 	failures              int
@@ -222,7 +223,7 @@
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, zone: -1,
-		credit: 1, admit: 1, fetches: map[uint64]int{}, usual: float64(second),
+		credit: 1, admit: 1, part: 1, fetches: map[uint64]int{}, usual: float64(second),
 		chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
 	for range 8 {
 		b.chance.next()
@@ -620,7 +621,7 @@
 	// What it settles, with little turned away or failed, proves that it can do more.
 	good := h.good.read(b.seen) * b.pace
 	part *= 1 + 2*good/(good+proves*(1+h.busy.read(b.seen)+h.bad.read(b.seen)))
-	rate = max(b.can*h.size, 0.5/b.balancers) * coldPart * b.multiple * part
+	rate = max(b.can*h.size, 0.5/b.balancers) * coldPart * b.multiple * part * b.part
 	h.room = min(h.room+rate*float64(now-h.roomAt)/float64(second), 1+rate*float64(b.tipAfter)/float64(second)/4)
 	h.roomAt = now
 	return h.room
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,222 @@
+package choice
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// What a balancer learnt, out and in. Nothing is decided here: Learnt copies what the module knows, Learn lays it into
+// a module that has just begun and knows its list. Retrievals and trips are not in it, and so nothing in it can prove that a
+// trip may go again.
+
+// Bounds of what is taken.
+const (
+	mostHosts = 1 << 16
+	mostKinds = 1 << 12
+)
+
+// Sum is one that decays: its value, and how long before the clock of evidence read Seen it was brought up to date.
+type Sum struct {
+	_     struct{} `cbor:",toarray"`
+	Value float32
+	Age   int64
+}
+
+// KindState is what was learnt of the servers of one kind, or of all.
+type KindState struct {
+	_                    struct{} `cbor:",toarray"`
+	Answered, Took, Busy Sum
+	Size                 float64
+}
+
+// ServerState is what was learnt of a server, known by its hash.
+type ServerState struct {
+	_                           struct{} `cbor:",toarray"`
+	Hash                        uint64
+	Started                     int64
+	Held, Sent, Good, Bad, Busy Sum
+	Credit                      float32
+	CutAt                       int64
+	Rate, Strain                float32
+}
+
+// State is what a balancer learnt. Times are of its clock at Now; ages are of its clock of evidence at Seen.
+type State struct {
+	_                                     struct{} `cbor:",toarray"`
+	Now, Began, Seen                      int64
+	Pace                                  float64
+	Held, Good, Bad, Warmed               Sum
+	Reads, Misses, Fails, Fine, Poor      Sum
+	Asked, Turned, Lacked, Settled, Took  Sum
+	Unreached, Overdue                    Sum
+	Credit, Usual, Admit, OriginRoom, Can float64
+	CanAt                                 int64
+	All                                   KindState
+	Kinds                                 []KindState
+	Tenants                               []Sum
+	Servers                               []ServerState
+	Keys                                  []uint64 // read lately
+	Places                                []uint32 // and where, in Servers
+}
+
+// scalars are the sums that stand alone, in the order of State's.
+func (b *Balancer) scalars() [15]*sum {
+	return [15]*sum{&b.good, &b.bad, &b.warmed, &b.reads, &b.misses, &b.fails, &b.fine, &b.poor, &b.asked, &b.turned,
+		&b.lacked, &b.settled, &b.took, &b.unreached, &b.overdue}
+}
+
+func (s *State) scalars() [15]*Sum {
+	return [15]*Sum{&s.Good, &s.Bad, &s.Warmed, &s.Reads, &s.Misses, &s.Fails, &s.Fine, &s.Poor, &s.Asked, &s.Turned,
+		&s.Lacked, &s.Settled, &s.Took, &s.Unreached, &s.Overdue}
+}
+
+func (b *Balancer) sumOut(s sum) Sum { return Sum{Value: float32(max(0, s.value)), Age: max(0, b.seen-s.at)} }
+
+func (b *Balancer) sumIn(s Sum) sum { return sum{float64(s.Value), b.seen - s.Age} }
+
+func (b *Balancer) kindOut(k *kind) KindState {
+	return KindState{Answered: b.sumOut(k.answered), Took: b.sumOut(k.took), Busy: b.sumOut(k.busy), Size: k.size}
+}
+
+func (b *Balancer) kindIn(k KindState) kind {
+	return kind{answered: b.sumIn(k.Answered), took: b.sumIn(k.Took), busy: b.sumIn(k.Busy), size: k.Size}
+}
+
+// Learnt puts what the module knows into s, whose room is used again.
+func (b *Balancer) Learnt(now int64, s *State) {
+	b.passes(now)
+	servers, keys, places, kinds, tenants := s.Servers[:0], s.Keys[:0], s.Places[:0], s.Kinds[:0], s.Tenants[:0]
+	*s = State{Now: now, Began: b.began, Seen: b.seen, Pace: b.pace, Held: b.sumOut(sum(b.held)), Credit: b.credit, Usual: b.usual,
+		Admit: b.admit, OriginRoom: b.room, Can: b.can, CanAt: b.canAt, All: b.kindOut(&b.all)}
+	for n, own := range b.scalars() {
+		*s.scalars()[n] = b.sumOut(*own)
+	}
+	for k := range b.kinds {
+		kinds = append(kinds, b.kindOut(&b.kinds[k]))
+	}
+	for t := range b.tenants {
+		tenants = append(tenants, b.sumOut(b.tenants[t].asked))
+	}
+	placed := make([]uint32, 0, len(b.servers))
+	for i := range b.servers {
+		h := &b.servers[i]
+		placed = append(placed, uint32(len(servers)))
+		if h.hash == 0 || h.health == Gone {
+			placed[i] = mostHosts
+			continue
+		}
+		servers = append(servers, ServerState{Hash: h.hash, Started: h.started, Held: b.sumOut(sum(h.held)), Sent: b.sumOut(h.sent),
+			Good: b.sumOut(h.good), Bad: b.sumOut(h.bad), Busy: b.sumOut(h.busy), Credit: float32(h.credit), CutAt: h.cutAt,
+			Rate: float32(h.rate), Strain: float32(h.strain)})
+	}
+	for _, r := range b.known {
+		if r.key != 0 && r.server < len(placed) && placed[r.server] != mostHosts {
+			keys, places = append(keys, r.key), append(places, placed[r.server])
+		}
+	}
+	s.Servers, s.Keys, s.Places, s.Kinds, s.Tenants = servers, keys, places, kinds, tenants
+}
+
+var errForm = errors.New("not what a module writes")
+
+func fair(xs ...float64) bool {
+	for _, x := range xs {
+		if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s Sum) fair() bool { return fair(float64(s.Value)) && s.Age >= 0 }
+
+func (k KindState) fair() bool {
+	return k.Answered.fair() && k.Took.fair() && k.Busy.fair() && fair(k.Size)
+}
+
+// Check tells whether this can be what a module wrote: nothing of it may lead the module astray or out of bounds.
+func (s *State) Check() error {
+	good := fair(s.Pace, s.Credit, s.Usual, s.Admit, s.OriginRoom, s.Can) && s.Pace > 0 && s.Pace <= 1 && s.Usual > 0 && s.Admit <= 1 &&
+		s.Credit <= mostCredit && s.Seen >= 0 && s.Began > 0 && s.Began <= s.Now && s.CanAt <= s.Now && s.Held.fair() && s.All.fair()
+	for _, sum := range s.scalars() {
+		good = good && sum.fair()
+	}
+	for _, k := range s.Kinds {
+		good = good && k.fair()
+	}
+	for _, t := range s.Tenants {
+		good = good && t.fair()
+	}
+	for n := range s.Servers {
+		h := &s.Servers[n]
+		good = good && h.Held.fair() && h.Sent.fair() && h.Good.fair() && h.Bad.fair() && h.Busy.fair() && h.CutAt <= s.Now &&
+			fair(float64(h.Credit), float64(h.Strain), float64(h.Rate)+1) && h.Credit <= mostCredit
+	}
+	switch {
+	case !good:
+		return errForm
+	case len(s.Servers) > mostHosts, len(s.Kinds) > mostKinds, len(s.Keys) > knownKeys, len(s.Keys) != len(s.Places):
+		return fmt.Errorf("%w: %d hosts, %d kinds, %d keys, %d places", errForm, len(s.Servers), len(s.Kinds), len(s.Keys), len(s.Places))
+	}
+	for _, place := range s.Places {
+		if int(place) >= len(s.Servers) {
+			return errForm
+		}
+	}
+	return nil
+}
+
+// Learn lays what was learnt, so long ago, into a module that has just been told its list and has decided nothing. s has
+// been checked. It tells how many servers of the list were known.
+func (b *Balancer) Learn(now int64, s *State, ago int64) (known int) {
+	shift := now - ago - s.Now // Guards against a system's clock that stepped between the two.
+	at := func(then int64) int64 { return min(now, then+shift) }
+	b.seen, b.pace, b.now = s.Seen, s.Pace, now
+	b.began, b.held = at(s.Began), held(b.sumIn(s.Held))
+	b.credit, b.usual, b.admit, b.room, b.can, b.canAt = s.Credit, s.Usual, s.Admit, s.OriginRoom, s.Can, at(s.CanAt)
+	for n, own := range b.scalars() {
+		*own = b.sumIn(*s.scalars()[n])
+	}
+	b.all = b.kindIn(s.All)
+	for k := range min(len(b.kinds), len(s.Kinds)) {
+		b.kinds[k] = b.kindIn(s.Kinds[k])
+	}
+	for t := range min(len(b.tenants), len(s.Tenants)) {
+		b.tenants[t].asked = b.sumIn(s.Tenants[t])
+	}
+	byHash := make(map[uint64]int, len(b.servers))
+	for i := range b.servers {
+		byHash[b.servers[i].hash] = i
+	}
+	places := make([]int, len(s.Servers))
+	for n := range s.Servers {
+		from := &s.Servers[n]
+		i, listed := byHash[from.Hash]
+		if places[n] = -1; !listed || from.Hash == 0 || from.Started < b.servers[i].started {
+			continue // Gone; or it has restarted since, and is cold: nothing that was learnt holds.
+		}
+		h := &b.servers[i]
+		places[n], known = i, known+1
+		h.started = from.Started // The list may be the older news.
+		h.held, h.sent, h.good, h.bad, h.busy = held(b.sumIn(from.Held)), b.sumIn(from.Sent), b.sumIn(from.Good), b.sumIn(from.Bad),
+			b.sumIn(from.Busy)
+		h.credit, h.rate, h.strain = float64(from.Credit), float64(from.Rate), float64(from.Strain)
+		if h.cutAt = 0; from.CutAt > 0 {
+			h.cutAt = at(from.CutAt)
+		}
+		h.room, h.roomAt = 0, now // What was saved for a cold one may be spent by the process that saved it.
+	}
+	for n, key := range s.Keys {
+		if place := places[s.Places[n]]; place >= 0 {
+			b.known[key%knownKeys] = read{key, place}
+		}
+	}
+	b.seen += int64(float64(ago) * s.Pace) // All that was learnt has faded over the gap as it would have.
+	b.Listing(now, Incremental)
+	b.Listed(now)
+	return known
+}
+
+// Share sets which part of the balancer's trips this process sends: its part of what cold servers may be sent.
+func (b *Balancer) Share(part float64) { b.part = part }
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"hollylever/learnt"
 	"hollylever/operators"
 	"hollylever/routing"
 	"hollylever/transport"
@@ -29,6 +31,7 @@
 	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
 	sweepEvery = 50 * time.Millisecond
 	tellEvery  = 10 * time.Second
+	keepEvery  = time.Second            // what was learnt is written down
 	mostLines  = 512                    // of the log that wait to be written
 	flushFor   = 100 * time.Millisecond // for them at the end
 )
@@ -65,11 +68,16 @@
 	idle, _ := told.settings["allowed.connIdle"].(float64)
 	dial, _ := told.settings["allowed.dialTimeout"].(float64)
 	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
-	bans := "" // Without a place of their own they last as long as the process.
+	bans, left := "", "" // Without a place of their own they last as long as the process.
+	var before *learnt.Snapshot
 	if place := os.Getenv("TMPDIR"); place != "" {
-		bans = filepath.Join(place, "hollylever.bans")
+		bans, left = filepath.Join(place, "hollylever.bans"), filepath.Join(place, "hollylever.learnt")
+		at := learnt.File{Path: left}
+		if before, err = at.Read(told.name, routing.Fingerprint(told.settings), time.Now()); err != nil {
+			log.Warn().Err(err).Msg("not recalled")
+		}
 	}
-	balancer, err := routing.New(told.settings, told.known, told.discovery, told.seed, pool, memory/6, bans, log)
+	balancer, err := routing.New(told.settings, told.known, told.discovery, told.seed, pool, memory/6, bans, before, log)
 	if err != nil {
 		return fmt.Errorf("%s: known: %w", told.file, err)
 	}
@@ -99,6 +107,9 @@
 	go still.Run(ctx)
 	go listener.Serve(balancer.Serve)
 	balancer.Takes(true)
+	if left != "" {
+		go keep(ctx, balancer.Keeper(left, told.name), log)
+	}
 	go balancer.Follow(ctx)
 	go balancer.FollowBans(ctx)
 	log.Info().Str("listen", listener.Address()).Str("mgmt", mgmt).Int("clients", front).Int("hosts", hosts).
@@ -143,6 +154,18 @@
 	}
 }
 
+// keep has what was learnt written down while it serves, so that a process that is killed leaves it too.
+func keep(ctx context.Context, keeper *routing.Keeper, log zerolog.Logger) {
+	odd := false
+	for tick := time.NewTicker(keepEvery); ctx.Err() == nil; <-tick.C {
+		err := keeper.Keep()
+		if err != nil && !errors.Is(err, learnt.ErrTaken) && !odd {
+			log.Warn().Err(err).Msg("not kept") // Once for a run of them.
+		}
+		odd = err != nil
+	}
+}
+
 // flush writes what the log still holds, for a moment: whoever should read it may be gone.
 func flush(out io.Closer) {
 	done := make(chan struct{})
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"hollylever/choice"
+	"hollylever/learnt"
 	"hollylever/protocol"
 	"hollylever/tables"
 	"hollylever/transport"
@@ -103,6 +104,7 @@
 	module    *choice.Balancer
 	discovery string                  // where the list is
 	index     uint64                  // of the list last told
+	lists     int                     // told so far
 	letGo     context.CancelCauseFunc // ends the watch that stands
 	servers   []server
 	places    tables.Indices // of servers
@@ -125,9 +127,9 @@
 }
 
 // New makes a balancer that knows a list from before, in discovery's form. It keeps at most so many bytes of
-// retrievals at once, and what is out by hand in a file, if one is named.
+// retrievals at once, and what is out by hand in a file, if one is named. before is what a process before it has left, if any.
 func New(settings map[string]any, known []byte, discovery string, seed uint64, pool *transport.Pool, mostHeap int64, bansIn string,
-	log zerolog.Logger) (*Balancer, error) {
+	before *learnt.Snapshot, log zerolog.Logger) (*Balancer, error) {
 	b := &Balancer{log: log, discovery: discovery, letGo: func(error) {}, settings: settings, began: time.Now(), pool: pool, follow: make(chan struct{}, 1),
 		mostHeld: max(1, int(number(settings, "allowed.mostHeld"))), mostHeap: mostHeap, byName: map[string]int{},
 		open: map[string]bool{}, once: map[string]bool{}, oneShot: map[int]bool{},
@@ -143,7 +145,15 @@
 	}
 	b.bans.file = bansIn
 	b.lookAtBans()
-	return b, b.tell(context.Background(), known, true)
+	if err := b.tell(context.Background(), known, true); err != nil || before == nil {
+		return b, err
+	}
+	if servers, err := b.recall(before, known); err != nil {
+		log.Warn().Err(err).Msg("not recalled") // The start is as without it.
+	} else {
+		log.Info().Int("servers", servers).Int("keys", len(before.State.Keys)).Int64("ago_ms", before.Ago.Milliseconds()).Msg("recalled")
+	}
+	return b, nil
 }
 
 func number(settings map[string]any, name string) float64 { x, _ := settings[name].(float64); return x }
@@ -233,6 +243,7 @@
 	}
 	err := protocol.List(line, func(index uint64, whole bool) {
 		b.index = index
+		b.lists++
 		switch all = all || whole; {
 		case saved:
 			b.module.Listing(now, choice.Saved)
--- /dev/null
+++ b/routing/learnt.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc64"
+	"maps"
+	"slices"
+	"time"
+
+	"hollylever/choice"
+	"hollylever/learnt"
+	"hollylever/protocol"
+)
+
+// entry is a server as discovery's form has it.
+type entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMS int64   `json:"since_ms"`
+}
+
+// Fingerprint tells settings apart: under other ones the indices in what was learnt mean something else.
+func Fingerprint(settings map[string]any) uint64 {
+	sum := crc64.New(crc64.MakeTable(crc64.ECMA))
+	for _, name := range slices.Sorted(maps.Keys(settings)) {
+		fmt.Fprintf(sum, "%s=%v\n", name, settings[name])
+	}
+	return binary.BigEndian.Uint64(sum.Sum(nil))
+}
+
+// Keeper writes down what a balancer has learnt, while it serves.
+type Keeper struct {
+	b        *Balancer
+	file     learnt.File
+	snapshot learnt.Snapshot // its room is used again
+	came     int             // retrievals, at the last one
+	told     int             // lists, as of its list
+	Size     int             // of the last one, bytes
+	Took     time.Duration   // for the last one: copying, under the lock, and packing
+	Held     time.Duration   // of that, under the lock
+}
+
+// Keeper makes one that writes to a file.
+func (b *Balancer) Keeper(path, name string) *Keeper {
+	return &Keeper{b: b, file: learnt.File{Path: path}, snapshot: learnt.Snapshot{Name: name, Settings: Fingerprint(b.settings)}, told: -1, came: -1}
+}
+
+// Keep writes what is known now, if any retrieval came since the last time. State is copied under the lock, and packed and written
+// outside of it.
+func (k *Keeper) Keep() error {
+	b, s := k.b, &k.snapshot
+	began := time.Now()
+	b.mu.Lock()
+	came := b.counts[count{"retrievals", none}]
+	if came == k.came {
+		b.mu.Unlock()
+		return nil
+	}
+	k.came, s.At = came, time.Now().UnixNano()
+	b.module.Learnt(b.now(), &s.State)
+	whole := struct {
+		Index     uint64  `json:"index"`
+		Snapshot  bool    `json:"snapshot"`
+		Endpoints []entry `json:"endpoints"`
+	}{b.index, true, nil}
+	changed := k.told != b.lists
+	k.told = b.lists
+	for i := 0; changed && i < len(b.servers); i++ {
+		if h := &b.servers[i]; h.name != "" && h.health != choice.Gone {
+			whole.Endpoints = append(whole.Endpoints, entry{h.name, h.address, named(b.zones, h.zone), named(b.kinds, h.kind), h.cell,
+				names[h.health], h.weight, (h.started + int64(time.Millisecond/2)) / int64(time.Millisecond)})
+		}
+	}
+	s.Discovery, s.Index = b.discovery, b.index
+	b.mu.Unlock()
+	k.Held = time.Since(began)
+	if changed {
+		var err error
+		if s.List, err = json.Marshal(whole); err != nil {
+			return err
+		}
+	}
+	size, err := k.file.Write(s)
+	if err == nil {
+		k.Size, k.Took = size, time.Since(began)
+	}
+	return err
+}
+
+// named is the name of a place in one of the settings' tables; there are few.
+func named(table map[string]int, place int) string {
+	for name, p := range table {
+		if p == place {
+			return name
+		}
+	}
+	return ""
+}
+
+// recall starts from what another process has left, as if this one had been there. The list of the configuration counts where it is the
+// newer one. It tells how many servers are known.
+func (b *Balancer) recall(s *learnt.Snapshot, known []byte) (int, error) {
+	before, same, index := map[string]bool{}, 0, uint64(0)
+	row := func(name, _, _ string, _ int64, _, _ string, _ int, _ float64) { before[name] = true }
+	if err := protocol.List(s.List, func(uint64, bool) {}, row); err != nil {
+		return 0, err
+	}
+	listed := 0
+	protocol.List(known, func(i uint64, _ bool) { index = i }, func(name, _, _ string, _ int64, _, _ string, _ int, _ float64) {
+		if listed++; before[name] {
+			same++
+		}
+	})
+	if listed > 0 && 2*same < len(before) {
+		return 0, fmt.Errorf("of another list: %d of its %d hosts are listed", same, len(before))
+	}
+	if s.Index > index && s.Discovery == b.discovery {
+		if err := b.tell(context.Background(), s.List, true); err != nil {
+			return 0, err
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.module.Learn(b.now(), &s.State, int64(s.Ago)), nil
+}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -35,7 +35,7 @@
 func begin(t *testing.T, most int64) *Balancer {
 	pool := transport.NewPool(8, time.Minute, time.Second)
 	b, err := New(tables.Flat(gjson.Parse(settings)), []byte(strings.Replace(known, "ADDRESS", closed(t), 1)), "", 1, pool, most, "",
-		zerolog.Nop())
+		nil, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
