Two processes of one balancer divide descriptors, memory and cold room between them

Need: descriptors of an old and a new process were not bounded together; memory was halved for good, beside nobody too. Change: kin/ keeps a row a process in files under TMPDIR, each locked for life, and a pure function divides: a claim is lowered only to what is in use or above, and raised only into what the others leave, by one at a time. Clients, connections to hosts, budgets and the collector's limit follow every 50 ms; the part of the cold room follows the part of the trips.

--- /dev/null
+++ b/cmd/hollylever/kin.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"runtime/debug"
+	"runtime/metrics"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollylever/kin"
+	"hollylever/routing"
+	"hollylever/transport"
+)
+
+const (
+	kinEvery = 50 * time.Millisecond
+	joinFor  = 400 * time.Millisecond // one that starts waits so long for the others to make room
+)
+
+// limited is what the limits are laid on.
+type limited struct {
+	listener *transport.Listener
+	pool     *transport.Pool
+	balancer *routing.Balancer
+}
+
+// lay sets what this process may take now.
+func (l limited) lay(may kin.Amount, part float64) {
+	l.listener.Allow(int(may.Clients))
+	l.pool.Allow(int(may.Hosts))
+	l.listener.Budget.Allow(may.Memory / 6)
+	l.balancer.Allow(may.Memory/6, part)
+}
+
+// uses is what it takes.
+func (l limited) uses() kin.Amount {
+	return kin.Amount{Clients: int64(l.listener.Count()), Hosts: int64(l.pool.Count()), Memory: mapped()}
+}
+
+// mapped is the memory that the runtime holds from the system.
+func mapped() int64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
+// join waits until the others have made room for this process, for a moment: one that stands still must not stop it.
+func (l limited) join(k *kin.Kin) {
+	for end := time.Now().Add(joinFor); time.Now().Before(end); time.Sleep(kinEvery / 5) {
+		may, part, others, err := k.Tick(l.uses(), 0)
+		if l.lay(may, part); err != nil || len(others) == 0 || may.Clients > 0 && may.Hosts > 0 {
+			return
+		}
+	}
+	l.lay(kin.Amount{Clients: leastEach, Hosts: leastEach, Memory: leastMemory << 20}, 0.1)
+}
+
+const leastEach = 8 // descriptors with which a process can serve at all
+
+// share keeps the limits divided with the other processes of this balancer, until the context ends.
+func (l limited) share(ctx context.Context, k *kin.Kin, log zerolog.Logger) {
+	beside, odd, collector := -1, false, int64(0)
+	for tick := time.NewTicker(kinEvery); ctx.Err() == nil; <-tick.C {
+		may, part, others, err := k.Tick(l.uses(), l.balancer.Handed())
+		if err != nil && !odd {
+			log.Warn().Err(err).Msg("kin not told") // Once for a run of them.
+		}
+		odd = err != nil
+		l.lay(kin.Amount{Clients: max(may.Clients, leastEach), Hosts: max(may.Hosts, leastEach), Memory: may.Memory}, part)
+		if limit := max(may.Memory, leastMemory<<20) * 7 / 10; limit != collector {
+			debug.SetMemoryLimit(limit)
+			collector = limit
+		}
+		if len(others) != beside {
+			beside = len(others)
+			log.Info().Int("beside", beside).Int64("clients", may.Clients).Int64("hosts", may.Hosts).
+				Int64("memory_mb", may.Memory>>20).Msg("limits divided")
+		}
+	}
+}
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"hollylever/kin"
 	"hollylever/learnt"
 	"hollylever/operators"
 	"hollylever/routing"
@@ -53,8 +54,12 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(told.cores)))
 	memory := int64(told.memory * (1 << 20))
+	all, hosts := kin.Amount{Memory: memory}, (told.sockets-reserve)/2
+	front := told.sockets - reserve - hosts
 	if told.inherited >= 0 {
 		memory /= 2 // Guards against two processes over an upgrade, whose memory counts together.
+		hosts, front = hosts-reserve/2, front-reserve/2
+		all.Clients, all.Hosts = int64(front), int64(hosts)
 	}
 	debug.SetMemoryLimit(memory * 7 / 10)
 	debug.SetGCPercent(int(min(400, max(50, memory>>20)))) // A small machine collects sooner.
@@ -64,13 +69,18 @@
 	defer flush(out)
 	log := zerolog.New(out).With().Timestamp().Str("balancer", told.name).Logger()
 
-	hosts := (told.sockets - reserve) / 2
 	idle, _ := told.settings["allowed.connIdle"].(float64)
 	dial, _ := told.settings["allowed.dialTimeout"].(float64)
 	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
 	bans, left := "", "" // Without a place of their own they last as long as the process.
 	var before *learnt.Snapshot
+	var family *kin.Kin // nil: nobody else can be there, or nothing is known of others
 	if place := os.Getenv("TMPDIR"); place != "" {
+		if told.inherited >= 0 {
+			if family, err = kin.Join(place, all); err != nil {
+				log.Warn().Err(err).Msg("kin not joined")
+			}
+		}
 		bans, left = filepath.Join(place, "hollylever.bans"), filepath.Join(place, "hollylever.learnt")
 		at := learnt.File{Path: left}
 		if before, err = at.Read(told.name, routing.Fingerprint(told.settings), time.Now()); err != nil {
@@ -81,7 +91,6 @@
 	if err != nil {
 		return fmt.Errorf("%s: known: %w", told.file, err)
 	}
-	front := told.sockets - reserve - hosts
 	var listener *transport.Listener
 	if told.inherited >= 0 {
 		if listener, err = transport.Inherit(told.inherited, front); err != nil {
@@ -93,6 +102,10 @@
 	listener.Budget = transport.NewBudget(memory / 6)
 	listener.Odd = func(err error) { log.Warn().Err(err).Msg("accept failed") }
 
+	limits := limited{listener, pool, balancer}
+	if family != nil {
+		limits.join(family)
+	}
 	mgmt := "" // No door for operators.
 	if told.mgmt != "" {
 		if mgmt, err = operators.Open(told.mgmt, balancer); err != nil {
@@ -107,8 +120,12 @@
 	go still.Run(ctx)
 	go listener.Serve(balancer.Serve)
 	balancer.Takes(true)
+	if family != nil {
+		family.Now(kin.Serving)
+		go limits.share(ctx, family, log)
+	}
 	if left != "" {
-		go keep(ctx, balancer.Keeper(left, told.name), log)
+		go keep(ctx, balancer.Keeper(left, told.name), family, log)
 	}
 	go balancer.Follow(ctx)
 	go balancer.FollowBans(ctx)
@@ -138,6 +155,9 @@
 			told = now
 		case <-stop:
 			balancer.Takes(false)
+			if family != nil {
+				family.Now(kin.Leaving)
+			}
 			log.Info().Int("clients", listener.Count()).Msg("stopping")
 			until := time.Now().Add(lastAnswer + hardStop)
 			listener.Last()
@@ -155,9 +175,12 @@
 }
 
 // keep has what was learnt written down while it serves, so that a process that is killed leaves it too.
-func keep(ctx context.Context, keeper *routing.Keeper, log zerolog.Logger) {
+func keep(ctx context.Context, keeper *routing.Keeper, family *kin.Kin, log zerolog.Logger) {
 	odd := false
 	for tick := time.NewTicker(keepEvery); ctx.Err() == nil; <-tick.C {
+		if family != nil && !family.Writes() {
+			continue // Another process knows more.
+		}
 		err := keeper.Keep()
 		if err != nil && !errors.Is(err, learnt.ErrTaken) && !odd {
 			log.Warn().Err(err).Msg("not kept") // Once for a run of them.
--- /dev/null
+++ b/kin/divide.go
@@ -0,0 +1,162 @@
+// Package kin is about the processes of one balancer: over an upgrade there are two of them, at times three, and what a balancer
+// may take (descriptors, memory, room at cold hosts) they may take together. divide.go decides how that is divided, without I/O
+// or clock; kin.go keeps a row for each process in files that all of them see.
+//
+// One rule keeps the sum, whatever is late, lost or dead: a claim is lowered only to what is in use or above, and raised only into
+// what the others' claims leave, by one process at a time.
+package kin
+
+import "math"
+
+// Phase is what a process is doing.
+type Phase string
+
+// The phases of a process, in their order.
+const (
+	Starting Phase = "starting" // it takes no clients yet
+	Serving  Phase = "serving"
+	Leaving  Phase = "leaving" // it takes nobody new, and ends
+)
+
+// Amount is how much of each limit.
+type Amount struct {
+	Clients int64 `json:"clients"` // descriptors in front
+	Hosts   int64 `json:"hosts"`   // descriptors to hosts
+	Memory  int64 `json:"memory"`  // bytes
+}
+
+// parts are the limits one by one; each is divided by itself.
+func (a *Amount) parts() [3]*int64 { return [3]*int64{&a.Clients, &a.Hosts, &a.Memory} }
+
+// Row is what a process says of itself.
+type Row struct {
+	Pid   int     `json:"pid"`
+	Since int64   `json:"since"` // when it began, Unix nanoseconds
+	Phase Phase   `json:"phase"`
+	Claim Amount  `json:"claim"` // what it may take, and others may not
+	Use   Amount  `json:"use"`
+	Trips float64 `json:"trips"` // handed over of late, fading in seconds
+}
+
+// first is what one that starts needs at first, of a limit.
+func first(total int64) int64 { return total / 4 }
+
+// Aim is what a process should come to of the whole.
+func Aim(total Amount, own Row, others []Row) (aim Amount) {
+	serving, starting := int64(1), int64(0)
+	if own.Phase == Starting {
+		serving, starting = 0, 1
+	}
+	var leaving Amount
+	for _, o := range others {
+		switch o.Phase {
+		case Serving:
+			serving++
+		case Starting:
+			starting++
+		case Leaving: // One of which nothing is known changes no aim; it only stops what would be raised.
+			for n, claim := range leaving.parts() {
+				*claim += *o.Claim.parts()[n]
+			}
+		}
+	}
+	for n, to := range aim.parts() {
+		whole := *total.parts()[n]
+		rest := max(0, whole-*leaving.parts()[n])
+		switch {
+		case own.Phase == Leaving:
+			*to = leaves(total, own.Use, n)
+		case own.Phase == Starting && (serving > 0 || starting > 1):
+			*to = min(rest, first(whole))
+		case own.Phase == Starting:
+			*to = rest
+		default:
+			*to = max(0, rest-starting*first(whole)) / serving
+		}
+	}
+	// One that starts has taken memory before it can say so: that much is always left.
+	if len(others) == 0 && own.Phase != Leaving {
+		aim.Memory -= first(total.Memory)
+	}
+	return aim
+}
+
+// leaves is what one that leaves still needs of a limit: its clients may each ask once more, and each answer takes a host.
+func leaves(total, use Amount, part int) int64 {
+	switch part {
+	case 0:
+		return use.Clients
+	case 1:
+		return use.Hosts + use.Clients + few
+	}
+	return max(use.Memory, first(total.Memory))
+}
+
+const few = 8
+
+// Divide says what a process claims next. raise: nobody else raises a claim at this time.
+func Divide(total Amount, own Row, others []Row, raise bool) (claim Amount) {
+	aim := Aim(total, own, others)
+	for n, to := range claim.parts() {
+		now, wanted, used := *own.Claim.parts()[n], *aim.parts()[n], *own.Use.parts()[n]
+		if wanted <= now {
+			*to = min(now, max(wanted, used))
+			continue
+		}
+		if *to = now; !raise {
+			continue
+		}
+		left := *total.parts()[n]
+		for _, o := range others {
+			left -= *o.Claim.parts()[n]
+		}
+		*to = max(now, min(wanted, left))
+	}
+	return claim
+}
+
+// Allowed is what a process may come to now: less than it claims while it comes down to its aim.
+func Allowed(total Amount, own Row, others []Row) (allowed Amount) {
+	aim := Aim(total, own, others)
+	for n, to := range allowed.parts() {
+		*to = min(*own.Claim.parts()[n], *aim.parts()[n])
+	}
+	return allowed
+}
+
+const leastPart = 0.1 // so that one that has sent nothing yet can begin
+
+// Part is the process's part of the trips that all send.
+func Part(own Row, others []Row) float64 {
+	all, some := own.Trips, false
+	for _, o := range others {
+		all, some = all+o.Trips, true
+	}
+	if !some {
+		return 1
+	}
+	if !(all > 0) || math.IsInf(all, 0) {
+		return 1 / float64(1+len(others))
+	}
+	return max(leastPart, own.Trips/all)
+}
+
+// Writes tells whether this process is the one that writes down what was learnt: who has served longest, or who leaves last.
+func Writes(own Row, others []Row) bool {
+	for _, o := range others {
+		if own.Phase == Serving && o.Phase == Serving && o.Since < own.Since || own.Phase == Leaving && o.Phase != Leaving {
+			return false
+		}
+	}
+	return own.Phase != Starting
+}
+
+// sound tells whether a row can be what a process wrote.
+func (r *Row) sound(total Amount) bool {
+	for n, claim := range r.Claim.parts() {
+		if *claim < 0 || *claim > *total.parts()[n] {
+			return false
+		}
+	}
+	return (r.Phase == Starting || r.Phase == Serving || r.Phase == Leaving) && r.Trips >= 0
+}
--- /dev/null
+++ b/kin/kin.go
@@ -0,0 +1,143 @@
+package kin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	mostKin = 8   // processes of one balancer at a time
+	rowLen  = 512 // bytes of a row, filled up
+	fade    = 0.984
+)
+
+// Kin is a process among those of its balancer.
+type Kin struct {
+	total Amount
+	place string
+	file  *os.File // its own, locked for life: the kernel gives the lock back however the process ends
+	slot  int
+	turn  *os.File // whose lock is whose turn it is to raise a claim
+
+	mu     sync.Mutex
+	own    Row
+	others []Row
+	handed int
+}
+
+// Join takes a place among the processes that share a folder. total is what all may take together.
+func Join(place string, total Amount) (*Kin, error) {
+	k := &Kin{total: total, place: place, own: Row{Pid: os.Getpid(), Since: time.Now().UnixNano(), Phase: Starting}}
+	var err error
+	if k.turn, err = os.OpenFile(filepath.Join(place, "hollylever.kin.turn"), os.O_CREATE|os.O_RDWR|unix.O_NOFOLLOW, 0o600); err != nil {
+		return nil, err
+	}
+	for k.slot = range mostKin {
+		at, err := os.OpenFile(k.path(k.slot), os.O_CREATE|os.O_RDWR|unix.O_NOFOLLOW, 0o600)
+		if err != nil {
+			k.turn.Close()
+			return nil, err
+		}
+		if unix.Flock(int(at.Fd()), unix.LOCK_EX|unix.LOCK_NB) != nil {
+			at.Close()
+			continue
+		}
+		k.file = at
+		return k, k.write()
+	}
+	k.turn.Close()
+	return nil, fmt.Errorf("%d processes of this balancer run already", mostKin)
+}
+
+func (k *Kin) path(slot int) string {
+	return filepath.Join(k.place, fmt.Sprint("hollylever.kin.", slot))
+}
+
+func (k *Kin) write() error {
+	text, err := json.Marshal(k.own)
+	if err != nil {
+		return err
+	}
+	if len(text) > rowLen {
+		return errors.New("a row that is too long")
+	}
+	_, err = k.file.WriteAt(append(text, bytes.Repeat([]byte(" "), rowLen-len(text))...), 0)
+	return err
+}
+
+// look reads the others' rows. One whose lock is free has ended. One that can't be read may hold all.
+func (k *Kin) look() {
+	k.others = k.others[:0]
+	for slot := range mostKin {
+		if slot == k.slot {
+			continue
+		}
+		at, err := os.OpenFile(k.path(slot), os.O_RDWR|unix.O_NOFOLLOW, 0)
+		if err != nil {
+			continue // Nobody ever had it.
+		}
+		if unix.Flock(int(at.Fd()), unix.LOCK_SH|unix.LOCK_NB) == nil {
+			at.Close()
+			continue
+		}
+		text := make([]byte, rowLen)
+		n, _ := at.ReadAt(text, 0)
+		at.Close()
+		var row Row
+		switch {
+		case n == 0:
+			row = Row{Phase: Starting} // It has just come, and claims nothing yet.
+		case json.Unmarshal(bytes.TrimSpace(text[:n]), &row) != nil || !row.sound(k.total):
+			row = Row{Claim: k.total} // A torn row: what it holds can't be told, and nothing is raised beside it.
+		}
+		k.others = append(k.others, row)
+	}
+}
+
+// Tick says what this process uses, and how many trips it has handed over in all; it tells what it may come to, its part
+// of the trips, and how many others there are.
+func (k *Kin) Tick(use Amount, handed int) (allowed Amount, part float64, others []Row, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.own.Use = use
+	k.own.Trips = k.own.Trips*fade + float64(max(0, handed-k.handed))
+	k.handed = handed
+	// Guards the sum against two that raise into the same room. Nobody waits: whoever does not get its turn lowers only.
+	raise := unix.Flock(int(k.turn.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil
+	k.look()
+	k.own.Claim = Divide(k.total, k.own, k.others, raise)
+	err = k.write()
+	if raise {
+		unix.Flock(int(k.turn.Fd()), unix.LOCK_UN)
+	}
+	return Allowed(k.total, k.own, k.others), Part(k.own, k.others), slices.Clone(k.others), err
+}
+
+// Now is what the process is doing from now on; others see it with the next tick.
+func (k *Kin) Now(phase Phase) {
+	k.mu.Lock()
+	k.own.Phase = phase
+	k.mu.Unlock()
+}
+
+// Writes tells whether this process writes down what was learnt.
+func (k *Kin) Writes() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return Writes(k.own, k.others)
+}
+
+// Leave gives up the place, as an end of the process does.
+func (k *Kin) Leave() {
+	k.file.Close()
+	k.turn.Close()
+}
--- a/routing/figures.go
+++ b/routing/figures.go
@@ -81,3 +81,18 @@
 
 // Lock is the one round the module, for who looks whether it is to be had.
 func (b *Balancer) Lock() sync.Locker { return &b.mu }
+
+// Allow sets how many bytes of retrievals may be held from now on, and which part of the balancer's trips this process sends.
+func (b *Balancer) Allow(heap int64, part float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.mostHeap = heap
+	b.module.Share(part)
+}
+
+// Handed tells how many trips were handed over since the start.
+func (b *Balancer) Handed() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts[count{"handed", none}]
+}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -20,15 +20,18 @@
 )
 
 // Budget is what buffers may take beyond MostBuffer, all together.
-type Budget struct{ left atomic.Int64 }
+type Budget struct{ left, all atomic.Int64 }
 
 // NewBudget makes one of so many bytes.
 func NewBudget(bytes int64) *Budget {
 	b := &Budget{}
-	b.left.Store(bytes)
+	b.Allow(bytes)
 	return b
 }
 
+// Allow sets how many bytes it is from now on; what is taken stays so.
+func (b *Budget) Allow(bytes int64) { b.left.Add(bytes - b.all.Swap(bytes)) }
+
 func (b *Budget) take(n int) bool {
 	if b == nil || b.left.Add(int64(-n)) >= 0 {
 		return b != nil
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -33,6 +33,7 @@
 	listener net.Listener
 	most     int
 	least    int
+	short    int // so many are all that there are descriptors for, once that was seen; 0: not yet
 	mu       sync.Mutex
 	room     sync.Cond // a client has gone, or is between commands
 	closed   bool      // accepts no more
@@ -183,9 +184,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.most = min(l.most, max(l.least, len(l.clients)*9/10))
+	l.short = l.most
 	l.spare()
 }
 
+// Allow sets how many clients there may be from now on. Over that, those between commands are asked to go.
+func (l *Listener) Allow(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if most = max(1, most); l.short > 0 {
+		most = min(most, l.short)
+	}
+	if most == l.most {
+		return
+	}
+	l.most = most
+	for n := len(l.clients) - most; n > 0; n-- {
+		l.spare()
+	}
+	l.room.Broadcast()
+}
+
 // rank orders clients that may have to make room: silent ones, those that asked once, those that have just come and had
 // no time to ask, usual ones.
 func (c *Client) rank() int {
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -221,24 +221,39 @@
 func (p *Pool) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open >= p.most {
-		var oldest *Conn
-		for _, list := range p.idle {
-			if len(list) > 0 && (oldest == nil || list[0].idleAt.Before(oldest.idleAt)) {
-				oldest = list[0]
-			}
-		}
-		if oldest == nil {
-			return false
-		}
-		oldest.Close()
-		p.idle[oldest.peer] = slices.Delete(p.idle[oldest.peer], 0, 1)
-		p.open--
+	if p.open >= p.most && !p.dropOldest() {
+		return false
 	}
 	p.open++
 	return true
 }
 
+// dropOldest closes the connection that has been idle longest; it tells whether there was one.
+func (p *Pool) dropOldest() bool {
+	var oldest *Conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].idleAt.Before(oldest.idleAt)) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.Close()
+	p.idle[oldest.peer] = slices.Delete(p.idle[oldest.peer], 0, 1)
+	p.open--
+	return true
+}
+
+// Allow sets how many connections there may be from now on. Over that, idle ones are closed.
+func (p *Pool) Allow(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+	for p.open > p.most && p.dropOldest() {
+	}
+}
+
 func (p *Pool) release() {
 	p.mu.Lock()
 	p.open--
