A stream that outlasts a stop is reset; bans, limits and what was learnt tested over upgrades

Need: a large value still on its way at the end of a stop was cut by the end of the process, which a client could not tell from an orderly end. Tests: a killed process leaves what it learnt and a damaged file is not recalled; a ban at the new door while both run; a crowd's descriptors over an upgrade.

--- a/choice/state.go
+++ b/choice/state.go
@@ -71,7 +71,9 @@
 		&s.Lacked, &s.Settled, &s.Took, &s.Unreached, &s.Overdue}
 }
 
-func (b *Balancer) sumOut(s sum) Sum { return Sum{Value: float32(max(0, s.value)), Age: max(0, b.seen-s.at)} }
+func (b *Balancer) sumOut(s sum) Sum {
+	return Sum{Value: float32(max(0, s.value)), Age: max(0, b.seen-s.at)}
+}
 
 func (b *Balancer) sumIn(s Sum) sum { return sum{float64(s.Value), b.seen - s.Age} }
 
--- /dev/null
+++ b/cmd/hollylever/handover_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"hollylever/learnt"
+	"hollylever/routing"
+	"hollylever/standin"
+	"hollylever/tables"
+)
+
+// until asks again until it is so.
+func until(t *testing.T, what string, so func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !so(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: it does not come", what)
+		}
+	}
+}
+
+func says(t *testing.T, p *standin.Process, text string) string {
+	t.Helper()
+	line, err := p.Logged(text, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return line
+}
+
+// A process that was killed leaves what it learnt; the next one starts from it, and one that finds a damaged file as ever.
+func TestWhatWasLearntGoesAlong(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 6, -1, townLimits)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	p := w.start(t)
+	if len(p.Log("recalled")) > 0 {
+		t.Errorf("the first one has %q", p.Log("recalled"))
+	}
+	clients := standin.Ask(ctx, w.Address, standin.Load{Rate: 200, Keys: 300, Seed: 3, Patience: 2 * time.Second})
+	file := filepath.Join(w.Place, "hollylever.learnt")
+	many := func() bool {
+		s, err := (&learnt.File{Path: file}).Read("n1", fingerprint(), time.Now())
+		return err == nil && s != nil && len(s.State.Keys) > 50
+	}
+	until(t, "a snapshot of fifty keys", many)
+	end()
+	clients.Wait()
+	p.Kill()
+	if err := w.hosts[2].Restart(); err != nil { // While nobody is there: cold, and empty.
+		t.Fatal(err)
+	}
+	p = w.start(t)
+	var said struct {
+		Servers, Keys int
+		AgoMS         int `json:"ago_ms"`
+	}
+	line := says(t, p, `"message":"recalled"`)
+	if err := json.Unmarshal([]byte(line), &said); err != nil || said.Servers != 6 || said.Keys < 50 || said.AgoMS > 20000 {
+		t.Errorf("what is recalled: %s", line)
+	}
+	p.Kill()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for what, spoilt := range map[string][]byte{"half written": text[:len(text)/2], "damaged": append(append([]byte{}, text[:len(text)-1]...), text[len(text)-1]^1)} {
+		if err := os.WriteFile(file, spoilt, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p := w.start(t)
+		says(t, p, `"message":"not recalled"`)
+		if err := p.Ready(patience); err != nil {
+			t.Errorf("%s: %v", what, err)
+		}
+		p.Kill()
+	}
+}
+
+// A ban that comes at the new door while both run holds for both, and the host that it names is sent nothing more.
+func TestABanWhileBothRun(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 5, -1, townLimits)
+	old := w.start(t)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	clients := standin.Ask(ctx, w.Address, standin.Load{Rate: 200, Keys: 300, Seed: 5, Patience: 2 * time.Second})
+	until(t, "traffic at the host", func() bool { return w.hosts[1].Figures().Asked > 5 })
+	young := w.start(t)
+	answer, err := http.Post("http://"+young.Mgmt+"/cache-hosts/disable/s-1", "", nil)
+	if err != nil || answer.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", answer, err)
+	}
+	answer.Body.Close()
+	w.hosts[1].Out(true)
+	says(t, old, `"message":"server by hand"`)
+	for _, p := range []*standin.Process{old, young} {
+		until(t, "both avoid it", func() bool {
+			answer, err := http.Get("http://" + p.Mgmt + "/metrics")
+			if err != nil {
+				return false
+			}
+			defer answer.Body.Close()
+			text := make([]byte, 4096)
+			n, _ := answer.Body.Read(text)
+			return strings.Contains(string(text[:n]), "targets_disabled=1\n")
+		})
+	}
+	quiet := w.hosts[1].Figures().Asked
+	if old.Stop(3700 * time.Millisecond) {
+		t.Error("the old one had to be killed")
+	}
+	again := w.start(t) // One more beside it: it follows the ban too.
+	young.Stop(3700 * time.Millisecond)
+	before := w.hosts[2].Figures().Asked
+	until(t, "traffic goes on elsewhere", func() bool { return w.hosts[2].Figures().Asked > before+20 })
+	end()
+	f := clients.Wait()
+	if late := w.hosts[1].Figures(); late.Asked-quiet > 3 || late.Late > 0 { // What was decided on before may still arrive.
+		t.Errorf("the host that is out was sent %d more", late.Asked-quiet)
+	}
+	if f.Door+f.Late+f.Wrong > 0 {
+		t.Errorf("%+v", f)
+	}
+	again.Kill()
+}
+
+const ownDescriptors = 20 // of a process: the log, files, discovery, the door
+
+// Guards the descriptors of both processes together, and clients at the new door: in a crowd none of them waits there.
+func TestLimitsCountTogether(t *testing.T) {
+	t.Parallel()
+	limits := standin.Limits{Cores: 0.5, MemoryMB: 64, Sockets: 192}
+	w := newTown(t, 3, -1, limits)
+	old := w.start(t)
+	most := func(ps ...*standin.Process) (sum int) {
+		for _, p := range ps {
+			sum += max(0, p.Descriptors())
+		}
+		return sum
+	}
+	asks := func(c net.Conn) bool {
+		c.SetDeadline(time.Now().Add(patience))
+		if _, err := c.Write([]byte(words("PING"))); err != nil {
+			return false
+		}
+		answer := make([]byte, 7)
+		n, _ := c.Read(answer)
+		return string(answer[:n]) == "+PONG\r\n"
+	}
+	var all []net.Conn
+	crowd := func(n int) {
+		for range n {
+			c, err := net.Dial("tcp", w.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, c)
+			if !asks(c) {
+				t.Fatalf("client %d is not answered", len(all))
+			}
+		}
+	}
+	defer func() {
+		for _, c := range all {
+			c.Close()
+		}
+	}()
+	crowd(100) // Over what one alone may have, idle ones go.
+	seen, ended := 0, make(chan struct{})
+	young := w.start(t)
+	go func() {
+		defer close(ended)
+		for old.Descriptors() > 0 {
+			seen = max(seen, most(old, young))
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	says(t, young, `"message":"limits divided"`)
+	crowd(200)
+	began := time.Now()
+	old.Cmd.Process.Signal(syscall.SIGTERM)
+	crowd(60)
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("sixty clients take %v at the new door", took)
+	}
+	<-old.Ended
+	<-ended
+	if clients := 64; seen > clients+2*ownDescriptors {
+		t.Errorf("%d descriptors of %d, with %d for clients", seen, limits.Sockets, clients)
+	}
+	until(t, "one holds all", func() bool {
+		lines := young.Log(`"message":"limits divided"`)
+		return len(lines) > 0 && strings.Contains(lines[len(lines)-1], `"beside":0,"clients":64,"hosts":64`)
+	})
+	t.Logf("%d descriptors of %d at most", seen, limits.Sockets)
+}
+
+// fingerprint is that of the stand-ins' settings.
+func fingerprint() uint64 { return routing.Fingerprint(tables.Flat(gjson.Parse(standin.Settings))) }
--- a/cmd/hollylever/large_test.go
+++ b/cmd/hollylever/large_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -129,3 +130,36 @@
 		t.Errorf("%d KiB at the most, %v", most, err)
 	}
 }
+
+// A large value on its way at a stop is finished within the stop's time, or ended so that its client can tell.
+func TestStreamsAtAStop(t *testing.T) {
+	t.Parallel()
+	at, came := host(t)
+	p := start(t, list(0, true, entry("s", at, "Ready")), withDoor)
+	const size = 4 << 20
+	value := strings.Repeat("v", size)
+	begun := func(id string) client {
+		c := p.client()
+		c.SetReadBuffer(32 << 10)
+		c.ask("C.GET", "k", id, "c=read,d=3000")
+		h := next(t, came, "the retrieval")
+		h.SetWriteBuffer(32 << 10)
+		go h.Say(settled(value))
+		c.gets(fmt.Sprintf("$%d\r\n", size) + value[:1000])
+		return c
+	}
+	reads, stalls := begun("a"), begun("b")
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.logged(`"message":"stopping"`)
+	reads.gets(value[1000:] + "\r\n")
+	reads.ends()
+	if err := next(t, p.ended, "the end"); err != nil {
+		t.Error(err)
+	}
+	if line := p.logged(`"message":"stopped"`); !strings.Contains(line, `"all_answered":false,"cut_off":1`) {
+		t.Errorf("it stops with %s", line)
+	}
+	if rest, err := io.ReadAll(stalls.in); err == nil || len(rest) >= size-1000 {
+		t.Errorf("a client that got a part of a value sees %v after %d bytes", err, len(rest))
+	}
+}
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -30,6 +30,7 @@
 	reserve    = 32                     // descriptors that are for neither clients nor hosts
 	stragglers = 500 * time.Millisecond // after SIGTERM clients go on coming and asking for so long
 	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
+	cutFor     = 50 * time.Millisecond  // before that: what is still on its way then is cut off
 	sweepEvery = 50 * time.Millisecond
 	tellEvery  = 10 * time.Second
 	keepEvery  = time.Second            // what was learnt is written down
@@ -166,9 +167,12 @@
 			}
 			time.Sleep(stragglers)
 			pool.Fade()
-			all := listener.Close(until)
+			all, cut := listener.Close(until.Add(-cutFor)), 0
+			if !all { // A stream, or a client that does not read: its time is over.
+				cut = listener.Cut(cutFor)
+			}
 			balancer.Summary(listener.Count())
-			log.Info().Bool("all_answered", all).Msg("stopped")
+			log.Info().Bool("all_answered", all).Int("cut_off", cut).Msg("stopped")
 			return nil
 		}
 	}
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -412,6 +412,24 @@
 	}
 }
 
+// Cut resets the connections of clients that something is still on its way to, so that none of them can take it for whole, and
+// waits a moment for what was being passed on to end. It tells how many there were.
+func (l *Listener) Cut(wait time.Duration) (cut int) {
+	l.mu.Lock()
+	for c := range l.clients {
+		if inner, is := c.Conn.Conn.(*net.TCPConn); is {
+			inner.SetLinger(0)
+		}
+		c.Conn.Close()
+		cut++
+	}
+	l.mu.Unlock()
+	for end := time.Now().Add(wait); l.Count() > 0 && time.Now().Before(end); {
+		time.Sleep(wait / 50)
+	}
+	return cut
+}
+
 // Count tells how many clients are connected.
 func (l *Listener) Count() int {
 	l.mu.Lock()
