--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -110,7 +110,8 @@
 	places    tables.Indices // of servers
 	byName    map[string]int
 	once      map[string]bool // names ever listed
-	names     []string        // the same, the oldest first
+	names     []string        // the same, in a ring
+	oldest    int             // in it
 	banned    map[string]bool // names of servers that are out by hand
 	open      map[string]bool // ids of retrievals that have no final answer yet
 	slots     []slot
@@ -227,12 +228,28 @@
 			b.log.Info().Str("server", changed[n]).Str("from", changed[n+1]).Str("to", changed[n+2]).Msg("server changed")
 		}
 	}()
+	// A list is read before the lock is taken: of thousands of servers that takes as long as many retrievals do.
+	type row struct {
+		name, address, status, kind, zone string
+		started                           int64
+		cell                              int
+		weight                            float64
+	}
+	var rows []row
+	var index uint64
+	var whole bool
+	if err := protocol.List(line, func(i uint64, w bool) { index, whole = i, w },
+		func(name, address, status string, started int64, kind, zone string, cell int, weight float64) {
+			rows = append(rows, row{name, address, status, kind, zone, started, cell, weight})
+		}); err != nil {
+		return err
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err := watching.Err(); err != nil {
 		return err
 	}
-	now, all := b.now(), saved
+	now, all := b.now(), saved || whole
 	is := func(s int, from string, health choice.Health) {
 		h := &b.servers[s]
 		if to := names[health]; to != from && !saved {
@@ -241,49 +258,45 @@
 		h.health = health
 		b.row(now, s)
 	}
-	err := protocol.List(line, func(index uint64, whole bool) {
-		b.index = index
-		b.lists++
-		switch all = all || whole; {
-		case saved:
-			b.module.Listing(now, choice.Saved)
-		case whole:
-			b.module.Listing(now, choice.Whole)
-		default:
-			b.module.Listing(now, choice.Incremental)
-		}
-		for s := range b.servers {
-			b.servers[s].listed = false
-		}
-	}, func(name, address, status string, started int64, kind, zone string, cell int, weight float64) {
-		b.listedOnce(name)
-		s, known := b.byName[name]
-		if !known && healths[status] == choice.Gone {
-			return
+	b.index = index
+	b.lists++
+	switch {
+	case saved:
+		b.module.Listing(now, choice.Saved)
+	case whole:
+		b.module.Listing(now, choice.Whole)
+	default:
+		b.module.Listing(now, choice.Incremental)
+	}
+	for s := range b.servers {
+		b.servers[s].listed = false
+	}
+	for _, r := range rows {
+		b.listedOnce(r.name)
+		s, known := b.byName[r.name]
+		if !known && healths[r.status] == choice.Gone {
+			continue
 		}
 		from := ""
 		if known {
 			from = names[b.servers[s].health]
-			if old := b.servers[s].address; old != address {
+			if old := b.servers[s].address; old != r.address {
 				b.pool.Drop(transport.Peer{Server: s, Address: old})
 			}
 		} else if s = b.places.Take(); s == len(b.servers) {
 			b.servers = append(b.servers, server{})
 		}
-		k, stated := b.kinds[kind]
+		k, stated := b.kinds[r.kind]
 		if !stated {
 			k = len(b.kinds) // Guards against a kind that the settings do not name: all such are one more.
 		}
-		z, stated := b.zones[zone]
+		z, stated := b.zones[r.zone]
 		if !stated {
 			z = -1
 		}
-		b.byName[name] = s
-		b.servers[s] = server{name, address, healths[status], started, k, z, cell, weight, true, b.servers[s].trips}
-		is(s, from, healths[status])
-	})
-	if err != nil {
-		return err
+		b.byName[r.name] = s
+		b.servers[s] = server{r.name, r.address, healths[r.status], r.started, k, z, r.cell, r.weight, true, b.servers[s].trips}
+		is(s, from, healths[r.status])
 	}
 	holders := map[string]int{}
 	for s := range b.servers {
--- a/routing/bans.go
+++ b/routing/bans.go
@@ -39,7 +39,8 @@
 // Ban takes a server out, or ends that. What it did lasts once it has returned.
 func (b *Balancer) Ban(name string, out bool) error {
 	b.mu.Lock()
-	listed := b.once[name] || b.banned[name]
+	_, there := b.byName[name]
+	listed := there || b.once[name] || b.banned[name]
 	b.mu.Unlock()
 	if !listed {
 		return ErrNeverListed
@@ -141,11 +142,13 @@
 	if b.once[name] {
 		return
 	}
-	if len(b.names) == mostNames {
-		delete(b.once, b.names[0])
-		b.names = slices.Delete(b.names, 0, 1)
+	if len(b.names) < mostNames {
+		b.names = append(b.names, name)
+	} else {
+		delete(b.once, b.names[b.oldest])
+		b.names[b.oldest] = name
+		b.oldest = (b.oldest + 1) % mostNames
 	}
-	b.names = append(b.names, name)
 	b.once[name] = true
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -187,3 +187,59 @@
 		t.Fatal("the settings ask for no subscription, and nobody follows the list")
 	}
 }
+
+// At 5,000 hosts: what is done under the lock for a list, and for a scrape.
+func BenchmarkUnderTheLock(b *testing.B) {
+	var rows []string
+	for n := range 5000 {
+		rows = append(rows, row(fmt.Sprint("s-", n), fmt.Sprintf("127.0.%d.%d:7000", n/250, n%250+1), "Ready", 1))
+	}
+	whole := []byte(strings.Replace(changes(rows...), "false", "true", 1))
+	pool := transport.NewPool(8, time.Minute, time.Second)
+	r, err := New(tables.Flat(gjson.Parse(settings)), whole, "", 1, pool, 1<<20, "", nil, zerolog.Nop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("list", func(b *testing.B) {
+		for b.Loop() {
+			r.tell(context.Background(), whole, false)
+		}
+	})
+	b.Run("scrape", func(b *testing.B) {
+		for b.Loop() {
+			r.Figures()
+		}
+	})
+	b.Run("snapshot", func(b *testing.B) {
+		k := r.Keeper(b.TempDir()+"/learnt", "n1")
+		held := time.Duration(0)
+		for b.Loop() {
+			r.counts[count{"retrievals", none}]++
+			if err := k.Keep(); err != nil {
+				b.Fatal(err)
+			}
+			held += k.Held
+		}
+		b.ReportMetric(float64(held)/float64(b.N), "ns/held")
+	})
+}
+
+// Guards large fleets: more hosts are listed than names are remembered, and each can be taken out by hand.
+func TestEveryListedServerCanBeTakenOut(t *testing.T) {
+	b, rows := begin(t, 1<<20), []string{}
+	for n := range mostNames + 100 {
+		rows = append(rows, row(fmt.Sprint("s-", n), fmt.Sprintf("127.0.%d.%d:7000", n/250, n%250+1), "Ready", 1))
+	}
+	b.told(t, changes(rows...))
+	for _, name := range []string{"s-0", "s-99", fmt.Sprint("s-", mostNames+99)} {
+		if err := b.Ban(name, true); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := b.Ban("never", true); err != ErrNeverListed {
+		t.Errorf("a name that was never listed: %v", err)
+	}
+	if len(b.once) != mostNames || len(b.names) != mostNames {
+		t.Errorf("%d names are remembered, %d in the ring", len(b.once), len(b.names))
+	}
+}
