--- a/watch/counts.go
+++ b/watch/counts.go
@@ -1,8 +1,10 @@
 package watch
 
 import (
+	"bytes"
 	"os"
 	"runtime/metrics"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -11,6 +13,7 @@
 type counts struct {
 	cpu, waited time.Duration
 	known       bool // waited is
+	stolen      time.Duration
 	metrics     [4]metrics.Sample
 	pauses      []uint64 // by bucket
 	latencies   []uint64
@@ -26,6 +29,7 @@
 		c.cpu = time.Duration(use.Utime.Nano() + use.Stime.Nano())
 	}
 	c.waited, c.known = of.waited(time.Now())
+	c.stolen = of.stolen()
 	for n := range names {
 		c.metrics[n].Name = names[n]
 	}
@@ -55,6 +59,26 @@
 	files  []string
 	listed time.Time
 	text   [96]byte
+	all    [256]byte
+}
+
+const tick = 10 * time.Millisecond // of the kernel's clock in /proc/stat
+
+// stolen is how long the machine under the kernel ran something else, over all cores: the eighth figure of the first line.
+func (t *threads) stolen() time.Duration {
+	at, err := syscall.Open("/proc/stat", syscall.O_RDONLY|syscall.O_CLOEXEC, 0)
+	if err != nil {
+		return 0
+	}
+	n, _ := syscall.Read(at, t.all[:])
+	syscall.Close(at)
+	first, _, _ := bytes.Cut(t.all[:max(0, n)], []byte("\n"))
+	fields := bytes.Fields(first)
+	if len(fields) < 9 {
+		return 0
+	}
+	steal, _ := strconv.ParseInt(string(fields[8]), 10, 64)
+	return time.Duration(steal) * tick
 }
 
 const listEvery = time.Second
--- a/watch/judge.go
+++ b/watch/judge.go
@@ -12,14 +12,16 @@
 
 // Gap is what was seen over the time in question.
 type Gap struct {
-	Beat   time.Duration // how late the beat woke
-	CPU    time.Duration // that the process used
-	Waited time.Duration // that its threads were ready to run and did not
-	Pause  time.Duration // longest pause of the collector
-	Lock   time.Duration // for which the module's lock was not to be had
-	Accept time.Duration // for which an accepted connection waited in hand
-	Log    time.Duration // in a write of the log
-	Known  bool          // Waited is known here
+	Beat    time.Duration // how late the beat woke
+	CPU     time.Duration // that the process used
+	Waited  time.Duration // that its threads were ready to run and did not
+	Pause   time.Duration // longest pause of the collector
+	Lock    time.Duration // for which the module's lock was not to be had
+	Accept  time.Duration // for which an accepted connection waited in hand
+	Log     time.Duration // in a write of the log
+	Known   bool          // Waited is known here
+	Resumed int           // times that it was told to go on after a stop by a signal
+	Stolen  time.Duration // that the machine under the kernel did not run the cores
 }
 
 // Cause is what kept the program.
@@ -27,9 +29,10 @@
 
 // The causes, as the log names them.
 const (
-	Stopped   Cause = "stopped"   // it was not run, and asked for no run: stopped or frozen from outside
+	Stopped   Cause = "stopped"   // it was stopped by a signal, and told to go on: a limit on its CPU time, or somebody
+	Frozen    Cause = "frozen"    // it was not run, asked for no run, and nobody told it to go on: the machine under it stood still
 	Starved   Cause = "starved"   // it was ready to run, and others ran
-	NotRun    Cause = "not run"   // one of the two; this kernel does not tell which
+	NotRun    Cause = "not run"   // starved or frozen; this kernel does not tell which
 	Collector Cause = "collector" // a pause of the collector
 	Runtime   Cause = "runtime"   // it ran, something else of it
 	Lock      Cause = "lock"
@@ -49,13 +52,15 @@
 	if g.Beat >= Over {
 		cause := Runtime
 		switch {
+		case g.Resumed > 0 && g.CPU <= g.Beat/2:
+			cause = Stopped
 		case g.Known && g.Waited >= g.Beat/2:
 			cause = Starved
 		case g.Pause >= g.Beat/2:
 			cause = Collector
 		case g.CPU > g.Beat/4:
 		case g.Known:
-			cause = Stopped
+			cause = Frozen
 		default:
 			cause = NotRun
 		}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,7 +18,8 @@
 	countEvery = 4               // beats
 	sayAgain   = 2 * time.Second // for one cause; what comes before that is counted
 	mostStacks = 64 << 10
-	mostWhere  = 3 // places named
+	spentFor   = 10 // readings
+	mostWhere  = 3  // places named
 )
 
 // Watch is what looks. Its marks are handed to what they are around.
@@ -30,6 +34,9 @@
 	before counts
 	now    counts
 	of     threads
+	resume chan os.Signal
+	spent  [spentFor]time.Duration // the process's CPU time at the last readings, in a ring
+	at     int
 	said   map[Cause]time.Time
 	passed map[Cause]int
 }
@@ -41,6 +48,9 @@
 
 // Run looks until the context ends.
 func (w *Watch) Run(ctx context.Context) {
+	w.resume = make(chan os.Signal, 16)
+	signal.Notify(w.resume, syscall.SIGCONT)
+	defer signal.Stop(w.resume)
 	go w.probe(ctx)
 	go func() { // A log that does not take a line must not keep the beat.
 		for {
@@ -60,6 +70,8 @@
 		late := now.Sub(due)
 		if w.look(late, now); n%countEvery == 0 || late >= Over {
 			w.before.read(&w.of)
+			w.spent[w.at%spentFor] = w.before.cpu
+			w.at++
 		}
 		due = now.Add(beatEvery)
 	}
@@ -78,6 +90,11 @@
 // look judges what came since the last beat.
 func (w *Watch) look(late time.Duration, now time.Time) {
 	g := Gap{Beat: late}
+	if late < Over { // Told to go on after a stop that was short.
+		for len(w.resume) > 0 {
+			<-w.resume
+		}
+	}
 	var stuck bool
 	g.Lock, stuck = w.lock.take()
 	g.Accept, _ = w.Accept.take()
@@ -87,8 +104,14 @@
 	}
 	w.now.read(&w.of)
 	g.CPU, g.Waited, g.Known = w.now.cpu-w.before.cpu, w.now.waited-w.before.waited, w.now.known
+	g.Stolen = w.now.stolen - w.before.stolen
+	for len(w.resume) > 0 {
+		<-w.resume
+		g.Resumed++
+	}
 	g.Pause = longest(w.now.pauses, w.before.pauses, w.now.metrics[0])
 	latency := longest(w.now.latencies, w.before.latencies, w.now.metrics[1])
+	spent := w.before.cpu - w.spent[w.at%spentFor] // In the second before; since the start where that is less.
 	for _, f := range Judge(g) {
 		if since, said := w.said[f.Cause]; said && now.Sub(since) < sayAgain {
 			w.passed[f.Cause]++ // One that lasts is not said at each beat.
@@ -104,6 +127,7 @@
 			w.log.Warn().Str("cause", string(f.Cause)).Int64("for_ms", f.For.Milliseconds()).
 				Int64("beat_ms", g.Beat.Milliseconds()).Int64("cpu_ms", g.CPU.Milliseconds()).Int64("waited_ms", g.Waited.Milliseconds()).
 				Int64("pause_ms", g.Pause.Milliseconds()).Int64("latency_ms", latency.Milliseconds()).Uint64("collections", cycles).
+				Int64("cpu_before_ms", spent.Milliseconds()).Int("resumed", g.Resumed).Int64("stolen_ms", g.Stolen.Milliseconds()).
 				Int64("lock_ms", g.Lock.Milliseconds()).Int64("accept_ms", g.Accept.Milliseconds()).Int64("log_ms", g.Log.Milliseconds()).
 				Int("goroutines", runtime.NumGoroutine()).Int("more", passed).Str("where", where).Msg("stood still")
 		}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -23,7 +23,8 @@
 		want []Cause
 	}{
 		{"nothing", Gap{Beat: 99 * ms, Lock: 99 * ms}, nil},
-		{"stopped from outside", Gap{Beat: 900 * ms, CPU: 5 * ms, Waited: 20 * ms, Known: true}, []Cause{Stopped}},
+		{"stopped by a signal", Gap{Beat: 900 * ms, CPU: 5 * ms, Waited: 20 * ms, Known: true, Resumed: 1}, []Cause{Stopped}},
+		{"the machine under it", Gap{Beat: 900 * ms, CPU: 5 * ms, Waited: 20 * ms, Known: true, Stolen: 890 * ms}, []Cause{Frozen}},
 		{"others ran", Gap{Beat: 900 * ms, CPU: 300 * ms, Waited: 600 * ms, Known: true}, []Cause{Starved}},
 		{"no word of the kernel's", Gap{Beat: 900 * ms, CPU: 5 * ms}, []Cause{NotRun}},
 		{"its own work", Gap{Beat: 300 * ms, CPU: 290 * ms, Known: true}, []Cause{Runtime}},
@@ -163,7 +164,7 @@
 			t.Fatal(err)
 		}
 	}
-	if line.Cause != string(Stopped) && line.Cause != string(NotRun) {
+	if line.Cause != string(Stopped) {
 		t.Errorf("it says %+v", line)
 	}
 }
