--- a/choice/choice.go
+++ b/choice/choice.go
@@ -528,7 +528,7 @@
 	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys
 	// need one order for all then, nor while connects fail: a lost zone is found out server by server.
 	near := 0
-	for j := 0; j < n && !ordered && unreached < few*(b.good.read(b.seen)+1); j++ {
+	for j := 0; j < n && !strict && unreached < few*(b.good.read(b.seen)+1); j++ {
 		if c := b.best[j]; b.servers[c.server].zone == b.zone {
 			copy(b.best[near+1:j+1], b.best[near:j])
 			b.best[near] = c
