The summary tells CPU time and collections

Need: whether a process that leaves, with the least of the memory, collects without end and spends what the new one needs, was a guess.

--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -134,6 +134,11 @@
 		Int64("memory_mb", int64(told.memory)).Msg("serving")
 
 	hardStop := longest(told.settings)
+	var spent watch.Spent
+	summarize := func() {
+		cpu, collections := spent.Since()
+		balancer.Summary(listener.Count(), cpu, collections)
+	}
 	sweep, summary := time.NewTicker(sweepEvery), time.NewTicker(tellEvery)
 	for {
 		select {
@@ -141,7 +146,7 @@
 			pool.Sweep()
 			listener.Sweep()
 		case <-summary.C:
-			balancer.Summary(listener.Count())
+			summarize()
 		case <-again:
 			now, err := read(true)
 			if err != nil {
@@ -171,7 +176,7 @@
 			if !all { // A stream, or a client that does not read: its time is over.
 				cut = listener.Cut(cutFor)
 			}
-			balancer.Summary(listener.Count())
+			summarize()
 			log.Info().Bool("all_answered", all).Int("cut_off", cut).Msg("stopped")
 			return nil
 		}
--- a/routing/figures.go
+++ b/routing/figures.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"hollylever/choice"
 )
@@ -59,11 +60,12 @@
 // Takes tells that clients are taken from now on, or no more.
 func (b *Balancer) Takes(clients bool) { b.taking.Store(clients) }
 
-// Summary logs what has been counted since the last one.
-func (b *Balancer) Summary(clients int) {
+// Summary logs what has been counted since the last one, and what that took.
+func (b *Balancer) Summary(clients int, cpu time.Duration, collections uint64) {
 	b.mu.Lock()
 	line := b.log.Info().Int("clients", clients).Int("hosts_open", b.pool.Count()).
-		Int("held", b.held.Out()).Int("servers", len(b.byName)).Uint64("index", b.index)
+		Int("held", b.held.Out()).Int("servers", len(b.byName)).Uint64("index", b.index).
+		Int64("cpu_ms", cpu.Milliseconds()).Uint64("collections", collections)
 	since := map[string]int{}
 	for c, n := range b.counts {
 		if n -= b.summed[c]; n > 0 {
--- a/watch/counts.go
+++ b/watch/counts.go
@@ -115,3 +115,19 @@
 	}
 	return sum, known
 }
+
+// Spent tells what the process used since it was asked last.
+type Spent struct {
+	counts
+	of threads
+}
+
+// Since gives the CPU time, and how often the collector ran.
+func (s *Spent) Since() (cpu time.Duration, collections uint64) {
+	before, ran := s.cpu, uint64(0)
+	if s.metrics[2].Value.Kind() == metrics.KindUint64 {
+		ran = s.metrics[2].Value.Uint64()
+	}
+	s.read(&s.of)
+	return s.cpu - before, s.metrics[2].Value.Uint64() - ran
+}
