hollylever check, hosts, ready, figures, config, version; own settings by LB_EXTRA

Need: a start without LB_CONFIG was all the command line there was; operators typed curl; no file could be checked before it counted. Change: commands by cobra, built only where a word is given; check reports all mistakes of platform JSON and own TOML with line and field; the door lists cache hosts; log, watch and learnt declare their fields; SIGHUP reads both files or changes nothing.

--- /dev/null
+++ b/cmd/hollylever/cli_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"hollylever/fields"
+)
+
+func types(words ...string) (code int, out, wrong string) {
+	var o, w bytes.Buffer
+	code = commands(words, &o, &w)
+	return code, o.String(), w.String()
+}
+
+// However it goes wrong, it is one line and the code that the page says.
+func TestCommandsEndWithOneLineAndTheirCode(t *testing.T) {
+	door := func(status int, text string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(status); w.Write([]byte(text)) }))
+		t.Cleanup(s.Close)
+		return "--door=" + s.Listener.Addr().String()
+	}
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // It takes the call and says nothing.
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	noise, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer noise.Close()
+	go func() {
+		for {
+			c, err := noise.Accept()
+			if err != nil {
+				return
+			}
+			c.Write([]byte("\x1b[2Jnoise\r\n\r\n"))
+			c.Close()
+		}
+	}()
+	t.Setenv("LB_MGMT", "")
+	for _, c := range []struct {
+		code  int
+		want  string
+		words []string
+	}{
+		{2, "unknown command", []string{"nonsense"}}, {2, "needs a command", []string{"hosts"}}, {2, "needs a command", []string{"config"}},
+		{2, "unknown flag", []string{"ready", "--loud"}}, {2, "not given", []string{"ready"}}, {2, "arg", []string{"hosts", "out"}},
+		{2, "not an address", []string{"ready", "--door", "a b"}}, {2, "under 10ms", []string{"figures", "--every", "1ms"}},
+		{3, "does not answer", []string{"ready", "--door", "127.0.0.1:1"}},
+		{3, "does not answer", []string{"figures", "--door", silent.Addr().String()}},
+		{3, "does not answer", []string{"hosts", "list", "--door", noise.Addr().String()}},
+		{3, "answers 502", []string{"ready", door(502, "a proxy")}}, {3, "answers 302", []string{"ready", door(302, "")}},
+		{3, "no door of hollylever", []string{"figures", door(200, "<html>")}}, {3, "no door", []string{"hosts", "list", door(200, "[7]")}},
+		{4, "no: not ready", []string{"ready", door(503, "not ready\n")}}, {4, "no: ?[2Jthis", []string{"hosts", "back", "x", door(404, "\x1b[2Jthis id")}},
+		{1, "no field or table", []string{"config", "explain", "log.volume"}},
+	} {
+		code, out, wrong := types(c.words...)
+		if code != c.code || !strings.Contains(wrong, c.want) || strings.Count(wrong, "\n") != 1 || out != "" {
+			t.Errorf("%q: %d, %q, %q; want %d, %q", c.words, code, out, wrong, c.code, c.want)
+		}
+	}
+}
+
+// check reports all mistakes of all files, each with its line and field.
+func TestCheck(t *testing.T) {
+	place := t.TempDir()
+	put := func(name, text string) string {
+		file := filepath.Join(place, name)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	good := fileWith(t, nil)
+	if code, out, wrong := types("check", good, put("good.toml", fields.Example(parts))); code != 0 || strings.Count(out, ": good\n") != 2 || wrong != "" {
+		t.Errorf("good files: %d, %q, %q", code, out, wrong)
+	}
+	var nice bytes.Buffer
+	text, _ := os.ReadFile(fileWith(t, map[string]any{"seed": "none", "listen": "here", "limits": map[string]any{"cores": 0, "memory_mb": 192, "sockets": 3}}))
+	json.Indent(&nice, text, "", " ")
+	bad := put("bad.json", nice.String())
+	own := put("own.toml", "[log]\nlevle = \"info\"\n[watch]\nover = 3\n")
+	code, out, wrong := types("check", bad, own, put("noise", "\x00\x01"), place, filepath.Join(place, "none"))
+	for _, want := range []string{": seed: not a hexadecimal", `: listen: "here" is not an address`, ": limits.cores: not a number over 0", ": limits.sockets: not a number of at least 64",
+		own + ":2:1: log.levle: no such field", own + ":4:1: watch.over: has to be a duration", place + ": not a regular file", "none: no such file"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("check says nothing of %q in\n%s", want, out)
+		}
+	}
+	for n, line := range strings.Split(nice.String(), "\n") {
+		if at := bad + ":" + strconv.Itoa(n+1) + ":"; strings.Contains(line, `"seed"`) && !strings.Contains(out, at) {
+			t.Errorf("%s is not where the seed stands, in\n%s", at, out)
+		}
+	}
+	if code != exitMistake || wrong != "" {
+		t.Errorf("%d, %q", code, wrong)
+	}
+}
+
+// The commands against a balancer that serves, and its own settings read again.
+func TestCommandsAtAServingBalancer(t *testing.T) {
+	at, came := host(t)
+	own := filepath.Join(t.TempDir(), "own.toml")
+	file := fileWith(t, map[string]any{"known": json.RawMessage(list(0, true, entry("s-1", at, "Ready"), entry("s-2", at, "Ready"))), "mgmt": "127.0.0.1:0"})
+	os.WriteFile(own, []byte("[log]\nsummary = \"1h\"\n"), 0o600)
+	p := started(t, file, programWith(file, "LB_EXTRA="+own))
+	door := "--door=" + p.mgmt
+	if code, out, _ := types("ready", door); code != 0 || out != "ready\n" {
+		t.Errorf("ready: %d %q", code, out)
+	}
+	c := p.client().ask("C.GET", "k", "a", "c=read,d=3000")
+	next(t, came, "the retrieval").Say(settled("v"))
+	c.answers("v")
+	p.figure("replies.read.success", 1)
+	if code, out, _ := types("figures", door, "--watch", "--times=2", "--every=10ms"); code != 0 || !strings.Contains(out, "trips handed over") || !strings.Contains(out, "+0") {
+		t.Errorf("figures: %d\n%s", code, out)
+	}
+	if code, out, _ := types("hosts", "out", "s-1", door); code != 0 || out != "s-1 is out\n" {
+		t.Errorf("hosts out: %d %q", code, out)
+	}
+	_, out, _ := types("hosts", "list", door)
+	if lines := strings.Split(out, "\n"); len(lines) != 4 || !strings.Contains(lines[1], "out by hand") || !strings.Contains(lines[2], "used") {
+		t.Errorf("hosts list:\n%s", out)
+	}
+	var all []struct {
+		ID     string
+		ByHand bool `json:"by_hand"`
+	}
+	if _, out, _ := types("hosts", "list", door, "--json"); json.Unmarshal([]byte(out), &all) != nil || len(all) != 2 || !all[0].ByHand {
+		t.Errorf("hosts list --json: %s", out)
+	}
+	if code, _, wrong := types("hosts", "back", "s-9", door); code != exitNo || !strings.Contains(wrong, "never listed") {
+		t.Errorf("hosts back of what never was: %d %q", code, wrong)
+	}
+	again := func(text, want string) {
+		t.Helper()
+		os.WriteFile(own, []byte(text), 0o600)
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.logged(want)
+	}
+	again("[log]\nsummary = \"soon\"\n", `own.toml:2:1: log.summary: \"soon\" is not a duration`)
+	again("[log]\nsummary = \"1s\"\nform = \"console\"\n", `"field":"log.form"`)
+	p.logged(`"field":"log.summary"`)
+	p.logged(`"message":"summary"`)
+	again("[log]\nsummary = \"1s\"\nlevel = \"warn\"\n", `"log.level"`) // The last that is logged at info.
+	again("[log]\nsummary = 1\n", "configuration not taken")
+}
+
+// The example that comes along is what the program itself would print.
+func TestExampleIsTheProgramsOwn(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/hollylever.toml")
+	if err != nil || string(text) != fields.Example(parts) {
+		t.Errorf("deploy/hollylever.toml: %v; hollylever config example > deploy/hollylever.toml mends it", err)
+	}
+}
--- a/cmd/hollylever/given.go
+++ b/cmd/hollylever/given.go
@@ -1,15 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/tidwall/gjson"
 
+	"hollylever/fields"
 	"hollylever/protocol"
 	"hollylever/tables"
 )
@@ -47,42 +50,79 @@
 	if err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %w", err)
 	}
+	variable := os.Getenv
+	if again {
+		variable = func(name string) string {
+			if name == "LB_NAME" {
+				return os.Getenv(name)
+			}
+			return ""
+		}
+	}
+	g, wrong := examine(file, text, variable)
+	if len(wrong) > 0 {
+		first := wrong[0]
+		first.Line = 0 // One line of a log or of an end, with the field that is to be found.
+		return nil, first
+	}
+	return g, nil
+}
+
+// notObject is the mistake of a file that is no configuration at all.
+func notObject(file string) []fields.Mistake {
+	return []fields.Mistake{{File: "LB_CONFIG", Why: file + " is not a JSON object"}}
+}
+
+// examine looks at the whole of a configuration and gives what it says, or all that is wrong with it.
+func examine(file string, text []byte, variable func(string) string) (*given, []fields.Mistake) {
 	if !gjson.ValidBytes(text) || !gjson.ParseBytes(text).IsObject() {
-		return nil, fmt.Errorf("LB_CONFIG: %s is not a JSON object", file)
+		return nil, notObject(file)
 	}
 	object := gjson.ParseBytes(text)
+	var wrong []fields.Mistake
+	add := func(field, why string) {
+		m := fields.Mistake{File: file, Field: field, Why: why}
+		m.Line, m.Column = lineOf(text, field)
+		wrong = append(wrong, m)
+	}
 	g := &given{file: file, name: object.Get("name").String(), cores: object.Get("limits.cores").Num,
 		memory: object.Get("limits.memory_mb").Num, sockets: int(object.Get("limits.sockets").Num),
 		inherited: -1, known: []byte(object.Get("known").Raw), settings: tables.Flat(object.Get("settings"))}
-	if name := os.Getenv("LB_NAME"); name != "" {
+	if name := variable("LB_NAME"); name != "" {
 		g.name = name
 	}
 	for _, a := range []struct {
 		into            *string
 		variable, field string
 	}{{&g.listen, "LB_LISTEN", "listen"}, {&g.discovery, "LB_DISCOVERY", "discovery"}, {&g.mgmt, "LB_MGMT", "mgmt"}} {
-		at := file + ": " + a.field
-		*a.into = object.Get(a.field).String()
-		if value := os.Getenv(a.variable); value != "" && !again {
-			*a.into, at = value, a.variable
+		value := variable(a.variable)
+		if *a.into = object.Get(a.field).String(); value != "" {
+			*a.into = value
 		}
 		if a.into == &g.mgmt && *a.into == "" && !object.Get(a.field).Exists() {
 			continue // No door for operators.
 		}
-		if _, err := net.ResolveTCPAddr("tcp", *a.into); err != nil || *a.into == "" {
-			return nil, fmt.Errorf("%s: %q is not an address and a port", at, *a.into)
+		if _, err := net.ResolveTCPAddr("tcp", *a.into); err == nil && *a.into != "" {
+			continue
+		}
+		why := fmt.Sprintf("%q is not an address and a port", *a.into)
+		if value != "" {
+			wrong = append(wrong, fields.Mistake{File: a.variable, Why: why})
+		} else {
+			add(a.field, why)
 		}
 	}
-	if fd := os.Getenv("LB_LISTEN_FD"); fd != "" && !again {
+	var err error
+	if fd := variable("LB_LISTEN_FD"); fd != "" {
 		if g.inherited, err = strconv.Atoi(fd); err != nil || g.inherited < 3 || g.inherited > 1<<20 {
-			return nil, fmt.Errorf("LB_LISTEN_FD: %q is not a descriptor", fd)
+			wrong = append(wrong, fields.Mistake{File: "LB_LISTEN_FD", Why: fmt.Sprintf("%q is not a descriptor", fd)})
 		}
 	}
 	if g.seed, err = strconv.ParseUint(object.Get("seed").String(), 16, 64); err != nil {
-		return nil, fmt.Errorf("%s: seed: not a hexadecimal number of 64 bits", file)
+		add("seed", "not a hexadecimal number of 64 bits")
 	}
 	if err := protocol.List(g.known, func(uint64, bool) {}, func(_, _, _ string, _ int64, _, _ string, _ int, _ float64) {}); err != nil {
-		return nil, fmt.Errorf("%s: known: %w", file, err)
+		add("known", err.Error())
 	}
 	workloads, _ := g.settings["workloads"].(float64)
 	trips, _ := g.settings["allowed.mostTrips"].(float64)
@@ -120,8 +160,19 @@
 			"settings.report.fields", "not a list of at most " + strconv.Itoa(mostFields) + " names, each once"},
 	} {
 		if !check.good {
-			return nil, fmt.Errorf("%s: %s: %s", file, check.field, check.why)
+			add(check.field, check.why)
 		}
 	}
-	return g, nil
+	return g, wrong
+}
+
+// lineOf is where a field stands in a JSON text; one that is missing, where what it belongs to begins.
+func lineOf(text []byte, field string) (line, column int) {
+	for ; field != ""; field = field[:max(0, strings.LastIndexByte(field, '.'))] {
+		if r := gjson.GetBytes(text, field); r.Exists() && r.Index > 0 {
+			before := text[:r.Index]
+			return 1 + bytes.Count(before, []byte("\n")), r.Index - bytes.LastIndexByte(before, '\n')
+		}
+	}
+	return 1, 1
 }
--- a/cmd/hollylever/handover_test.go
+++ b/cmd/hollylever/handover_test.go
@@ -52,7 +52,7 @@
 	clients := standin.Ask(ctx, w.Address, standin.Load{Rate: 200, Keys: 300, Seed: 3, Patience: 2 * time.Second})
 	file := filepath.Join(w.Place, "hollylever.learnt")
 	many := func() bool {
-		s, err := (&learnt.File{Path: file}).Read("n1", fingerprint(), time.Now())
+		s, err := (&learnt.File{Path: file}).Read("n1", fingerprint(), time.Now(), time.Minute)
 		return err == nil && s != nil && len(s.State.Keys) > 50
 	}
 	until(t, "a snapshot of fifty keys", many)
--- a/cmd/hollylever/main.go
+++ b/cmd/hollylever/main.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
+	"hollylever/fields"
 	"hollylever/kin"
 	"hollylever/learnt"
 	"hollylever/operators"
@@ -32,20 +32,21 @@
 	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
 	cutFor     = 50 * time.Millisecond  // before that: what is still on its way then is cut off
 	sweepEvery = 50 * time.Millisecond
-	tellEvery  = 10 * time.Second
-	keepEvery  = time.Second            // what was learnt is written down
-	mostLines  = 512                    // of the log that wait to be written
 	flushFor   = 100 * time.Millisecond // for them at the end
 )
 
 func main() {
-	if err := run(); err != nil {
+	if len(os.Args) > 1 {
+		os.Exit(commands(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	if err := serve(os.Getenv("LB_EXTRA")); err != nil { // As the platform starts it: nothing of the commands is made.
 		fmt.Fprintln(os.Stderr, "hollylever:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+// serve is the balancer, until SIGTERM. ours names a file of our own settings, if any.
+func serve(ours string) error {
 	stop, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(again, syscall.SIGHUP) // First of all: uncaught it ends the program.
@@ -53,6 +54,10 @@
 	if err != nil {
 		return err
 	}
+	own, err := extra(ours)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(told.cores)))
 	memory := int64(told.memory * (1 << 20))
 	all, hosts := kin.Amount{Memory: memory}, (told.sockets-reserve)/2
@@ -64,12 +69,8 @@
 	}
 	debug.SetMemoryLimit(memory * 7 / 10)
 	debug.SetGCPercent(int(min(400, max(50, memory>>20)))) // A small machine collects sooner.
-	// Nobody waits for the log: whoever reads it may stand still.
-	var wrote watch.Mark
-	out := diode.NewWriter(watch.Writer{Writer: os.Stderr, Mark: &wrote}, mostLines, 0, nil)
-	defer flush(out)
-	log := zerolog.New(out).With().Timestamp().Str("balancer", told.name).Logger()
-
+	log, wrote, flush := logging(own, told.name)
+	defer flush()
 	idle, _ := told.settings["allowed.connIdle"].(float64)
 	dial, _ := told.settings["allowed.dialTimeout"].(float64)
 	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
@@ -77,15 +78,18 @@
 	var before *learnt.Snapshot
 	var family *kin.Kin // nil: nobody else can be there, or nothing is known of others
 	if place := os.Getenv("TMPDIR"); place != "" {
+		bans = filepath.Join(place, "hollylever.bans")
 		if told.inherited >= 0 {
 			if family, err = kin.Join(place, all); err != nil {
 				log.Warn().Err(err).Msg("kin not joined")
 			}
 		}
-		bans, left = filepath.Join(place, "hollylever.bans"), filepath.Join(place, "hollylever.learnt")
-		at := learnt.File{Path: left}
-		if before, err = at.Read(told.name, routing.Fingerprint(told.settings), time.Now()); err != nil {
-			log.Warn().Err(err).Msg("not recalled")
+		if own.Yes("learnt.on") {
+			left = filepath.Join(place, "hollylever.learnt")
+			at := learnt.File{Path: left}
+			if before, err = at.Read(told.name, routing.Fingerprint(told.settings), time.Now(), own.Duration("learnt.lasts")); err != nil {
+				log.Warn().Err(err).Msg("not recalled")
+			}
 		}
 	}
 	balancer, err := routing.New(told.settings, told.known, told.discovery, told.seed, pool, memory/6, bans, before, log)
@@ -116,17 +120,22 @@
 
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	still := watch.New(balancer.Lock(), log, &wrote)
+	still := watch.New(balancer.Lock(), log, wrote)
+	still.Over(own.Duration("watch.over"))
 	listener.InHand = &still.Accept
-	go still.Run(ctx)
+	if own.Yes("watch.on") {
+		go still.Run(ctx)
+	}
 	go listener.Serve(balancer.Serve)
 	balancer.Takes(true)
 	if family != nil {
 		family.Now(kin.Serving)
 		go limits.share(ctx, family, log)
 	}
+	every := make(chan time.Duration, 1)
 	if left != "" {
-		go keep(ctx, balancer.Keeper(left, told.name), family, log)
+		every <- own.Duration("learnt.every")
+		go keep(ctx, balancer.Keeper(left, told.name), family, every, log)
 	}
 	go balancer.Follow(ctx)
 	go balancer.FollowBans(ctx)
@@ -139,7 +148,7 @@
 		cpu, collections := spent.Since()
 		balancer.Summary(listener.Count(), cpu, collections)
 	}
-	sweep, summary := time.NewTicker(sweepEvery), time.NewTicker(tellEvery)
+	sweep, summary := time.NewTicker(sweepEvery), time.NewTicker(own.Duration("log.summary"))
 	for {
 		select {
 		case <-sweep.C:
@@ -149,6 +158,10 @@
 			summarize()
 		case <-again:
 			now, err := read(true)
+			newer, wrong := extra(ours)
+			if err == nil {
+				err = wrong
+			}
 			if err != nil {
 				log.Warn().Err(err).Msg("configuration not taken") // What is in force stays.
 				continue
@@ -159,6 +172,20 @@
 			}
 			now.inherited = told.inherited
 			told = now
+			for _, name := range fields.Changed(parts, own, newer, fields.AtStart) {
+				log.Info().Str("field", name).Msg("counts at the next start")
+			}
+			for _, name := range fields.Changed(parts, own, newer, fields.AtOnce) {
+				log.Info().Str("field", name).Msg("counts from now on")
+			}
+			own = newer
+			zerolog.SetGlobalLevel(levels[own.Word("log.level")])
+			still.Over(own.Duration("watch.over"))
+			summary.Reset(own.Duration("log.summary"))
+			select {
+			case every <- own.Duration("learnt.every"):
+			default: // Nobody keeps anything, or the last change is not taken up yet; SIGHUP again.
+			}
 		case <-stop:
 			balancer.Takes(false)
 			if family != nil {
@@ -184,9 +211,17 @@
 }
 
 // keep has what was learnt written down while it serves, so that a process that is killed leaves it too.
-func keep(ctx context.Context, keeper *routing.Keeper, family *kin.Kin, log zerolog.Logger) {
-	odd := false
-	for tick := time.NewTicker(keepEvery); ctx.Err() == nil; <-tick.C {
+func keep(ctx context.Context, keeper *routing.Keeper, family *kin.Kin, every <-chan time.Duration, log zerolog.Logger) {
+	odd, tick := false, time.NewTicker(time.Hour)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case span := <-every:
+			tick.Reset(span)
+			continue
+		case <-tick.C:
+		}
 		if family != nil && !family.Writes() {
 			continue // Another process knows more.
 		}
@@ -198,8 +233,8 @@
 	}
 }
 
-// flush writes what the log still holds, for a moment: whoever should read it may be gone.
-func flush(out io.Closer) {
+// flushed writes what the log still holds, for a moment: whoever should read it may be gone.
+func flushed(out io.Closer) {
 	done := make(chan struct{})
 	go func() { out.Close(); close(done) }()
 	select {
--- a/fields/explain.go
+++ b/fields/explain.go
@@ -32,3 +32,14 @@
 	}
 	return out.String()
 }
+
+// Names are all tables and fields.
+func Names(parts []Part) (names []string) {
+	for _, p := range parts {
+		names = append(names, p.Table)
+		for _, f := range p.Fields {
+			names = append(names, p.Table+"."+f.Name)
+		}
+	}
+	return names
+}
--- a/fields/read.go
+++ b/fields/read.go
@@ -52,8 +52,8 @@
 	return v
 }
 
-// whole reads a file that is one, and not too long.
-func whole(file string) ([]byte, error) {
+// Whole reads a file that is one, and not too long.
+func Whole(file string) ([]byte, error) {
 	at, err := os.OpenFile(file, os.O_RDONLY|unix.O_NONBLOCK, 0)
 	if err != nil {
 		var path *os.PathError
@@ -77,7 +77,7 @@
 
 // Read reads a file. It gives all values, or all that is wrong with it.
 func Read(file string, parts []Part) (Values, []Mistake) {
-	text, err := whole(file)
+	text, err := Whole(file)
 	if err != nil {
 		return Values{}, []Mistake{{File: file, Why: err.Error()}}
 	}
--- a/learnt/learnt.go
+++ b/learnt/learnt.go
@@ -29,8 +29,6 @@
 	headLen = len(magic) + 3*4
 	// Most is how many bytes a file may have: the most hosts and keys that there can be take less.
 	Most = 8 << 20
-	// Lasts is how long a snapshot is good for; what was learnt fades in seconds.
-	Lasts = 30 * time.Second
 )
 
 // Snapshot is what one process leaves for the next.
@@ -128,8 +126,8 @@
 	return nil
 }
 
-// Read gives the snapshot in the file, if it is good for this balancer now; none and no error where there is no file.
-func (f *File) Read(name string, settings uint64, now time.Time) (*Snapshot, error) {
+// Read gives the snapshot in the file, if it is good for this balancer now, and not older than it lasts; none and no error where there is no file.
+func (f *File) Read(name string, settings uint64, now time.Time, lasts time.Duration) (*Snapshot, error) {
 	at, err := os.OpenFile(f.Path, os.O_RDONLY|unix.O_NOFOLLOW|unix.O_NONBLOCK, 0)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
@@ -154,7 +152,7 @@
 		return nil, fmt.Errorf("%s: of another balancer, %q", f.Path, s.Name)
 	case s.Settings != settings:
 		return nil, fmt.Errorf("%s: of other settings", f.Path)
-	case s.Ago > Lasts || s.Ago < -Lasts: // A step of the clock back by more leaves nothing to go by.
+	case s.Ago > lasts || s.Ago < -lasts: // A step of the clock back by more leaves nothing to go by.
 		return nil, fmt.Errorf("%s: written %v ago", f.Path, s.Ago.Round(time.Millisecond))
 	}
 	s.Ago = max(0, s.Ago)
--- a/learnt/learnt_test.go
+++ b/learnt/learnt_test.go
@@ -18,6 +18,8 @@
 
 var now = time.Unix(1_800_000_000, 0)
 
+const lasts = 30 * time.Second
+
 func sample(keys int) *Snapshot {
 	s := &Snapshot{Name: "n1", Settings: 7, At: now.UnixNano(), Discovery: "127.0.0.1:1", Index: 9, List: []byte(`{}`)}
 	s.State = choice.State{Now: now.UnixNano(), Began: now.UnixNano() - 5, Seen: 100, Pace: 1, Usual: 1e9, Admit: 1,
@@ -47,14 +49,14 @@
 	if err := os.WriteFile(f.Path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return f.Read("n1", 7, now)
+	return f.Read("n1", 7, now, lasts)
 }
 
 // Cut off at every byte and changed at every byte, a file is refused; whole, it comes back as it was.
 func TestOnlyWhatIsWholeIsTaken(t *testing.T) {
 	s := sample(5)
 	f, text := written(t, s)
-	got, err := f.Read("n1", 7, now)
+	got, err := f.Read("n1", 7, now, lasts)
 	if err != nil || !reflect.DeepEqual(got, s) {
 		t.Fatalf("%+v, %v; want %+v", got, err, s)
 	}
@@ -85,20 +87,20 @@
 		"credit beyond all":        func(s *Snapshot) { s.State.Credit = 1e9 },
 		"of another balancer":      func(s *Snapshot) { s.Name = "n2" },
 		"of other settings":        func(s *Snapshot) { s.Settings = 8 },
-		"older than it lasts":      func(s *Snapshot) { s.At -= int64(Lasts) + 1 },
-		"from far ahead":           func(s *Snapshot) { s.At += int64(Lasts) + 1 },
+		"older than it lasts":      func(s *Snapshot) { s.At -= int64(lasts) + 1 },
+		"from far ahead":           func(s *Snapshot) { s.At += int64(lasts) + 1 },
 	} {
 		s := sample(5)
 		spoil(s)
 		f, _ := written(t, s)
-		if got, err := f.Read("n1", 7, now); got != nil || err == nil {
+		if got, err := f.Read("n1", 7, now, lasts); got != nil || err == nil {
 			t.Errorf("%s: it is taken", what)
 		}
 	}
 	s := sample(0)
-	s.At += int64(Lasts) / 2 // The clock has stepped back by less than the bound.
+	s.At += int64(lasts) / 2 // The clock has stepped back by less than the bound.
 	f, text := written(t, s)
-	if got, err := f.Read("n1", 7, now); err != nil || got.Ago != 0 {
+	if got, err := f.Read("n1", 7, now, lasts); err != nil || got.Ago != 0 {
 		t.Errorf("a small step back: %+v, %v", got, err)
 	}
 	binary.LittleEndian.PutUint32(text[len(magic):], version+1)
@@ -128,14 +130,14 @@
 	os.WriteFile(other, text, 0o600)
 	os.Remove(f.Path)
 	os.Symlink(other, f.Path)
-	if got, err := f.Read("n1", 7, now); got != nil || err == nil {
+	if got, err := f.Read("n1", 7, now, lasts); got != nil || err == nil {
 		t.Error("a link is followed")
 	}
 	os.Remove(f.Path)
 	if err := syscall.Mkfifo(f.Path, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if got, err := f.Read("n1", 7, now); got != nil || err == nil {
+	if got, err := f.Read("n1", 7, now, lasts); got != nil || err == nil {
 		t.Error("a pipe is read")
 	}
 	os.Remove(f.Path + ".new")
@@ -150,7 +152,7 @@
 		os.Remove(f.Path)
 		os.WriteFile(f.Path, text, 0o600)
 		os.Chown(f.Path, 12345, 12345)
-		if got, err := f.Read("n1", 7, now); got != nil || err == nil {
+		if got, err := f.Read("n1", 7, now, lasts); got != nil || err == nil {
 			t.Error("another user's file is taken")
 		}
 	}
@@ -175,7 +177,7 @@
 			t.Fatal(err)
 		}
 		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
-			if s, err := f.Read("n1", 7, now); err != nil {
+			if s, err := f.Read("n1", 7, now, lasts); err != nil {
 				t.Fatal(err)
 			} else if s != nil {
 				break
@@ -184,7 +186,7 @@
 		time.Sleep(time.Duration(n) * 313 * time.Microsecond) // Anywhere amid a write.
 		cmd.Process.Kill()
 		cmd.Wait()
-		if s, err := f.Read("n1", 7, now); err != nil || len(s.State.Keys) != 4000 {
+		if s, err := f.Read("n1", 7, now, lasts); err != nil || len(s.State.Keys) != 4000 {
 			t.Fatalf("%d: what a killed process leaves: %v", n, err)
 		}
 		if _, err := f.Write(sample(1)); err != nil {
--- a/operators/door.go
+++ b/operators/door.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -33,6 +34,7 @@
 	Ready() bool
 	Figures() routing.Figures
 	Ban(server string, out bool) error
+	Hosts() []routing.HostStands
 }
 
 // Open listens at the address and answers calls from now on. It gives where it listens.
@@ -68,6 +70,8 @@
 		d.ready(w, r)
 	case path == "/metrics":
 		d.metrics(w, r)
+	case path == "/cache-hosts":
+		d.hosts(w, r)
 	case disable || enable:
 		d.byHand(w, r, id, disable)
 	default:
@@ -110,6 +114,14 @@
 	io.WriteString(w, out.String())
 }
 
+func (d door) hosts(w http.ResponseWriter, r *http.Request) {
+	if !meant(w, r, http.MethodGet) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(d.Hosts()) // Who does not read it to the end has gone.
+}
+
 func (d door) byHand(w http.ResponseWriter, r *http.Request, escaped string, out bool) {
 	if !meant(w, r, http.MethodPost) {
 		return
--- a/routing/figures.go
+++ b/routing/figures.go
@@ -54,6 +54,39 @@
 	return f
 }
 
+// HostStands is how a cache host stands with this balancer.
+type HostStands struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Kind    string `json:"kind"`
+	Zone    string `json:"zone"`
+	Listed  string `json:"listed"` // as discovery has it
+	ByHand  bool   `json:"by_hand"`
+	Avoided bool   `json:"avoided"` // gets nothing now, by hand or by choice
+	Trips   int    `json:"trips"`   // held that went there
+	Started int64  `json:"since_ms"`
+}
+
+// Hosts are those that the list has and those that are out by hand, in order of their ids.
+func (b *Balancer) Hosts() []HostStands {
+	b.mu.Lock()
+	all := make([]HostStands, 0, len(b.byName))
+	for s := range b.servers {
+		if h := &b.servers[s]; h.name != "" && (h.health != choice.Gone || b.banned[h.name]) {
+			all = append(all, HostStands{h.name, h.address, named(b.kinds, h.kind), named(b.zones, h.zone), names[h.health], b.banned[h.name],
+				b.banned[h.name] || h.health == choice.Ready && b.module.Avoids(s), h.trips, h.started / int64(time.Millisecond)})
+		}
+	}
+	for name := range b.banned {
+		if _, listed := b.byName[name]; !listed {
+			all = append(all, HostStands{ID: name, Listed: "not listed", ByHand: true, Avoided: true})
+		}
+	}
+	b.mu.Unlock()
+	slices.SortFunc(all, func(x, y HostStands) int { return strings.Compare(x.ID, y.ID) })
+	return all
+}
+
 // Ready tells whether this process takes clients.
 func (b *Balancer) Ready() bool { return b.taking.Load() && b.knowsAny() }
 
--- a/watch/judge.go
+++ b/watch/judge.go
@@ -7,7 +7,7 @@
 
 import "time"
 
-// Over is the least time that counts as standing still.
+// Over is the least time that counts as standing still, where nothing else is set.
 const Over = 100 * time.Millisecond
 
 // Gap is what was seen over the time in question.
@@ -48,8 +48,8 @@
 
 // Judge names what kept the program over a gap, if anything did. A program that did not run at all explains
 // everything else that was late; what waited by itself is told apart from it by how much longer it did.
-func Judge(g Gap) (found []Finding) {
-	if g.Beat >= Over {
+func Judge(g Gap, over time.Duration) (found []Finding) {
+	if g.Beat >= over {
 		cause := Runtime
 		switch {
 		case g.Resumed > 0 && g.CPU <= g.Beat/2:
@@ -67,7 +67,7 @@
 		found = append(found, Finding{cause, g.Beat})
 	}
 	for _, own := range []Finding{{Lock, g.Lock}, {Accept, g.Accept}, {Log, g.Log}} {
-		if own.For >= Over && own.For-g.Beat >= Over/2 {
+		if own.For >= Over && own.For-g.Beat >= over/2 {
 			found = append(found, own)
 		}
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,7 @@
 	before counts
 	now    counts
 	of     threads
+	over   atomic.Int64
 	resume chan os.Signal
 	spent  [spentFor]time.Duration // the process's CPU time at the last readings, in a ring
 	at     int
@@ -43,9 +45,14 @@
 
 // New makes a watch over a lock, that says what it finds to a log.
 func New(module sync.Locker, log zerolog.Logger, wrote *Mark) *Watch {
-	return &Watch{module: module, log: log, wrote: wrote, lines: make(chan func(), 16), said: map[Cause]time.Time{}, passed: map[Cause]int{}}
+	w := &Watch{module: module, log: log, wrote: wrote, lines: make(chan func(), 16), said: map[Cause]time.Time{}, passed: map[Cause]int{}}
+	w.Over(Over)
+	return w
 }
 
+// Over sets the least time that counts as standing still.
+func (w *Watch) Over(least time.Duration) { w.over.Store(int64(least)) }
+
 // Run looks until the context ends.
 func (w *Watch) Run(ctx context.Context) {
 	w.resume = make(chan os.Signal, 16)
@@ -68,7 +75,7 @@
 		time.Sleep(time.Until(due))
 		now := time.Now()
 		late := now.Sub(due)
-		if w.look(late, now); n%countEvery == 0 || late >= Over {
+		if w.look(late, now); n%countEvery == 0 || late >= time.Duration(w.over.Load()) {
 			w.before.read(&w.of)
 			w.spent[w.at%spentFor] = w.before.cpu
 			w.at++
@@ -90,7 +97,8 @@
 // look judges what came since the last beat.
 func (w *Watch) look(late time.Duration, now time.Time) {
 	g := Gap{Beat: late}
-	if late < Over { // Told to go on after a stop that was short.
+	over := time.Duration(w.over.Load())
+	if late < over { // Told to go on after a stop that was short.
 		for len(w.resume) > 0 {
 			<-w.resume
 		}
@@ -99,7 +107,7 @@
 	g.Lock, stuck = w.lock.take()
 	g.Accept, _ = w.Accept.take()
 	g.Log, _ = w.wrote.take()
-	if max(g.Beat, g.Lock, g.Accept, g.Log) < Over {
+	if max(g.Beat, g.Lock, g.Accept, g.Log) < over {
 		return
 	}
 	w.now.read(&w.of)
@@ -112,7 +120,7 @@
 	g.Pause = longest(w.now.pauses, w.before.pauses, w.now.metrics[0])
 	latency := longest(w.now.latencies, w.before.latencies, w.now.metrics[1])
 	spent := w.before.cpu - w.spent[w.at%spentFor] // In the second before; since the start where that is less.
-	for _, f := range Judge(g) {
+	for _, f := range Judge(g, over) {
 		if since, said := w.said[f.Cause]; said && now.Sub(since) < sayAgain {
 			w.passed[f.Cause]++ // One that lasts is not said at each beat.
 			continue
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -37,7 +37,7 @@
 		{"an accept and the log", Gap{Accept: 120 * ms, Log: 130 * ms}, []Cause{Accept, Log}},
 	} {
 		var got []Cause
-		for _, f := range Judge(c.gap) {
+		for _, f := range Judge(c.gap, Over) {
 			got = append(got, f.Cause)
 		}
 		if len(got) != len(c.want) || len(got) > 0 && got[0] != c.want[0] || len(got) > 1 && got[1] != c.want[1] {
