Descriptors divide by use, and every 5 ms while two processes run

Change: processes that serve have what they use and an even part of the rest; one that starts takes an eighth; looks every 5 ms while others are there.

--- a/cmd/hollylever/kin.go
+++ b/cmd/hollylever/kin.go
@@ -15,6 +15,7 @@
 
 const (
 	kinEvery = 50 * time.Millisecond
+	kinSoon  = 5 * time.Millisecond   // while others are there: clients that move over must not wait for room
 	joinFor  = 400 * time.Millisecond // one that starts waits so long for the others to make room
 )
 
@@ -47,7 +48,7 @@
 
 // join waits until the others have made room for this process, for a moment: one that stands still must not stop it.
 func (l limited) join(k *kin.Kin) {
-	for end := time.Now().Add(joinFor); time.Now().Before(end); time.Sleep(kinEvery / 5) {
+	for end := time.Now().Add(joinFor); time.Now().Before(end); time.Sleep(kinSoon) {
 		may, part, others, err := k.Tick(l.uses(), 0)
 		if l.lay(may, part); err != nil || len(others) == 0 || may.Clients > 0 && may.Hosts > 0 {
 			return
@@ -61,7 +62,8 @@
 // share keeps the limits divided with the other processes of this balancer, until the context ends.
 func (l limited) share(ctx context.Context, k *kin.Kin, log zerolog.Logger) {
 	beside, odd, collector := -1, false, int64(0)
-	for tick := time.NewTicker(kinEvery); ctx.Err() == nil; <-tick.C {
+	tick := time.NewTicker(kinEvery)
+	for ; ctx.Err() == nil; <-tick.C {
 		may, part, others, err := k.Tick(l.uses(), l.balancer.Handed())
 		if err != nil && !odd {
 			log.Warn().Err(err).Msg("kin not told") // Once for a run of them.
@@ -73,7 +75,11 @@
 			collector = limit
 		}
 		if len(others) != beside {
-			beside = len(others)
+			if beside = len(others); beside > 0 {
+				tick.Reset(kinSoon)
+			} else {
+				tick.Reset(kinEvery)
+			}
 			log.Info().Int("beside", beside).Int64("clients", may.Clients).Int64("hosts", may.Hosts).
 				Int64("memory_mb", may.Memory>>20).Msg("limits divided")
 		}
--- a/fields/fields.go
+++ b/fields/fields.go
@@ -191,9 +191,9 @@
 func (f *Field) bounds() string {
 	switch f.Kind {
 	case Word:
-		return strings.Join(f.Words, ", ")
+		return "one of " + strings.Join(f.Words, ", ")
 	case Yes:
-		return "true or false"
+		return "either true or false"
 	}
 	return f.Least + " to " + f.Most
 }
--- a/kin/divide.go
+++ b/kin/divide.go
@@ -38,62 +38,74 @@
 	Trips float64 `json:"trips"` // handed over of late, fading in seconds
 }
 
-// first is what one that starts needs at first, of a limit.
-func first(total int64) int64 { return total / 4 }
+// first is what one that starts needs at first, of the limit that is meant.
+func first(total Amount, part int) int64 {
+	if part == memory {
+		return total.Memory / 4 // It has taken some before it can say so.
+	}
+	return *total.parts()[part] / 8
+}
+
+const (
+	clients, hosts, memory = 0, 1, 2 // places in parts
+
+	few = 8
+)
 
-// Aim is what a process should come to of the whole.
+// leaves is what one that leaves still needs of a limit: its clients may each ask once more, few at a time.
+func leaves(total, use Amount, part int) int64 {
+	switch part {
+	case clients:
+		return use.Clients
+	case hosts:
+		return use.Hosts + use.Clients/4 + few
+	}
+	return max(use.Memory, first(total, memory))
+}
+
+// Aim is what a process should come to of the whole. Those that serve share by what they use, and what nobody uses evenly: so nobody is
+// asked to go for a process that has no clients yet, and the division follows clients as they move over.
 func Aim(total Amount, own Row, others []Row) (aim Amount) {
-	serving, starting := int64(1), int64(0)
-	if own.Phase == Starting {
-		serving, starting = 0, 1
+	var serving, starting int64
+	var leaving, used Amount
+	add := func(to *Amount, what Amount) {
+		for n, x := range to.parts() {
+			*x += *what.parts()[n]
+		}
 	}
-	var leaving Amount
-	for _, o := range others {
-		switch o.Phase {
+	for _, r := range append([]Row{own}, others...) {
+		switch r.Phase {
 		case Serving:
 			serving++
+			add(&used, r.Use)
 		case Starting:
 			starting++
 		case Leaving: // One of which nothing is known changes no aim; it only stops what would be raised.
-			for n, claim := range leaving.parts() {
-				*claim += *o.Claim.parts()[n]
-			}
+			add(&leaving, r.Claim)
 		}
 	}
 	for n, to := range aim.parts() {
-		whole := *total.parts()[n]
+		whole, used, use := *total.parts()[n], *used.parts()[n], *own.Use.parts()[n]
 		rest := max(0, whole-*leaving.parts()[n])
 		switch {
 		case own.Phase == Leaving:
 			*to = leaves(total, own.Use, n)
-		case own.Phase == Starting && (serving > 0 || starting > 1):
-			*to = min(rest, first(whole))
+		case own.Phase == Starting && serving+starting > 1:
+			*to = min(rest, first(total, n))
 		case own.Phase == Starting:
 			*to = rest
+		case n == memory: // What is used there changes slowly, and comes down to what is allowed.
+			*to = max(0, rest-starting*first(total, n)) / serving
 		default:
-			*to = max(0, rest-starting*first(whole)) / serving
+			*to = use + max(0, rest-starting*first(total, n)-used)/serving
 		}
 	}
-	// One that starts has taken memory before it can say so: that much is always left.
 	if len(others) == 0 && own.Phase != Leaving {
-		aim.Memory -= first(total.Memory)
+		aim.Memory -= first(total, memory) // For one that starts: it takes that much before it can say so.
 	}
 	return aim
 }
 
-// leaves is what one that leaves still needs of a limit: its clients may each ask once more, and each answer takes a host.
-func leaves(total, use Amount, part int) int64 {
-	switch part {
-	case 0:
-		return use.Clients
-	case 1:
-		return use.Hosts + use.Clients + few
-	}
-	return max(use.Memory, first(total.Memory))
-}
-
-const few = 8
-
 // Divide says what a process claims next. raise: nobody else raises a claim at this time.
 func Divide(total Amount, own Row, others []Row, raise bool) (claim Amount) {
 	aim := Aim(total, own, others)
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -15,9 +16,9 @@
 )
 
 const (
-	mostKin = 8   // processes of one balancer at a time
-	rowLen  = 512 // bytes of a row, filled up
-	fade    = 0.984
+	mostKin = 8               // processes of one balancer at a time
+	rowLen  = 512             // bytes of a row, filled up
+	fadeFor = 3 * time.Second // trips of late
 )
 
 // Kin is a process among those of its balancer.
@@ -32,6 +33,7 @@
 	own    Row
 	others []Row
 	handed int
+	ticked time.Time
 }
 
 // Join takes a place among the processes that share a folder. total is what all may take together.
@@ -109,7 +111,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.own.Use = use
-	k.own.Trips = k.own.Trips*fade + float64(max(0, handed-k.handed))
+	now := time.Now()
+	k.own.Trips = k.own.Trips*math.Exp(-float64(now.Sub(k.ticked))/float64(fadeFor)) + float64(max(0, handed-k.handed))
+	k.ticked = now
 	k.handed = handed
 	// Guards the sum against two that raise into the same room. Nobody waits: whoever does not get its turn lowers only.
 	raise := unix.Flock(int(k.turn.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil
