--- /dev/null
+++ b/cmd/hollylever/lines.go
@@ -0,0 +1,34 @@
+package main
+
+// line is one that can be logged: its message, and its fields beside time, level, balancer and message. The summary has, besides, a field
+// for each thing that happened.
+type line struct {
+	message string
+	fields  []string
+}
+
+// lines are all of them. A test holds this list against what the sources log and against what on-call staff are told.
+var lines = []line{
+	{"serving", []string{"listen", "mgmt", "clients", "hosts", "memory_mb"}},
+	{"server changed", []string{"server", "from", "to"}},
+	{"list lost", []string{"error"}},
+	{"list followed again", []string{"discovery"}},
+	{"configuration read again", []string{"discovery", "before"}},
+	{"configuration not taken", []string{"error"}},
+	{"counts from now on", []string{"field"}},
+	{"counts at the next start", []string{"field"}},
+	{"accept failed", []string{"error"}},
+	{"server by hand", []string{"server", "out"}},
+	{"bans not taken", []string{"error"}},
+	{"recalled", []string{"servers", "keys", "ago_ms"}},
+	{"not recalled", []string{"error"}},
+	{"not kept", []string{"error"}},
+	{"limits divided", []string{"beside", "clients", "hosts", "memory_mb"}},
+	{"kin not joined", []string{"error"}},
+	{"kin not told", []string{"error"}},
+	{"stood still", []string{"cause", "for_ms", "beat_ms", "cpu_ms", "waited_ms", "pause_ms", "latency_ms", "collections", "cpu_before_ms", "resumed",
+		"stolen_ms", "lock_ms", "accept_ms", "log_ms", "goroutines", "more", "where"}},
+	{"summary", []string{"clients", "hosts_open", "held", "servers", "index", "cpu_ms", "collections"}},
+	{"stopping", []string{"clients"}},
+	{"stopped", []string{"all_answered", "cut_off"}},
+}
