Who takes over has half of the cold room at once; the part follows trips of the last 0.3 s

The new process had a tenth of the room for cold hosts for as long as the old one's trips of the last three seconds counted, just as three hosts came back cold, and its reads piled up elsewhere. Change: trips count for 0.3 s, and beside one that leaves a process that serves has half at least.

--- a/kin/divide.go
+++ b/kin/divide.go
@@ -136,21 +136,26 @@
 	return allowed
 }
 
-const leastPart = 0.1 // so that one that has sent nothing yet can begin
+const (
+	leastPart  = 0.1 // so that one that has sent nothing yet can begin
+	successors = 0.5 // beside one that leaves: its clients come over at once, and what is meant for cold hosts with them
+)
 
 // Part is the process's part of the trips that all send.
 func Part(own Row, others []Row) float64 {
-	all, some := own.Trips, false
-	for _, o := range others {
-		all, some = all+o.Trips, true
-	}
-	if !some {
+	if len(others) == 0 {
 		return 1
 	}
+	all, least := own.Trips, leastPart
+	for _, o := range others {
+		if all += o.Trips; own.Phase == Serving && o.Phase == Leaving {
+			least = successors
+		}
+	}
 	if !(all > 0) || math.IsInf(all, 0) {
 		return 1 / float64(1+len(others))
 	}
-	return max(leastPart, own.Trips/all)
+	return max(least, own.Trips/all)
 }
 
 // Writes tells whether this process is the one that writes down what was learnt: who has served longest, or who leaves last.
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	mostKin = 8               // processes of one balancer at a time
-	rowLen  = 512             // bytes of a row, filled up
-	fadeFor = 3 * time.Second // trips of late
+	mostKin = 8                      // processes of one balancer at a time
+	rowLen  = 512                    // bytes of a row, filled up
+	fadeFor = 300 * time.Millisecond // trips of late: clients move over that quickly
 )
 
 // Kin is a process among those of its balancer.
--- a/kin/kin_test.go
+++ b/kin/kin_test.go
@@ -190,6 +190,9 @@
 	}
 	leaving := old
 	leaving.Phase = Leaving
+	if p := Part(Row{Phase: Serving}, []Row{leaving}); p != successors {
+		t.Errorf("one that takes over has %v", p)
+	}
 	for _, c := range []struct {
 		own    Row
 		others []Row
