--- /dev/null
+++ b/cmd/hollylab/town.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"hollylever/standin"
+)
+
+// What the demo's fleet is.
+const (
+	hostCount     = 16
+	balancerCount = 3
+	warmUp        = 8 * time.Second
+	fetchTakes    = 15 * time.Millisecond
+	fetchAtOnce   = 24
+)
+
+// townSettings are the demo's: as the tests', with three kinds of hosts, three balancers, and times to come back.
+const townSettings = `{"allowed":{"cancelling":true,"connIdle":5000,"dialTimeout":200,"mostHeld":20000,"mostTrips":3,
+"secondCopies":true,"retryAfter":true,"maxRetryAfter":1000},"balancers":3,"hostTypes":["small","std","large"],"zones":["z"],"registryMode":"subscribe",
+"weights":"nominal","tenants":[{"name":"acme","quotaRps":100000}],"extra":{"mode":"through"},
+"invariants":{"askEvery":10000,"drainGrace":2500,"startCapacity":0.2,"warmUp":8000,"fallMultiple":2.5,"tipAfter":3000},
+"workloads":[
+{"name":"read","effect":"free","group":"all","expectedTime":400,"hardStop":1500,"value":1,"tardyValue":0.2},
+{"name":"report","effect":"guarded","group":"all","dedupWindow":4000,"expectedTime":800,"hardStop":2000,"value":1,"tardyValue":0.2},
+{"name":"book","effect":"single_shot","group":"all","expectedTime":800,"hardStop":2000,"value":1,"tardyValue":0.2}]}`
+
+var kinds = []struct {
+	name   string
+	weight float64
+	atOnce int
+}{{"small", 0.5, 2}, {"std", 1, 4}, {"large", 2, 8}}
+
+// town is all that the demo begins: close ends all of it.
+type town struct {
+	folder    string
+	origin    *standin.Origin
+	discovery *standin.Discovery
+	hosts     []*standin.Host
+	kinds     []int
+	platforms []*standin.Platform
+
+	mu        sync.Mutex
+	processes []*standin.Process // one that serves for each platform
+	ended     []*standin.Process
+	troubles  []string // what went wrong beside the rules
+}
+
+func newTown(program string) (w *town, err error) {
+	w = &town{origin: standin.NewOrigin(fetchTakes, fetchAtOnce), discovery: standin.NewDiscovery()}
+	defer func() {
+		if err != nil {
+			w.close()
+		}
+	}()
+	if w.folder, err = os.MkdirTemp("", "hollylab-"); err != nil {
+		return w, err
+	}
+	entries := map[string]string{}
+	for n := range hostCount {
+		k := []int{1, 0, 1, 2}[n%4]
+		h, err := standin.NewHost(fmt.Sprintf("%s-%02d", kinds[k].name, n+1), w.origin, standin.Manner{Takes: 3 * time.Millisecond, AtOnce: kinds[k].atOnce,
+			Queue: 8 * kinds[k].atOnce, WarmUp: warmUp, ColdPart: 0.2, Tips: 2.5, TipAfter: 3 * time.Second})
+		if err != nil {
+			return w, err
+		}
+		w.hosts, w.kinds = append(w.hosts, h), append(w.kinds, k)
+		entries[h.Name] = w.entry(n, "Ready")
+	}
+	w.discovery.Tell(entries)
+	for n := range balancerCount {
+		folder := filepath.Join(w.folder, fmt.Sprint("balancer-", n+1))
+		if err := os.Mkdir(folder, 0o700); err != nil {
+			return w, err
+		}
+		p, err := standin.NewPlatform(folder, standin.Setup{Name: fmt.Sprint("n", n+1), Settings: townSettings, Known: w.discovery.Whole(),
+			Discovery: w.discovery.Address, Limits: standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 512}, Core: -1, Program: program})
+		if err != nil {
+			return w, err
+		}
+		w.platforms = append(w.platforms, p)
+		s, err := p.Start()
+		if err != nil {
+			return w, err
+		}
+		w.processes = append(w.processes, s)
+	}
+	return w, nil
+}
+
+// entry is a host as discovery has it now.
+func (w *town) entry(n int, status string) string {
+	h, since := w.hosts[n], int64(0)
+	if started := h.Figures().Started; !started.IsZero() {
+		since = started.UnixMilli()
+	}
+	k := kinds[w.kinds[n]]
+	return standin.EntryOf(h.Name, h.Address, k.name, status, k.weight, since)
+}
+
+func (w *town) tell(n int, status string) {
+	w.discovery.Tell(map[string]string{w.hosts[n].Name: w.entry(n, status)})
+}
+
+func (w *town) wrong(format string, args ...any) {
+	w.mu.Lock()
+	w.troubles = append(w.troubles, fmt.Sprintf(format, args...))
+	w.mu.Unlock()
+}
+
+// close ends all that was begun, however far that came.
+func (w *town) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.processes {
+		s.Kill()
+	}
+	for _, p := range w.platforms {
+		p.Close()
+	}
+	for _, h := range w.hosts {
+		h.Close()
+	}
+	w.discovery.Close()
+	if w.folder != "" {
+		os.RemoveAll(w.folder)
+	}
+}
--- /dev/null
+++ b/cmd/hollylab/trouble.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"time"
+)
+
+// trouble is what is done to a town, over a time. It ends with the context, and leaves nothing that hangs.
+type trouble struct {
+	name, says string
+	play       func(ctx context.Context, w *town, over time.Duration)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+var troubles = []trouble{
+	{"none", "nothing happens", func(context.Context, *town, time.Duration) {}},
+	{"crash", "two hosts die, the list hears of it a second later, and they come back cold", func(ctx context.Context, w *town, over time.Duration) {
+		for _, n := range []int{1, 2} {
+			w.hosts[n].Down()
+		}
+		if !pause(ctx, min(time.Second, over/4)) {
+			return
+		}
+		for _, n := range []int{1, 2} {
+			w.tell(n, "Gone")
+		}
+		if !pause(ctx, over/3) {
+			return
+		}
+		for _, n := range []int{1, 2} {
+			if err := w.hosts[n].Restart(); err != nil {
+				w.wrong("%s does not come back: %v", w.hosts[n].Name, err)
+				continue
+			}
+			w.tell(n, "Ready")
+		}
+	}},
+	{"slow", "the origin takes ten times as long", func(ctx context.Context, w *town, over time.Duration) {
+		w.origin.Takes(10 * fetchTakes)
+		pause(ctx, over)
+		w.origin.Takes(fetchTakes)
+	}},
+	{"drain", "three hosts drain, go, and come back cold", func(ctx context.Context, w *town, over time.Duration) {
+		for _, n := range []int{0, 3, 5} {
+			w.hosts[n].Out(true)
+			w.tell(n, "Terminating")
+		}
+		if !pause(ctx, max(3*time.Second, over/3)) {
+			return
+		}
+		for _, n := range []int{0, 3, 5} {
+			if err := w.hosts[n].Restart(); err != nil {
+				w.wrong("%s does not come back: %v", w.hosts[n].Name, err)
+				continue
+			}
+			w.hosts[n].Out(false)
+			w.tell(n, "Ready")
+		}
+	}},
+	{"flush", "all caches are emptied", func(ctx context.Context, w *town, over time.Duration) {
+		for _, h := range w.hosts {
+			h.Flush()
+		}
+	}},
+	{"upgrade", "each balancer is replaced by a new process under load", func(ctx context.Context, w *town, over time.Duration) {
+		for n, p := range w.platforms {
+			w.mu.Lock()
+			old := w.processes[n]
+			w.mu.Unlock()
+			young, err := p.Start()
+			if err != nil {
+				w.wrong("balancer %d has no new process: %v", n+1, err)
+				continue
+			}
+			w.mu.Lock()
+			w.processes[n], w.ended = young, append(w.ended, old)
+			w.mu.Unlock()
+			if err := young.Ready(5 * time.Second); err != nil {
+				w.wrong("balancer %d: %v", n+1, err)
+			}
+			if old.Stop(4 * time.Second) {
+				w.wrong("balancer %d had to be killed", n+1)
+			}
+			if !pause(ctx, over/10) {
+				return
+			}
+		}
+	}},
+}
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -17,8 +17,13 @@
 	if len(sinceMS) > 0 {
 		since = sinceMS[0]
 	}
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"z","type":"std","group":0,"status":%q,"weight":1.0,"since_ms":%d}`,
-		name, address, status, since)
+	return EntryOf(name, address, "std", status, 1, since)
+}
+
+// EntryOf is a host of a kind and a weight.
+func EntryOf(name, address, kind, status string, weight float64, sinceMS int64) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"z","type":%q,"group":0,"status":%q,"weight":%g,"since_ms":%d}`,
+		name, address, kind, status, weight, sinceMS)
 }
 
 // List is a list, or a change of one.
