--- /dev/null
+++ b/standin/host_test.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards the check of the rule: a cold host that is asked for too much for long enough counts as pushed over, one that is asked for
+// less, or a warm one, does not.
+func TestAColdHostPushedOverIsSeen(t *testing.T) {
+	for _, c := range []struct {
+		cold   bool
+		rate   int
+		pushed bool
+	}{{true, 400, true}, {true, 50, false}, {false, 400, false}} {
+		h, err := NewHost("s", NewOrigin(0, 100), Manner{Takes: time.Millisecond, AtOnce: 1, Queue: 1000, WarmUp: time.Hour, ColdPart: 0.1, Tips: 2.5, TipAfter: 200 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer h.Close()
+		if c.cold {
+			if err := h.Restart(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var all sync.WaitGroup
+		began := time.Now()
+		for n := 0; time.Since(began) < 1500*time.Millisecond; n++ {
+			all.Go(func() {
+				conn, err := net.Dial("tcp", h.Address)
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				conn.Write([]byte(Words("C.GET", "k", fmt.Sprint(n), "c=read,d=1000")))
+				conn.SetReadDeadline(time.Now().Add(time.Second))
+				conn.Read(make([]byte, 100))
+			})
+			time.Sleep(time.Second / time.Duration(c.rate))
+		}
+		if pushed := h.Figures().Pushed; pushed > 0 != c.pushed {
+			t.Errorf("cold %t at %d a second: %d too many", c.cold, c.rate, pushed)
+		}
+		h.Close()
+		all.Wait()
+	}
+}
