--- a/transport/pool.go
+++ b/transport/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 )
@@ -182,12 +183,11 @@
 func (p *Pool) take(to Peer) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[to]
-	for n := len(list) - 1; n >= 0; n-- {
-		c, idle := list[n], time.Since(list[n].idleAt)
-		if idle < p.rest {
-			continue
-		}
+	list, now := p.idle[to], time.Now()
+	// They lie by when they became idle: those that have rested come first. One look at the clock is for all.
+	rested := sort.Search(len(list), func(n int) bool { return now.Sub(list[n].idleAt) < p.rest })
+	for n := rested - 1; n >= 0; n-- {
+		c, idle := list[n], now.Sub(list[n].idleAt)
 		list = slices.Delete(list, n, n+1)
 		p.idle[to] = list
 		if waits, ended := c.pending(); !waits && !ended && idle < p.keep {
