--- a/cmd/hollylab/town.go
+++ b/cmd/hollylab/town.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -106,6 +110,27 @@
 	w.discovery.Tell(map[string]string{w.hosts[n].Name: w.entry(n, status)})
 }
 
+// doors are the figures of each balancer's door; none for one that does not answer now.
+func (w *town) doors() (all []map[string]int) {
+	w.mu.Lock()
+	serving := append([]*standin.Process(nil), w.processes...)
+	w.mu.Unlock()
+	client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, s := range serving {
+		figures := map[string]int{}
+		if answer, err := client.Get("http://" + s.Mgmt + "/metrics"); err == nil {
+			text, _ := io.ReadAll(io.LimitReader(answer.Body, 1<<16))
+			answer.Body.Close()
+			for _, line := range strings.Fields(string(text)) {
+				name, number, _ := strings.Cut(line, "=")
+				figures[name], _ = strconv.Atoi(number)
+			}
+		}
+		all = append(all, figures)
+	}
+	return all
+}
+
 func (w *town) wrong(format string, args ...any) {
 	w.mu.Lock()
 	w.troubles = append(w.troubles, fmt.Sprintf(format, args...))
--- a/cmd/hollylab/view.go
+++ b/cmd/hollylab/view.go
@@ -68,7 +68,20 @@
 			}
 			t.AppendRow(table.Row{h.Name, f.Asked, f.Kept, started})
 		}
-		text := latencies(all) + "\n" + t.Render() + "\n" + line + "\n"
+		doors := table.NewWriter()
+		doors.SetStyle(table.StyleLight)
+		doors.AppendHeader(table.Row{"balancer", "trips", "open", "hosts", "avoided", "settled", "dismissed", "given up"})
+		for n, figures := range w.doors() {
+			sum := [3]int{}
+			for _, name := range standin.Workloads {
+				for i, how := range []string{"success", "overload", "error"} {
+					sum[i] += figures["replies."+name+"."+how]
+				}
+			}
+			doors.AppendRow(table.Row{fmt.Sprint("n", n+1), figures["dispatches"], figures["concurrent"], figures["targets"], figures["targets_disabled"],
+				sum[0], sum[1], sum[2]})
+		}
+		text := doors.Render() + "\n" + latencies(all) + "\n" + t.Render() + "\n" + line + "\n"
 		if height > 0 {
 			fmt.Fprintf(out, "\x1b[%dA\x1b[J", height) // Over the one before.
 		}
