--- a/standin/host.go
+++ b/standin/host.go
@@ -223,15 +223,20 @@
 	return h.manner.ColdPart + (1-h.manner.ColdPart)*float64(now.Sub(h.started))/float64(h.manner.WarmUp)
 }
 
-// Restart ends all its connections and comes back at the same address, cold and with nothing cached.
-func (h *Host) Restart() error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// hangUp resets all connections and takes no more, as a process that dies does. Under the lock.
+func (h *Host) hangUp() {
 	h.listener.Close()
 	for c := range h.conns {
 		c.(*net.TCPConn).SetLinger(0)
 		c.Close()
 	}
+}
+
+// Restart ends all its connections and comes back at the same address, cold and with nothing cached.
+func (h *Host) Restart() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hangUp()
 	h.cache, h.started, h.since = map[string]string{}, time.Now(), nil
 	var err error
 	for range 100 { // The port is not free until the kernel has let go of it.
@@ -254,11 +259,7 @@
 func (h *Host) Down() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.listener.Close()
-	for c := range h.conns {
-		c.(*net.TCPConn).SetLinger(0)
-		c.Close()
-	}
+	h.hangUp()
 }
 
 // Hang makes it take commands and answer none, until the function that it gives is called.
