The watch waits a moment for SIGCONT, and reads each count once

Change: it waits up to 5 ms for the signal, on a late beat only. What the summary tells is read by itself, not with the waits of all threads and two histograms; a metric that nothing used is not read.

--- a/watch/counts.go
+++ b/watch/counts.go
@@ -14,20 +14,27 @@
 	cpu, waited time.Duration
 	known       bool // waited is
 	stolen      time.Duration
-	metrics     [4]metrics.Sample
+	metrics     [len(names)]metrics.Sample
 	pauses      []uint64 // by bucket
 	latencies   []uint64
 }
 
-var names = [4]string{"/sched/pauses/total/gc:seconds", "/sched/latencies:seconds", "/gc/cycles/total:gc-cycles",
-	"/sync/mutex/wait/total:seconds"}
+const cycles = "/gc/cycles/total:gc-cycles"
 
-// read takes them anew; what is kept of the last reading is used again.
-func (c *counts) read(of *threads) {
+var names = [...]string{"/sched/pauses/total/gc:seconds", "/sched/latencies:seconds", cycles}
+
+// used is the process's CPU time so far; it stays as it was where the kernel does not tell.
+func used(before time.Duration) time.Duration {
 	var use syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &use) == nil {
-		c.cpu = time.Duration(use.Utime.Nano() + use.Stime.Nano())
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &use) != nil {
+		return before
 	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
+// read takes them anew; what is kept of the last reading is used again.
+func (c *counts) read(of *threads) {
+	c.cpu = used(c.cpu)
 	c.waited, c.known = of.waited(time.Now())
 	c.stolen = of.stolen()
 	for n := range names {
@@ -118,16 +125,15 @@
 
 // Spent tells what the process used since it was asked last.
 type Spent struct {
-	counts
-	of threads
+	cpu time.Duration
+	ran uint64 // collections
 }
 
 // Since gives the CPU time, and how often the collector ran.
 func (s *Spent) Since() (cpu time.Duration, collections uint64) {
-	before, ran := s.cpu, uint64(0)
-	if s.metrics[2].Value.Kind() == metrics.KindUint64 {
-		ran = s.metrics[2].Value.Uint64()
-	}
-	s.read(&s.of)
-	return s.cpu - before, s.metrics[2].Value.Uint64() - ran
+	sample := []metrics.Sample{{Name: cycles}}
+	metrics.Read(sample)
+	before := *s
+	s.cpu, s.ran = used(s.cpu), sample[0].Value.Uint64()
+	return s.cpu - before.cpu, s.ran - before.ran
 }
--- a/watch/mark.go
+++ b/watch/mark.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// take gives the longest time in it since the last look, what is still in it included; again: that one has been told.
+// take gives the longest time in it since the last look, what is still in it included; still: that is the longest.
 func (m *Mark) take() (longest time.Duration, still bool) {
 	longest = time.Duration(m.longest.Swap(0))
 	if since := m.since.Load(); since > 0 {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -20,7 +20,8 @@
 	sayAgain   = 2 * time.Second // for one cause; what comes before that is counted
 	mostStacks = 64 << 10
 	spentFor   = 10 // readings
-	mostWhere  = 3  // places named
+	resumeFor  = 5 * time.Millisecond
+	mostWhere  = 3 // places named
 )
 
 // Watch is what looks. Its marks are handed to what they are around.
@@ -94,14 +95,28 @@
 	}
 }
 
+// resumed is how often the process was told to go on since the last look. Guards against a beat that wakes before that signal has come
+// through the runtime: it waits a moment for the first.
+func (w *Watch) resumed(wait time.Duration) (times int) {
+	if len(w.resume) == 0 && wait > 0 {
+		select {
+		case <-w.resume:
+			times++
+		case <-time.After(wait):
+		}
+	}
+	for ; len(w.resume) > 0; times++ {
+		<-w.resume
+	}
+	return times
+}
+
 // look judges what came since the last beat.
 func (w *Watch) look(late time.Duration, now time.Time) {
 	g := Gap{Beat: late}
 	over := time.Duration(w.over.Load())
-	if late < over { // Told to go on after a stop that was short.
-		for len(w.resume) > 0 {
-			<-w.resume
-		}
+	if late < over {
+		w.resumed(0) // Told to go on after a stop that was short.
 	}
 	var stuck bool
 	g.Lock, stuck = w.lock.take()
@@ -113,9 +128,8 @@
 	w.now.read(&w.of)
 	g.CPU, g.Waited, g.Known = w.now.cpu-w.before.cpu, w.now.waited-w.before.waited, w.now.known
 	g.Stolen = w.now.stolen - w.before.stolen
-	for len(w.resume) > 0 {
-		<-w.resume
-		g.Resumed++
+	if late >= over {
+		g.Resumed = w.resumed(resumeFor)
 	}
 	g.Pause = longest(w.now.pauses, w.before.pauses, w.now.metrics[0])
 	latency := longest(w.now.latencies, w.before.latencies, w.now.metrics[1])
@@ -129,12 +143,12 @@
 		if f.Cause == Lock && stuck {
 			where = places()
 		}
-		passed, cycles := w.passed[f.Cause], w.now.metrics[2].Value.Uint64()-w.before.metrics[2].Value.Uint64()
+		passed, ran := w.passed[f.Cause], w.now.metrics[2].Value.Uint64()-w.before.metrics[2].Value.Uint64()
 		w.said[f.Cause], w.passed[f.Cause] = now, 0
 		say := func() {
 			w.log.Warn().Str("cause", string(f.Cause)).Int64("for_ms", f.For.Milliseconds()).
 				Int64("beat_ms", g.Beat.Milliseconds()).Int64("cpu_ms", g.CPU.Milliseconds()).Int64("waited_ms", g.Waited.Milliseconds()).
-				Int64("pause_ms", g.Pause.Milliseconds()).Int64("latency_ms", latency.Milliseconds()).Uint64("collections", cycles).
+				Int64("pause_ms", g.Pause.Milliseconds()).Int64("latency_ms", latency.Milliseconds()).Uint64("collections", ran).
 				Int64("cpu_before_ms", spent.Milliseconds()).Int("resumed", g.Resumed).Int64("stolen_ms", g.Stolen.Milliseconds()).
 				Int64("lock_ms", g.Lock.Milliseconds()).Int64("accept_ms", g.Accept.Milliseconds()).Int64("log_ms", g.Log.Milliseconds()).
 				Int("goroutines", runtime.NumGoroutine()).Int("more", passed).Str("where", where).Msg("stood still")
