--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -670,49 +670,37 @@
 // A slow kind must lose traffic in a view so thin that no server is known by itself.
 func TestSlowKindIsKnownByItsKind(t *testing.T) {
 	w := plain(t, 1, 0, map[string]any{"balancers": 300.0})
-	w.b.Listing(w.now, Whole)
-	for s := range 90 {
-		w.healths[s] = Ready
-		w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s%2, 0, 0, 0)
-	}
-	w.b.Listed(w.now)
-	slow := 0
-	for range 300 {
-		i := w.ask(Harmless, w.b.chance.next(), second)
-		if s := w.asked[i].trips[0].server; s%2 == 1 {
-			slow++
-			w.step(240 * ms)
-		}
-		w.step(60 * ms)
-		w.answer(i, 0, OK)
-		w.step(150 * ms)
-	}
-	if slow > 75 {
+	if slow := slowTrips(w, 90, 60*ms, 240*ms); slow > 75 {
 		t.Fatalf("a kind five times slower got %d of 300 trips", slow)
 	}
 }
 
-// Aside, a kind that is somewhat slower keeps its keys: they would be fetched for others.
-func TestSlowKindKeepsItsKeysAside(t *testing.T) {
-	w := plain(t, 1, 0, map[string]any{"extra.mode": "aside", "extra.originKind": 2.0, "balancers": 300.0})
+// slowTrips is how many of 300 trips go to the caches of odd number, all of one kind, which take longer by so much; the 91st, if there is
+// one, is the origin.
+func slowTrips(w *watcher, servers int, each, longer int64) (slow int) {
 	w.b.Listing(w.now, Whole)
-	for s := range 91 {
+	for s := range servers {
 		w.healths[s] = Ready
 		w.b.Row(w.now, s, string(rune('a'+s)), Ready, 0, s%2+s/90*2, 0, 0, 0)
 	}
 	w.b.Listed(w.now)
-	slow := 0
 	for range 300 {
 		i := w.ask(Harmless, w.b.chance.next(), second)
 		if s := w.asked[i].trips[0].server; s%2 == 1 {
 			slow++
-			w.step(50 * ms)
+			w.step(longer)
 		}
-		w.step(50 * ms)
+		w.step(each)
 		w.answer(i, 0, OK)
 		w.step(150 * ms)
 	}
-	if slow < 100 {
+	return slow
+}
+
+// Aside, a kind that is somewhat slower keeps its keys: they would be fetched for others.
+func TestSlowKindKeepsItsKeysAside(t *testing.T) {
+	w := plain(t, 1, 0, map[string]any{"extra.mode": "aside", "extra.originKind": 2.0, "balancers": 300.0})
+	if slow := slowTrips(w, 91, 50*ms, 50*ms); slow < 100 {
 		t.Errorf("a kind that takes twice as long got %d of 300 trips", slow)
 	}
 }
--- a/cmd/hollylab/main.go
+++ b/cmd/hollylab/main.go
@@ -69,10 +69,9 @@
 		return exec.LookPath(named)
 	}
 	if own, err := os.Executable(); err == nil {
-		if beside := filepath.Join(filepath.Dir(own), "hollylever"); exec.Command(beside).Path != "" {
-			if _, err := os.Stat(beside); err == nil {
-				return beside, nil
-			}
+		beside := filepath.Join(filepath.Dir(own), "hollylever")
+		if _, err := os.Stat(beside); err == nil {
+			return beside, nil
 		}
 	}
 	found, err := exec.LookPath("hollylever")
--- a/cmd/hollylever/kin.go
+++ b/cmd/hollylever/kin.go
@@ -50,7 +50,7 @@
 func (l limited) join(k *kin.Kin) {
 	for end := time.Now().Add(joinFor); time.Now().Before(end); time.Sleep(kinSoon) {
 		may, part, others, err := k.Tick(l.uses(), 0)
-		if l.lay(may, part); err != nil || len(others) == 0 || may.Clients > 0 && may.Hosts > 0 {
+		if l.lay(may, part); err != nil || others == 0 || may.Clients > 0 && may.Hosts > 0 {
 			return
 		}
 	}
@@ -74,8 +74,8 @@
 			debug.SetMemoryLimit(limit)
 			collector = limit
 		}
-		if len(others) != beside {
-			if beside = len(others); beside > 0 {
+		if others != beside {
+			if beside = others; beside > 0 {
 				tick.Reset(kinSoon)
 			} else {
 				tick.Reset(kinEvery)
--- a/kin/divide.go
+++ b/kin/divide.go
@@ -35,7 +35,7 @@
 	Phase Phase   `json:"phase"`
 	Claim Amount  `json:"claim"` // what it may take, and others may not
 	Use   Amount  `json:"use"`
-	Trips float64 `json:"trips"` // handed over of late, fading in seconds
+	Trips float64 `json:"trips"` // handed over of late
 }
 
 // first is what one that starts needs at first, of the limit that is meant.
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -8,7 +8,6 @@
 	"math"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
@@ -107,7 +106,7 @@
 
 // Tick says what this process uses, and how many trips it has handed over in all; it tells what it may come to, its part
 // of the trips, and how many others there are.
-func (k *Kin) Tick(use Amount, handed int) (allowed Amount, part float64, others []Row, err error) {
+func (k *Kin) Tick(use Amount, handed int) (allowed Amount, part float64, others int, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.own.Use = use
@@ -123,7 +122,7 @@
 	if raise {
 		unix.Flock(int(k.turn.Fd()), unix.LOCK_UN)
 	}
-	return Allowed(k.total, k.own, k.others), Part(k.own, k.others), slices.Clone(k.others), err
+	return Allowed(k.total, k.own, k.others), Part(k.own, k.others), len(k.others), err
 }
 
 // Now is what the process is doing from now on; others see it with the next tick.
--- a/routing/figures.go
+++ b/routing/figures.go
@@ -46,7 +46,7 @@
 	for s := range b.servers {
 		if h := &b.servers[s]; h.name != "" && h.health != choice.Gone {
 			f.Servers++
-			if b.banned[h.name] || h.health == choice.Ready && b.module.Avoids(s) {
+			if b.avoids(s) {
 				f.Avoided++
 			}
 		}
@@ -54,6 +54,12 @@
 	return f
 }
 
+// avoids tells whether a server gets nothing now, by hand or by choice; under the lock.
+func (b *Balancer) avoids(s int) bool {
+	h := &b.servers[s]
+	return b.banned[h.name] || h.health == choice.Ready && b.module.Avoids(s)
+}
+
 // HostStands is how a cache host stands with this balancer.
 type HostStands struct {
 	ID      string `json:"id"`
@@ -74,7 +80,7 @@
 	for s := range b.servers {
 		if h := &b.servers[s]; h.name != "" && (h.health != choice.Gone || b.banned[h.name]) {
 			all = append(all, HostStands{h.name, h.address, named(b.kinds, h.kind), named(b.zones, h.zone), names[h.health], b.banned[h.name],
-				b.banned[h.name] || h.health == choice.Ready && b.module.Avoids(s), h.trips, h.started / int64(time.Millisecond)})
+				b.avoids(s), h.trips, sinceMS(h.started)})
 		}
 	}
 	for name := range b.banned {
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -43,9 +43,7 @@
 	snapshot learnt.Snapshot // its room is used again
 	came     int             // retrievals, at the last one
 	told     int             // lists, as of its list
-	Size     int             // of the last one, bytes
-	Took     time.Duration   // for the last one: copying, under the lock, and packing
-	Held     time.Duration   // of that, under the lock
+	Held     time.Duration   // under the lock, for the last one
 }
 
 // Keeper makes one that writes to a file.
@@ -76,7 +74,7 @@
 	for i := 0; changed && i < len(b.servers); i++ {
 		if h := &b.servers[i]; h.name != "" && h.health != choice.Gone {
 			whole.Endpoints = append(whole.Endpoints, entry{h.name, h.address, named(b.zones, h.zone), named(b.kinds, h.kind), h.cell,
-				names[h.health], h.weight, (h.started + int64(time.Millisecond/2)) / int64(time.Millisecond)})
+				names[h.health], h.weight, sinceMS(h.started)})
 		}
 	}
 	s.Discovery, s.Index = b.discovery, b.index
@@ -88,13 +86,15 @@
 			return err
 		}
 	}
-	size, err := k.file.Write(s)
-	if err == nil {
-		k.Size, k.Took = size, time.Since(began)
-	}
+	_, err := k.file.Write(s)
 	return err
 }
 
+// sinceMS is a start as discovery has it: its milliseconds are read as a number that need not be exact.
+func sinceMS(started int64) int64 {
+	return (started + int64(time.Millisecond/2)) / int64(time.Millisecond)
+}
+
 // named is the name of a place in one of the settings' tables; there are few.
 func named(table map[string]int, place int) string {
 	for name, p := range table {
--- a/standin/clients.go
+++ b/standin/clients.go
@@ -64,7 +64,7 @@
 	slack      = 250 * time.Millisecond
 )
 
-// Ask puts the load on an address until the context ends, and gives what was seen once all have their answer.
+// Ask puts the load on an address until the context ends; Wait gives what was seen once all have their answer.
 func Ask(ctx context.Context, address string, load Load) *Clients {
 	c := &Clients{out: map[string]time.Time{}, last: time.Now()}
 	for w := range c.took {
