Order by lines of keys; clocks that differ; hosts that only the list calls gone

A client whose clock is told short goes later than told: trips run to told plus the stated drift (the wire cuts them at the client's true end), and what is held is answered by the latest moment at which it counts whatever the clocks say.

Change: choice/lines.go, a bounded line for each key; drift as a bound, not added; starts stamped too old or too young; a host listed as gone that never drained may be used where only draining binds.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,11 +68,14 @@
 	due, stop         int64 // due: an answer after it has no value; stop: the hard stop
 	width             int
 	hold, heldUntil   int64
-	missed            int  // aside: the cache that lacked the key, -1 if none did
-	direct            bool // aside: it asks the origin, as the caches are crowded
-	fetching, waiting bool // aside: it asks the origin for its key, or waits for the one that does
+	missed            int   // aside: the cache that lacked the key, -1 if none did
+	direct            bool  // aside: it asks the origin, as the caches are crowded
+	fetching, waiting bool  // aside: it asks the origin for its key, or waits for the one that does
+	by                int64 // while nothing is out for it, its answer is due by then, whatever the clocks say
+	line              *line // that it stands in, if it takes turns
+	turn              bool  // and that it had its turn
 	trips             []trip
-	out, place        int // trips in flight; its place in Balancer.live
+	out, over, place  int // trips in flight; that have ended; its place in Balancer.live
 }
 
 type server struct {
@@ -81,6 +84,8 @@
 	started          int64 // when it last did
 	kind, zone, cell int
 	listed, warm     bool    // by the last list
+	drains           bool    // and was not called ready since
+	stamp            int64   // its start as the list has it
 	out              int     // trips in flight
 	size             float64 // by the list
 	held             held
@@ -101,6 +106,7 @@
 
 type workload struct {
 	effect              Effect
+	inOrder             bool
 	group               string
 	remembers, expected int64 // stamped: how long repeats are dropped
 	stretch, tardy      float64
@@ -202,6 +208,10 @@
 	fetches               map[uint64]int // aside: key to the retrieval that asks the origin for it
 	room                  float64        // aside: how many reads may be out at the origin
 	copies, mayCallOff    bool
+	gone                  bool // a server listed as gone, that did not drain, may still be sent to
+	drift, stampError     int64
+	settles               int64 // after a trip that may still run a key kept in order rests for so long
+	lines                 map[lineKey]*line
 	mostTrips             int
 	warmUp, tipAfter      int64
 	unreached, overdue    sum // trips without a connection; those that took far longer than others
@@ -223,7 +233,7 @@
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, zone: -1,
-		credit: 1, admit: 1, part: 1, fetches: map[uint64]int{}, usual: float64(second),
+		credit: 1, admit: 1, part: 1, fetches: map[uint64]int{}, lines: map[lineKey]*line{}, usual: float64(second),
 		chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
 	for range 8 {
 		b.chance.next()
@@ -238,6 +248,8 @@
 	b.copies, b.mayCallOff = b.yes("allowed.secondCopies"), b.yes("allowed.cancelling")
 	b.startPart, b.warmUp = b.number("invariants.startCapacity"), b.span("invariants.warmUp")
 	b.multiple, b.tipAfter = b.number("invariants.fallMultiple"), b.span("invariants.tipAfter")
+	b.drift, b.stampError = b.span("invariants.deadlineDrift"), b.span("invariants.bootStampError")
+	b.gone, b.settles = b.yes("invariants.onlyDrainingBinds"), b.span("invariants.orderSettle")
 	b.balancers = max(1, b.number("balancers"))
 	for i := range int(b.number("report.fields")) {
 		name := b.text("report.fields." + strconv.Itoa(i))
@@ -251,7 +263,7 @@
 		at := "workloads." + strconv.Itoa(i) + "."
 		w := workload{group: b.text(at + "group"), remembers: b.span(at + "dedupWindow"),
 			expected: b.span(at + "expectedTime"), stretch: b.number(at + "aimStretch"),
-			tardy: b.number(at + "tardyValue")}
+			tardy: b.number(at + "tardyValue"), inOrder: b.yes(at + "keepOrder")}
 		switch b.text(at + "effect") {
 		case "guarded":
 			w.effect = Stamped
@@ -310,10 +322,12 @@
 		}
 		*h = server{hash: hash, credit: 1, roomAt: now, rate: -1}
 	}
-	if started > h.started {
-		h.rate, h.strain = -1, 0
-		h.started, h.room, h.roomAt = started, b.chance.part(), now // Else all wait, then come at once.
+	// Guards cold servers against stamps that are off: it started before it was told, and by the latest the stamp allows.
+	if started > h.stamp || b.stampError > 0 && started > 0 && started != h.stamp {
+		h.stamp, h.started, h.rate, h.strain = started, max(1, min(now, started+b.stampError)), -1, 0
+		h.room, h.roomAt = b.chance.part(), now // Else all wait, then come at once.
 	}
+	h.drains = health == Draining || h.drains && health == Gone
 	h.health, h.kind, h.zone, h.cell, h.listed, h.size = health, model+1, zone, cell, true, 1
 	for len(b.kinds) <= h.kind { // Of all: a trip may end at one never called ready. Kind 0: not stated.
 		b.kinds = append(b.kinds, kind{})
@@ -342,9 +356,9 @@
 		if (b.scope == Whole || b.scope == Saved) && !h.listed {
 			h.health = Gone
 		}
-		if h.health == Ready && b.aside && h.kind == int(b.number("extra.originKind"))+1 {
+		if b.open(h) && b.aside && h.kind == int(b.number("extra.originKind"))+1 {
 			b.origin = s
-		} else if h.health == Ready {
+		} else if b.open(h) {
 			b.ready = append(b.ready, s)
 			if h.warm = !b.cold(now, s); h.warm {
 				b.warm += h.size
@@ -363,6 +377,11 @@
 	}
 }
 
+// open tells whether the list lets a server be sent to. Where only draining binds, the list does not prove what is up.
+func (b *Balancer) open(h *server) bool {
+	return h.health == Ready || b.gone && h.health == Gone && h.hash != 0 && !h.drains
+}
+
 // Asked begins a retrieval.
 func (b *Balancer) Asked(now int64, i int, patience int64, workload, tenant int, key uint64, keyGiven,
 	write bool, predicted int64) {
@@ -374,8 +393,10 @@
 	if !keyGiven {
 		key = b.chance.next() // No key: any candidates are as good.
 	}
-	*r = retrieval{workload: workload, key: key, write: write, live: true,
-		due: now + patience, stop: now + patience, width: firstWidth, missed: -1,
+	// Where clocks differ, the client may wait longer than told: trips end when it goes, and that is no loss. What is
+	// held is answered by when it could have gone at the latest for the answer to count.
+	*r = retrieval{workload: workload, key: key, write: write, live: true, by: now + max(patience, b.drift),
+		due: now + patience + b.drift, stop: now + patience + b.drift, width: firstWidth, missed: -1,
 		trips: r.trips[:0], place: len(b.live)}
 	if w.tardy == 0 {
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
@@ -387,17 +408,24 @@
 	case !(b.aside && write) && b.busy() && b.crowded(now, r): // Aside, writes go by the caches.
 		b.turned.add(b.seen, 1)
 		// Guards reads against caches that slow down when crowded, while the origin has room.
-		if r.direct = b.aside && !write && b.origin >= 0 && float64(b.servers[b.origin].out+1) < b.room; r.direct {
-			b.fetch(now, i)
+		r.direct = b.aside && !write && b.origin >= 0 && float64(b.servers[b.origin].out+1) < b.room
+		if r.direct && b.joins(now, i, keyGiven) {
 			return
 		}
-	default:
-		b.route(now, i)
+	case b.joins(now, i, keyGiven):
 		return
 	}
 	b.finish(now, i)
 }
 
+func (b *Balancer) begin(now int64, i int) {
+	if b.retrievals[i].direct {
+		b.fetch(now, i)
+	} else {
+		b.route(now, i)
+	}
+}
+
 // route is the ordinary path: one of the key's candidates at random, from as many as busy answers call for.
 func (b *Balancer) route(now int64, i int) {
 	r := &b.retrievals[i]
@@ -456,7 +484,7 @@
 	b.held.read(b.seen, b.out)
 	r.out += by
 	h.out += by
-	if h.health == Ready && s != b.origin {
+	if b.open(h) && s != b.origin {
 		b.out += by
 	}
 }
@@ -631,7 +659,7 @@
 // pushed over, no effect twice.
 func (b *Balancer) mayReach(now int64, r *retrieval, s int) bool {
 	w, to := &b.workloads[r.workload], &b.servers[s]
-	if to.health != Ready || s != b.origin && b.cold(now, s) && b.coldRoom(now, s) < 1 {
+	if !b.open(to) || s != b.origin && b.cold(now, s) && b.coldRoom(now, s) < 1 {
 		return false
 	}
 	for t := range r.trips {
@@ -650,7 +678,7 @@
 
 // maySend is the gate before Host.Send.
 func (b *Balancer) maySend(now int64, r *retrieval, s int) bool {
-	return r.live && now < r.stop && len(r.trips) < b.mostTrips && b.mayReach(now, r, s)
+	return r.live && (r.line == nil || r.turn) && now < r.stop && len(r.trips) < b.mostTrips && b.mayReach(now, r, s)
 }
 
 // mayDismiss is the gate before Host.Dismiss: trying again must do no harm.
@@ -674,6 +702,7 @@
 	} else {
 		b.host.GiveUp(i)
 	}
+	b.leave(now, i)
 }
 
 // drop forgets a retrieval that has its final answer. Those that waited for its fetch go on: to the cache
@@ -711,7 +740,7 @@
 func (b *Balancer) fetch(now int64, i int) {
 	r := &b.retrievals[i]
 	if leader, out := b.fetches[r.key]; out && leader != i {
-		r.waiting, r.heldUntil = true, max(now, r.due-margin)
+		r.waiting, r.heldUntil = true, max(now, min(r.due, r.by)-margin)
 		b.host.Wake(tagHeld+i, r.heldUntil-now)
 		return
 	}
@@ -723,7 +752,7 @@
 func (b *Balancer) wait(now int64, i int) {
 	r := &b.retrievals[i]
 	r.hold = max(firstHold, 2*r.hold)
-	if now+r.hold >= r.due || len(r.trips) >= b.mostTrips {
+	if now+r.hold >= min(r.due, r.by) || len(r.trips) >= b.mostTrips {
 		b.finish(now, i)
 		return
 	}
@@ -745,6 +774,7 @@
 	if r.trips[t].ran == running {
 		b.count(now, r, s, -1)
 	}
+	r.over++
 	switch how {
 	case OK:
 		r.trips[t].ran = done
@@ -761,6 +791,7 @@
 	if how == Missing && r.missed < 0 {
 		r.missed = s
 	}
+	b.rests(now, r, how)
 	switch {
 	case !r.live:
 	case noMore && how == OK:
@@ -768,7 +799,8 @@
 	case noMore:
 		b.drop(now, i, -1)
 	case r.out > 0 || r.due == math.MaxInt64: // Another trip may still answer, or does.
-	case now >= r.stop || s == b.origin && how != Full && how != Unreached,
+	case how == TimedOut || how == Unsent && b.drift > 0, // The client has gone, whatever was told of its patience.
+		now >= r.stop || s == b.origin && how != Full && how != Unreached,
 		how == Errored && b.fails.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
 		b.finish(now, i)
 	case how == Missing:
@@ -781,6 +813,7 @@
 	default:
 		b.route(now, i)
 	}
+	b.leave(now, i)
 }
 
 // learn takes from an outcome what it tells about the server, the fleet and the origin.
@@ -912,6 +945,7 @@
 	if b.retrievals[i].live {
 		b.drop(now, i, -1)
 	}
+	b.leave(now, i)
 }
 
 // Woke: a timer has come due.
@@ -921,7 +955,9 @@
 	case tag == tagList:
 		b.host.Subscribe()
 	case tag-tagHeld < len(b.retrievals):
-		if r := &b.retrievals[tag-tagHeld]; r.live && r.heldUntil > 0 && r.heldUntil <= now {
+		if r := &b.retrievals[tag-tagHeld]; r.live && r.line != nil && !r.turn {
+			b.waited(now, tag-tagHeld)
+		} else if r.live && r.heldUntil > 0 && r.heldUntil <= now {
 			if r.heldUntil = 0; r.waiting { // The fetch did not come: its answer may not wait any longer.
 				b.finish(now, tag-tagHeld)
 				return
@@ -947,7 +983,7 @@
 // Reported: a server's load report, its figures in the order of the settings; NaN for those that it lacks.
 func (b *Balancer) Reported(now int64, s int, load []float64) {
 	h := &b.servers[s]
-	if h.health != Ready || s == b.origin {
+	if !b.open(h) || s == b.origin {
 		return
 	}
 	if h.rate < 0 {
--- /dev/null
+++ b/choice/lines.go
@@ -0,0 +1,105 @@
+package choice
+
+import "slices"
+
+// Lines of keys: retrievals of a key that take turns, in the order in which they came. Each key has its own, so that none
+// delays another's, and a line takes no more than can have their turn while an answer is still worth something.
+
+const mostWaiting = 256 // in one line, however quick it is
+
+type lineKey struct {
+	key     uint64
+	inOrder bool
+}
+
+// line is of one key. Those that wait have had no trip.
+type line struct {
+	waiting []int
+	under   int     // had their turn and are not over, or have a trip without an outcome
+	rests   int64   // nobody's turn comes before
+	room    float64 // how many may be under way
+	each    float64 // how long a turn takes
+	turning bool
+}
+
+// joins lets a retrieval go at once, or puts it into the line of its key; false if its turn would come too late.
+func (b *Balancer) joins(now int64, i int, keyGiven bool) bool {
+	r := &b.retrievals[i]
+	at := lineKey{r.key, keyGiven && b.workloads[r.workload].inOrder}
+	l := b.lines[at]
+	if l == nil && at.inOrder {
+		for k, old := range b.lines {
+			if len(b.lines) > 64+2*len(b.live) && old.idle(now) {
+				delete(b.lines, k)
+			}
+		}
+		l = &line{room: 1}
+		b.lines[at] = l
+	}
+	if l == nil {
+		b.begin(now, i)
+		return true
+	}
+	last := min(r.due, r.by) - margin
+	if ahead := float64(len(l.waiting)) + float64(l.under); len(l.waiting) >= mostWaiting ||
+		ahead > 0 && max(now, l.rests)+int64(ahead*l.each/l.room) >= last {
+		return false
+	}
+	r.line = l
+	l.waiting = append(l.waiting, i)
+	b.host.Wake(tagHeld+i, max(0, last-now))
+	b.turns(now, l)
+	return true
+}
+
+func (l *line) idle(now int64) bool { return l.under == 0 && len(l.waiting) == 0 && now >= l.rests }
+
+// turns lets those go whose turn it is. One that ends at once makes room for the next.
+func (b *Balancer) turns(now int64, l *line) {
+	for !l.turning && len(l.waiting) > 0 && float64(l.under) < l.room {
+		i := l.waiting[0]
+		if now < l.rests {
+			b.host.Wake(tagHeld+i, l.rests-now)
+			return
+		}
+		l.waiting = slices.Delete(l.waiting, 0, 1)
+		l.under++
+		l.turning, b.retrievals[i].turn = true, true
+		b.begin(now, i)
+		l.turning = false
+	}
+}
+
+// waited: a timer of one in line has come due, for its turn or for its answer.
+func (b *Balancer) waited(now int64, i int) {
+	r := &b.retrievals[i]
+	if b.turns(now, r.line); r.live && !r.turn && now >= min(r.due, r.by)-margin {
+		b.finish(now, i)
+	}
+}
+
+// rests has the key of a trip that may still run rest for as long as the settings say.
+func (b *Balancer) rests(now int64, r *retrieval, how Outcome) {
+	if r.line != nil && (how == TimedOut || how == Reset || how == CalledOff) {
+		r.line.rests = max(r.line.rests, now+b.settles)
+	}
+}
+
+// leave takes a retrieval that is over out of its line, once each of its trips has ended.
+func (b *Balancer) leave(now int64, i int) {
+	r := &b.retrievals[i]
+	l := r.line
+	if l == nil || r.live || r.over < len(r.trips) {
+		return
+	}
+	r.line = nil
+	if r.turn {
+		l.under--
+	} else if at := slices.Index(l.waiting, i); at >= 0 {
+		l.waiting = slices.Delete(l.waiting, at, at+1)
+	}
+	if len(r.trips) > 0 {
+		l.each += (float64(now-r.trips[0].sent) - l.each) / 4
+	}
+	b.turns(now, l)
+}
--- /dev/null
+++ b/choice/lines_test.go
@@ -0,0 +1,159 @@
+package choice
+
+import "testing"
+
+var inOrder = map[string]any{"workloads.0.keepOrder": true, "invariants.orderSettle": 50.0}
+
+// However the first of a key ends, the second waits for that and for as long as the key rests, no longer.
+func TestOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		end    func(w *watcher, i int)
+		settle int64
+	}{
+		"settled":   {func(w *watcher, i int) { w.answer(i, 0, OK) }, 0},
+		"timed out": {func(w *watcher, i int) { w.step(400 * ms) }, 50 * ms},
+		"dismissed": {func(w *watcher, i int) {
+			for trip := 0; w.asked[i].live; w.step(ms) {
+				for ; trip < len(w.asked[i].trips); trip++ {
+					w.answer(i, trip, Full)
+				}
+			}
+		}, 0},
+		"called off":     {func(w *watcher, i int) { leave(w, i); w.answer(i, 0, CalledOff) }, 50 * ms},
+		"reset":          {func(w *watcher, i int) { leave(w, i); w.answer(i, 0, Reset) }, 50 * ms},
+		"client is gone": {func(w *watcher, i int) { leave(w, i); w.step(30 * ms); w.answer(i, 0, OK) }, 0},
+	} {
+		w := plain(t, 1, 6, inOrder)
+		first := w.ask(Harmless, 7, 400*ms)
+		second, third := w.ask(Harmless, 7, 5*second), w.ask(Harmless, 7, 5*second)
+		if len(w.asked[second].trips) > 0 {
+			t.Fatalf("%s: the second did not wait", name)
+		}
+		c.end(w, first)
+		if c.settle > 0 {
+			w.step(c.settle - 2*ms)
+			if len(w.asked[second].trips) > 0 {
+				t.Fatalf("%s: the key did not rest", name)
+			}
+			w.step(3 * ms)
+		}
+		if len(w.asked[second].trips) != 1 || len(w.asked[third].trips) > 0 {
+			t.Fatalf("%s: %d trips of the second, %d of the third", name, len(w.asked[second].trips), len(w.asked[third].trips))
+		}
+	}
+}
+
+func leave(w *watcher, i int) {
+	w.asked[i].live = false
+	w.b.Aborted(w.now, i)
+}
+
+// A line has a bound, which is answered at once, and delays no other key.
+func TestLineBound(t *testing.T) {
+	w := plain(t, 1, 6, inOrder)
+	for range 1000 {
+		w.ask(Harmless, 7, 5*second)
+	}
+	if w.dismissed != 1000-1-mostWaiting {
+		t.Errorf("%d of 1000 dismissed, the line holds %d", w.dismissed, mostWaiting)
+	}
+	if other := w.ask(Harmless, 8, 5*second); len(w.asked[other].trips) != 1 {
+		t.Error("another key waits for this one's line")
+	}
+	for i := range w.asked { // Each in turn; the watcher looks at the order.
+		if w.asked[i].live {
+			w.answer(i, 0, OK)
+		}
+	}
+	if len(w.b.lines[lineKey{7, true}].waiting) > 0 {
+		t.Error("some never had their turn")
+	}
+}
+
+// Whose turn would come too late is answered at once.
+func TestTurnTooLate(t *testing.T) {
+	w := plain(t, 1, 6, inOrder)
+	for range 3 { // A turn is known to take 300 ms.
+		i := w.ask(Harmless, 7, 5*second)
+		w.step(300 * ms)
+		w.answer(i, 0, OK)
+	}
+	for range 4 {
+		w.ask(Harmless, 7, 5*second)
+	}
+	if w.ask(Harmless, 7, 500*ms); w.dismissed != 1 || w.givenUp != 0 {
+		t.Error("it waits for a turn that comes after its hard stop")
+	}
+}
+
+// Clocks differ: what is told of a client's patience can be short by all that it has. Nothing is lost for that, and
+// nothing is held for longer than an answer counts (step looks at it).
+func TestClocksDiffer(t *testing.T) {
+	for _, told := range []int64{1100, 300, 0, -900} {
+		w := plain(t, 1, 6, map[string]any{"invariants.deadlineDrift": 2000.0})
+		w.skew = (told - 1100) * ms
+		i := w.ask(Harmless, 7, 1100*ms)
+		w.step(300 * ms)
+		if len(w.asked[i].trips) == 0 {
+			t.Fatalf("told %d: no trip", told)
+		}
+		w.answer(i, 0, Unreached)
+		if w.step(40 * ms); len(w.asked[i].trips) != 2 {
+			t.Fatalf("told %d: no further trip", told)
+		}
+		w.step(5 * second)
+	}
+}
+
+// A start's stamp may be off either way: a server that has just come is cold for all of its warm-up.
+func TestStampsOff(t *testing.T) {
+	for _, off := range []int64{-9 * second, 0, 9 * second} {
+		w := plain(t, 1, 3, map[string]any{"invariants.bootStampError": 9000.0})
+		w.now += 60 * second
+		told := w.now
+		w.list(Whole, 3, func(s int) (Health, int64) {
+			if s == 0 {
+				return Ready, told + off
+			}
+			return Ready, 0
+		})
+		w.now += 8*second - ms
+		if !w.b.cold(w.now, 0) {
+			t.Errorf("stamped off by %d s: taken for warm too soon", off/second)
+		}
+		if w.now += 2 * ms; w.b.cold(w.now, 0) {
+			t.Errorf("stamped off by %d s: still cold after its warm-up", off/second)
+		}
+	}
+}
+
+// Where only draining binds, a server that is listed as gone may be used, one that drained only once it is ready again.
+func TestGoneMayBeUsed(t *testing.T) {
+	for _, binds := range []bool{true, false} {
+		w := plain(t, 1, 2, map[string]any{"invariants.onlyDrainingBinds": binds})
+		show := func(zero Health) { w.list(Whole, 1, func(int) (Health, int64) { return zero, 0 }) }
+		uses := func() bool { // Server 1 is left out of the list, and does not answer.
+			for range 300 {
+				i := w.ask(Harmless, w.b.chance.next(), second)
+				for t := range w.asked[i].trips {
+					w.answer(i, t, []Outcome{OK, Unreached}[w.asked[i].trips[t].server])
+				}
+				w.step(10 * ms)
+			}
+			used := w.sends[0] > 0
+			clear(w.sends)
+			return used
+		}
+		w.healths[1] = Gone
+		if show(Gone); uses() != binds {
+			t.Errorf("only draining binds %v: a server listed as gone", binds)
+		}
+		show(Draining)
+		if show(Gone); uses() { // The watcher would say so, too.
+			t.Errorf("only draining binds %v: a server that drained and is gone is used", binds)
+		}
+		if show(Ready); !uses() {
+			t.Errorf("only draining binds %v: a server that is ready again is not used", binds)
+		}
+	}
+}
