A key whose trips fail wherever they go takes turns, as many as are answered soon

So the wait is behind all hosts, and a trip that waits keeps a host's only slot: others time out with it. Ruled out: hosts (each is good for other keys), the origin (rare keys miss more and are settled), more trips (each is one more that waits). Change: a key of which two trips more fail, each at another host than the one before, than are settled gets a line of its own (the lines that keep order), whose room grows with answers in half of the expected time and shrinks with failures; under one, it rests between turns. Its trips end when an answer has no value left, get no copy, no further trip after an error, and say nothing of hosts. Should also hold against a key too large or too dear for any host; may hurt a hot key while several of its hosts hang: it goes one by one until answers come.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -159,10 +159,11 @@
 
 func (c *chance) below(n int) int { hi, _ := bits.Mul64(c.next(), uint64(n)); return int(hi) }
 
-// read is where a key was read last.
+// read is where a key was read last, and how much speaks for its trips failing wherever they go.
 type read struct {
-	key    uint64
-	server int
+	key            uint64
+	server, failed int
+	strain         float64
 }
 
 type ranked struct {
@@ -469,7 +470,11 @@
 	r.trips = append(r.trips, trip{server: s, sent: now})
 	h.sent.add(b.seen, 1)
 	b.count(now, r, s, 1)
-	b.host.Send(i, s, r.stop)
+	until := r.stop
+	if r.strained() {
+		until = r.due
+	}
+	b.host.Send(i, s, until)
 	// Guards against a trip that falls silent: one that is far overdue gets a copy elsewhere, paid from credit.
 	if w := &b.workloads[r.workload]; b.copies && w.effect != OneShot && s != b.origin {
 		r.heldUntil = now + max(w.expected/2, int64(jam*b.all.each(b.seen, 0)))
@@ -791,7 +796,7 @@
 	if how == Missing && r.missed < 0 {
 		r.missed = s
 	}
-	b.rests(now, r, how)
+	b.paces(now, r, how, took)
 	switch {
 	case !r.live:
 	case noMore && how == OK:
@@ -805,6 +810,8 @@
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
+	case how == Errored && r.strained(): // So would the next, wherever it went.
+		b.finish(now, i)
 	case s == b.origin, how == Full && r.width >= len(b.ready): // A short origin takes no more connections.
 		b.wait(now, i)
 	case how == Full:
@@ -821,9 +828,10 @@
 	h, w := &b.servers[s], &b.workloads[r.workload]
 	cache, answered := s != b.origin, how == OK || how == Missing || how == Errored
 	poor := how != OK && how != Missing || how == OK && float64(took) > late*float64(w.expected)
-	if how == CalledOff && !r.live {
-		return
+	if how == CalledOff && !r.live || r.strained() {
+		return // What holds its key up is no server's fault.
 	}
+	b.suspects(r, s, how)
 	switch {
 	case how == OK || how == Missing:
 		h.good.add(b.seen, 1)
@@ -872,7 +880,11 @@
 		b.took.add(b.seen, float64(took))
 		// The least mean of late: what trips take while nothing is crowded.
 		b.usual = min(b.took.read(b.seen)/b.settled.read(b.seen), b.usual*usualGrows)
-		b.known[r.key%knownKeys] = read{r.key, s}
+		k := &b.known[r.key%knownKeys]
+		if k.key != r.key {
+			*k = read{key: r.key}
+		}
+		k.server = s
 	}
 	if answered {
 		for _, k := range [2]*kind{&b.all, &b.kinds[h.kind]} {
@@ -964,7 +976,7 @@
 			}
 			if r.out == 0 {
 				b.route(now, tag-tagHeld)
-			} else if b.overdue.add(b.seen, 1); b.overdue.value < mostOverdue*b.asked.read(b.seen) &&
+			} else if b.overdue.add(b.seen, 1); !r.strained() && b.overdue.value < mostOverdue*b.asked.read(b.seen) &&
 				b.turned.read(b.seen) < mostOverdue/4*b.asked.read(b.seen) {
 				if s := b.pick(now, r); s >= 0 && now < r.due && b.maySend(now, r, s) {
 					b.servers[r.trips[len(r.trips)-1].server].bad.add(b.seen, 1)
--- a/choice/lines.go
+++ b/choice/lines.go
@@ -5,7 +5,11 @@
 // Lines of keys: retrievals of a key that take turns, in the order in which they came. Each key has its own, so that none
 // delays another's, and a line takes no more than can have their turn while an answer is still worth something.
 
-const mostWaiting = 256 // in one line, however quick it is
+const (
+	mostWaiting = 256 // in one line, however quick it is
+	strained    = 2.0 // more trips of a key than this failed, each at another server than the one before, than were settled
+	wellAgain   = 4.0 // room of a line that nobody needs
+)
 
 type lineKey struct {
 	key     uint64
@@ -20,6 +24,7 @@
 	room    float64 // how many may be under way
 	each    float64 // how long a turn takes
 	turning bool
+	inOrder bool
 }
 
 // joins lets a retrieval go at once, or puts it into the line of its key; false if its turn would come too late.
@@ -33,7 +38,7 @@
 				delete(b.lines, k)
 			}
 		}
-		l = &line{room: 1}
+		l = &line{room: 1, inOrder: true}
 		b.lines[at] = l
 	}
 	if l == nil {
@@ -41,8 +46,8 @@
 		return true
 	}
 	last := min(r.due, r.by) - margin
-	if ahead := float64(len(l.waiting)) + float64(l.under); len(l.waiting) >= mostWaiting ||
-		ahead > 0 && max(now, l.rests)+int64(ahead*l.each/l.room) >= last {
+	ahead := float64(len(l.waiting)) + float64(l.under)
+	if len(l.waiting) >= mostWaiting || max(now, l.rests)+int64(ahead*l.each/l.room) >= last {
 		return false
 	}
 	r.line = l
@@ -78,10 +83,40 @@
 	}
 }
 
-// rests has the key of a trip that may still run rest for as long as the settings say.
-func (b *Balancer) rests(now int64, r *retrieval, how Outcome) {
-	if r.line != nil && (how == TimedOut || how == Reset || how == CalledOff) {
-		r.line.rests = max(r.line.rests, now+b.settles)
+// strained tells whether a retrieval's key is held up wherever it goes.
+func (r *retrieval) strained() bool { return r.line != nil && !r.line.inOrder }
+
+// suspects gathers what speaks for a key that is held up behind all servers: its trips fail at one after the other.
+func (b *Balancer) suspects(r *retrieval, s int, how Outcome) {
+	k := &b.known[r.key%knownKeys]
+	switch {
+	case how == OK && k.key == r.key:
+		k.strain = max(0, k.strain-1)
+	case how != Errored && how != TimedOut:
+	case k.key != r.key:
+		*k = read{key: r.key, server: -1, failed: s, strain: 1}
+	case k.failed != s:
+		k.failed = s
+		if k.strain++; k.strain >= strained && b.lines[lineKey{r.key, false}] == nil {
+			k.strain = 0
+			b.lines[lineKey{r.key, false}] = &line{room: 1}
+		}
+	}
+}
+
+// paces has the key of a trip that may still run rest for as long as the settings say, and one that is held up take as
+// many turns as are answered soon.
+func (b *Balancer) paces(now int64, r *retrieval, how Outcome, took int64) {
+	l := r.line
+	switch {
+	case l == nil:
+	case l.inOrder && (how == TimedOut || how == Reset || how == CalledOff):
+		l.rests = max(l.rests, now+b.settles)
+	case l.inOrder || how != OK && how != Errored && how != TimedOut:
+	case how == OK && took < b.workloads[r.workload].expected/2:
+		l.room += 1 / max(1, l.room)
+	default:
+		l.room = max(1.0/16, l.room*0.7)
 	}
 }
 
@@ -101,5 +136,10 @@
 	if len(r.trips) > 0 {
 		l.each += (float64(now-r.trips[0].sent) - l.each) / 4
 	}
+	if l.room < 1 {
+		l.rests = now + int64(l.each*(1/l.room-1))
+	} else if l.room >= wellAgain && len(l.waiting) == 0 && !l.inOrder {
+		delete(b.lines, lineKey{r.key, false})
+	}
 	b.turns(now, l)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -113,7 +113,7 @@
 			Rate: float32(h.rate), Strain: float32(h.strain)})
 	}
 	for _, r := range b.known {
-		if r.key != 0 && r.server < len(placed) && placed[r.server] != mostHosts {
+		if r.key != 0 && r.server >= 0 && r.server < len(placed) && placed[r.server] != mostHosts {
 			keys, places = append(keys, r.key), append(places, placed[r.server])
 		}
 	}
@@ -211,7 +211,7 @@
 	}
 	for n, key := range s.Keys {
 		if place := places[s.Places[n]]; place >= 0 {
-			b.known[key%knownKeys] = read{key, place}
+			b.known[key%knownKeys] = read{key: key, server: place}
 		}
 	}
 	b.seen += int64(float64(ago) * s.Pace) // All that was learnt has faded over the gap as it would have.
