--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	strain      = 0.15    // more misses than this part of the reads strain the origin
 	backPart    = 1.0 / 6 // of the expected time
 	mostIdle    = 0.3     // of what all could report as strain: under it nothing is crowded
-	fewOf       = 0.05    // of the trips without a connection: more, and no zone goes first
+	few         = 0.05    // of the trips without a connection: more, and no zone goes first
 	crowd       = 0.15    // of the expected time may be spent by what is in flight
 	youngRoom   = 4.0     // trips in flight a server that all balancers may add while they know no rate
 	leastPart   = 0.5     // of the room is left to keys not read lately
@@ -209,7 +209,6 @@
 	fetches               map[uint64]int // aside: key to the retrieval that asks the origin for it
 	room                  float64        // aside: how many reads may be out at the origin
 	copies, mayCallOff    bool
-	few bool
 	gone                  bool // a server listed as gone, that did not drain, may still be sent to
 	drift, stampError     int64
 	settles               int64 // after a trip that may still run a key kept in order rests for so long
@@ -251,7 +250,6 @@
 	b.startPart, b.warmUp = b.number("invariants.startCapacity"), b.span("invariants.warmUp")
 	b.multiple, b.tipAfter = b.number("invariants.fallMultiple"), b.span("invariants.tipAfter")
 	b.drift, b.stampError = b.span("invariants.deadlineDrift"), b.span("invariants.bootStampError")
-	b.few = b.number("allowed.outBuffers") > 0
 	b.gone, b.settles = b.yes("invariants.onlyDrainingBinds"), b.span("invariants.orderSettle")
 	b.balancers = max(1, b.number("balancers"))
 	for i := range int(b.number("report.fields")) {
@@ -473,7 +471,7 @@
 	h.sent.add(b.seen, 1)
 	b.count(now, r, s, 1)
 	until := r.stop
-	if r.strained() || b.few {
+	if r.strained() {
 		until = r.due
 	}
 	b.host.Send(i, s, until)
@@ -552,24 +550,24 @@
 	// order of its ranking, so that it is fetched for one cache and not for three. While the origin fails, one
 	// more fetch is dearer than any queue: the first of the ranking, whatever its load.
 	strict := ordered && b.fails.read(b.seen) > strain*(b.reads.read(b.seen)+1)
+	if last := b.known[r.key%knownKeys]; ordered && !strict && last.key == r.key {
+		for j := range n {
+			if b.best[j].server == last.server {
+				b.best[0], b.best[j] = b.best[j], b.best[0]
+			}
+		}
+	}
 	unreached := b.unreached.read(b.seen)
 	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys
 	// need one order for all then, nor while connects fail: a lost zone is found out server by server.
 	near := 0
-	for j := 0; j < n && !strict && unreached < fewOf*(b.good.read(b.seen)+1); j++ {
+	for j := 0; j < n && !strict && unreached < few*(b.good.read(b.seen)+1); j++ {
 		if c := b.best[j]; b.servers[c.server].zone == b.zone {
 			copy(b.best[near+1:j+1], b.best[near:j])
 			b.best[near] = c
 			near++
 		}
 	}
-	if last := b.known[r.key%knownKeys]; ordered && !strict && last.key == r.key {
-		for j := range n {
-			if b.best[j].server == last.server {
-				b.best[0], b.best[j] = b.best[j], b.best[0]
-			}
-		}
-	}
 	// Aside, a key that moves costs a trip and a fetch of its own: only what is nearly jammed loses keys.
 	slow := b.all.each(b.seen, 0)
 	if b.aside {
