Reads that find no room at the origin count as failing: one order for a key, and no own zone first

Should hold for any origin that is short in aside mode; hurts where hosts are what is short: the first of a ranking is taken whatever its load.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -215,6 +215,7 @@
 	lines                 map[lineKey]*line
 	mostTrips             int
 	warmUp, tipAfter      int64
+	short sum
 	unreached, overdue    sum // trips without a connection; those that took far longer than others
 	startPart, multiple   float64
 	can                   float64 // the most a warm cache answered here lately, for its size
@@ -437,6 +438,8 @@
 		s = b.origin
 		if s >= 0 && !r.write && float64(b.servers[s].out)+b.chance.part() > b.room {
 			b.misses.add(b.seen, 1)
+			b.short.add(b.seen, 1)
+			b.fails.add(b.seen, 1)
 			b.wait(now, i)
 			return
 		}
@@ -561,7 +564,7 @@
 	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys
 	// need one order for all then, nor while connects fail: a lost zone is found out server by server.
 	near := 0
-	for j := 0; j < n && !strict && unreached < few*(b.good.read(b.seen)+1); j++ {
+	for j := 0; j < n && !strict && b.short.read(b.seen) < few*(b.reads.read(b.seen)+1) && unreached < few*(b.good.read(b.seen)+1); j++ {
 		if c := b.best[j]; b.servers[c.server].zone == b.zone {
 			copy(b.best[near+1:j+1], b.best[near:j])
 			b.best[near] = c
