A server that broke trips and takes no connection has restarted: cold at once, and all bear less for a while

Ruled out: full tables (connects fail only at servers whose trips broke just before), the list (it names them 2.5 s later). The health check is not told anywhere; its symptom is that the busiest break in groups every 4 s. Change: such a server is cold from the last connect that failed, so that it has cold room until it answers or the list tells; and the room of the crowd gate shrinks to 0.7 with each, twice a second at most and to 0.3 at least, and comes back in 40 s. So what is in flight stays under what brought it on, with no figure of the deployment. A reset alone does neither.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,9 +43,10 @@
 	firstBad    = 0.1
 	perAnswer   = 0.2 // credit that an answer earns
 	mostCredit  = 10.0
-	coldPart    = 0.3  // of the cold budget: machines differ, and so do balancers' parts of the traffic
-	proves      = 8.0  // answers prove half of what they can of a cold server: three times its part
-	leastRoom   = 0.1  // under one, reads are let in by chance
+	coldPart    = 0.3 // of the cold budget: machines differ, and so do balancers' parts of the traffic
+	proves      = 8.0 // answers prove half of what they can of a cold server: three times its part
+	leastRoom   = 0.1 // under one, reads are let in by chance
+	leastBorne  = 0.3
 	firstRoom   = 40.0 // aside: reads all may have out at the origin beyond two each, at first
 )
 
@@ -83,8 +84,9 @@
 	health           Health
 	started          int64 // when it last did
 	kind, zone, cell int
-	listed, warm     bool    // by the last list
-	drains           bool    // and was not called ready since
+	listed, warm     bool // by the last list
+	drains           bool // and was not called ready since
+	broke            bool
 	stamp            int64   // its start as the list has it
 	out              int     // trips in flight
 	size             float64 // by the list
@@ -215,7 +217,9 @@
 	lines                 map[lineKey]*line
 	mostTrips             int
 	warmUp, tipAfter      int64
-	short sum
+	short                 sum
+	bears                 float64
+	brokeAt               int64
 	unreached, overdue    sum // trips without a connection; those that took far longer than others
 	startPart, multiple   float64
 	can                   float64 // the most a warm cache answered here lately, for its size
@@ -235,7 +239,7 @@
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, zone: -1,
-		credit: 1, admit: 1, part: 1, fetches: map[uint64]int{}, lines: map[lineKey]*line{}, usual: float64(second),
+		credit: 1, admit: 1, bears: 1, part: 1, fetches: map[uint64]int{}, lines: map[lineKey]*line{}, usual: float64(second),
 		chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
 	for range 8 {
 		b.chance.next()
@@ -287,6 +291,7 @@
 // always rests on enough of them.
 func (b *Balancer) passes(now int64) {
 	b.seen += int64(float64(now-b.now) * b.pace)
+	b.bears = min(1, b.bears+float64(now-b.now)/float64(40*second))
 	b.now, b.pace = now, min(1, max(slowest, b.asked.read(b.seen)/enough))
 }
 
@@ -791,9 +796,19 @@
 	default:
 		r.trips[t].ran = perhaps
 	}
-	if how == Unreached {
+	if h := &b.servers[s]; how == Unreached {
 		b.unreached.add(b.seen, 1)
-		b.servers[s].cutAt = now
+		// Guards servers that broke trips, take no connection and come back cold, which the list does not show yet; and
+		// the others against what may have brought it on: more in flight than one bears.
+		if h.broke {
+			h.started, h.room, h.roomAt = now, b.chance.part(), now
+			if h.cutAt == 0 && now > b.brokeAt+second/2 {
+				b.bears, b.brokeAt = max(leastBorne, b.bears*0.7), now
+			}
+		}
+		h.cutAt = now
+	} else if h.broke = h.broke || how == Reset; how == OK || how == Missing {
+		h.broke = false
 	}
 	b.learn(now, r, s, note, how, took)
 	if how == Missing && r.missed < 0 {
@@ -929,6 +944,7 @@
 	}
 	full := b.all.busy.read(b.seen) / (b.all.answered.value + b.all.busy.value + 1)
 	room := (1-full)*free + (1-full)*(1-full)*rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
+	room *= b.bears
 	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
