--- a/choice/choice.go
+++ b/choice/choice.go
@@ -211,13 +211,13 @@
 	fetches               map[uint64]int // aside: key to the retrieval that asks the origin for it
 	room                  float64        // aside: how many reads may be out at the origin
 	copies, mayCallOff    bool
+	buffers               bool // for answers are few
 	gone                  bool // a server listed as gone, that did not drain, may still be sent to
 	drift, stampError     int64
 	settles               int64 // after a trip that may still run a key kept in order rests for so long
 	lines                 map[lineKey]*line
 	mostTrips             int
 	warmUp, tipAfter      int64
-	short                 sum
 	bears                 float64
 	brokeAt               int64
 	unreached, overdue    sum // trips without a connection; those that took far longer than others
@@ -255,6 +255,7 @@
 	b.startPart, b.warmUp = b.number("invariants.startCapacity"), b.span("invariants.warmUp")
 	b.multiple, b.tipAfter = b.number("invariants.fallMultiple"), b.span("invariants.tipAfter")
 	b.drift, b.stampError = b.span("invariants.deadlineDrift"), b.span("invariants.bootStampError")
+	b.buffers = b.number("allowed.outBuffers") > 0
 	b.gone, b.settles = b.yes("invariants.onlyDrainingBinds"), b.span("invariants.orderSettle")
 	b.balancers = max(1, b.number("balancers"))
 	for i := range int(b.number("report.fields")) {
@@ -443,7 +444,6 @@
 		s = b.origin
 		if s >= 0 && !r.write && float64(b.servers[s].out)+b.chance.part() > b.room {
 			b.misses.add(b.seen, 1)
-			b.short.add(b.seen, 1)
 			b.fails.add(b.seen, 1)
 			b.wait(now, i)
 			return
@@ -479,7 +479,7 @@
 	h.sent.add(b.seen, 1)
 	b.count(now, r, s, 1)
 	until := r.stop
-	if r.strained() {
+	if r.strained() || b.buffers {
 		until = r.due
 	}
 	b.host.Send(i, s, until)
@@ -569,7 +569,7 @@
 	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys
 	// need one order for all then, nor while connects fail: a lost zone is found out server by server.
 	near := 0
-	for j := 0; j < n && !strict && b.short.read(b.seen) < few*(b.reads.read(b.seen)+1) && unreached < few*(b.good.read(b.seen)+1); j++ {
+	for j := 0; j < n && !strict && unreached < few*(b.good.read(b.seen)+1); j++ {
 		if c := b.best[j]; b.servers[c.server].zone == b.zone {
 			copy(b.best[near+1:j+1], b.best[near:j])
 			b.best[near] = c
