--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,7 +7,6 @@
 
 import (
 	"math"
-	"math/bits"
 	"slices"
 	"strconv"
 )
@@ -39,9 +38,9 @@
 	mostPoor    = 0.06    // of the trips may be poor before traffic beyond a share is cut
 	mostOverdue = 0.08    // of the retrievals may be overdue and get copies; more: origin or fleet is slow
 	doubt       = 0.6     // of the chance of success that all have: under it a server is passed by
-	firstGood   = 2.0     // what is taken of a server before it is known
+	firstGood   = 2.0     // what is taken of a server before it is known, with firstBad
 	firstBad    = 0.1
-	perAnswer   = 0.2 // credit that an answer earns
+	perAnswer   = 0.2 // credit that an answer earns, up to mostCredit
 	mostCredit  = 10.0
 	coldPart    = 0.3 // of the cold budget: machines differ, and so do balancers' parts of the traffic
 	proves      = 8.0 // answers prove half of what they can of a cold server: three times its part
@@ -67,14 +66,13 @@
 	key               uint64
 	write, live       bool
 	due, stop         int64 // due: an answer after it has no value; stop: the hard stop
-	width             int
+	by                int64 // while nothing is out for it, its answer is due by then, whatever the clocks say
 	hold, heldUntil   int64
-	missed            int   // aside: the cache that lacked the key, -1 if none did
+	width, missed     int   // missed, aside: the cache that lacked the key, -1 if none did
 	direct            bool  // aside: it asks the origin, as the caches are crowded
 	fetching, waiting bool  // aside: it asks the origin for its key, or waits for the one that does
-	by                int64 // while nothing is out for it, its answer is due by then, whatever the clocks say
-	line              *line // that it stands in, if it takes turns
-	turn              bool  // and that it had its turn
+	turn              bool  // it had its turn
+	line              *line // in this one, if it takes turns
 	trips             []trip
 	out, over, place  int // trips in flight; that have ended; its place in Balancer.live
 }
@@ -82,97 +80,20 @@
 type server struct {
 	hash             uint64
 	health           Health
-	started          int64 // when it last did
+	stamp, started   int64 // its last start: as the list has it, and the latest that it can have been
 	kind, zone, cell int
-	listed, warm     bool // by the last list
-	drains           bool // and was not called ready since
-	broke            bool
-	stamp            int64   // its start as the list has it
-	out              int     // trips in flight
+	listed, warm     bool    // by the last list
+	drains, broke    bool    // drained, and not ready since; broke trips, and answered nothing since
 	size             float64 // by the list
+	out              int     // trips in flight
 	held             held
 	sent             sum // trips
 	good, bad, busy  sum
-	credit           float64
-	cutAt            int64   // when a connect failed, if nothing was answered since
-	room             float64 // cold: what it may still be sent
-	roomAt           int64
+	credit, room     float64 // room, cold: what it may still be sent
+	roomAt, cutAt    int64   // cutAt: when a connect failed, if nothing was answered since
 	rate, strain     float64 // by its last load report, for all balancers; under 0: none came
 }
 
-// kind is what the servers of one kind answered, and the largest size that a list gave one of them.
-type kind struct {
-	answered, took, busy sum
-	size                 float64
-}
-
-type workload struct {
-	effect              Effect
-	inOrder             bool
-	group               string
-	remembers, expected int64 // stamped: how long repeats are dropped
-	stretch, tardy      float64
-}
-
-type tenant struct {
-	quota float64
-	asked sum
-}
-
-// A sum decays: what was added counts less and less.
-type sum struct {
-	value float64
-	at    int64
-}
-
-func (s *sum) read(now int64) float64 {
-	if now > s.at {
-		s.value *= math.Exp(-float64(now-s.at) / float64(memory))
-		s.at = now
-	}
-	return s.value
-}
-
-func (s *sum) add(now int64, x float64) { s.value = s.read(now) + x }
-
-// held is a count in flight, averaged over time.
-type held sum
-
-func (h *held) read(now int64, out int) float64 {
-	if now > h.at {
-		h.value = float64(out) + (h.value-float64(out))*math.Exp(-float64(now-h.at)/float64(memory))
-		h.at = now
-	}
-	return h.value
-}
-
-// chance is a multiply-with-carry generator.
-type chance struct{ x, carry uint64 }
-
-func (c *chance) next() uint64 {
-	x := c.x
-	hi, lo := bits.Mul64(x, 0xffebb71d94fcdaf9)
-	lo, over := bits.Add64(lo, c.carry, 0)
-	c.x, c.carry = lo, hi+over
-	return x
-}
-
-func (c *chance) part() float64 { return float64(c.next()>>11) / (1 << 53) }
-
-func (c *chance) below(n int) int { hi, _ := bits.Mul64(c.next(), uint64(n)); return int(hi) }
-
-// read is where a key was read last, and how much speaks for its trips failing wherever they go.
-type read struct {
-	key            uint64
-	server, failed int
-	strain         float64
-}
-
-type ranked struct {
-	score  float64
-	server int
-}
-
 // Balancer is what one balancer knows.
 type Balancer struct {
 	host                  Host
@@ -188,12 +109,12 @@
 	part                  float64 // of this balancer's cold room that this process has
 	best                  []ranked
 	scope                 Scope
-	failures              int
 	retrievals            []retrieval
 	live                  []int
+	lines                 map[lineKey]*line
 	workloads             []workload
 	tenants               []tenant
-	out                   int // trips in flight at ready caches
+	failures, out         int // of the list, in a row; trips in flight at ready caches
 	held                  held
 	good, bad, warmed     sum // of all caches, as a server's; of warm ones
 	reads, misses, fails  sum // answers to reads; those that needed the origin or failed; that failed
@@ -201,46 +122,33 @@
 	known                 [knownKeys]read
 	credit                float64        // for further trips, wherever they go
 	asked, turned         sum            // retrievals that came, and those dismissed for the crowd
-	lacked                sum            // misses (aside)
-	settled, took         sum            // trips that caches settled, and their times
+	lacked, settled, took sum            // misses (aside); trips that caches settled, and their times
+	unreached, overdue    sum            // trips without a connection; those that took far longer than others
 	usual                 float64        // time of a trip while nothing is crowded
-	admit                 float64        // the part of what is beyond a share that is let in
-	aside, moving         bool           // moving: the list's sizes fall with load
-	zone                  int            // its own
-	origin                int            // aside: its index, -1 if none is listed
-	fetches               map[uint64]int // aside: key to the retrieval that asks the origin for it
+	admit, bears          float64        // parts: let in beyond a share; of the room for a crowd, borne
 	room                  float64        // aside: how many reads may be out at the origin
+	fetches               map[uint64]int // aside: key to the retrieval that asks the origin for it
+	zone, origin          int            // its own; aside: its index, -1 if none is listed
+	aside, moving         bool           // moving: the list's sizes fall with load
+	buffers, gone         bool           // for answers are few; servers listed as gone may be sent to
 	copies, mayCallOff    bool
-	buffers               bool // for answers are few
-	gone                  bool // a server listed as gone, that did not drain, may still be sent to
 	drift, stampError     int64
-	settles               int64 // after a trip that may still run a key kept in order rests for so long
-	lines                 map[lineKey]*line
-	mostTrips             int
+	settles, comeBackMost int64 // how long a key in order rests; 0: nothing may be said
 	warmUp, tipAfter      int64
-	bears                 float64
-	brokeAt               int64
-	unreached, overdue    sum // trips without a connection; those that took far longer than others
 	startPart, multiple   float64
-	can                   float64 // the most a warm cache answered here lately, for its size
-	canAt                 int64
-	balancers             float64
-	comeBackMost          int64    // 0: nothing may be said
+	can, balancers        float64 // the most a warm cache answered here lately, for its size
+	canAt, brokeAt        int64   // when a server broke last
+	mostTrips             int
 	figures               []string // of a load report
 	tells                 bool     // whether it tells of strain
 	rates, strains, heard float64  // by the last reports of ready caches: sums, and how many reported
 }
 
-func (b *Balancer) number(name string) float64 { x, _ := b.values[name].(float64); return x }
-func (b *Balancer) text(name string) string    { s, _ := b.values[name].(string); return s }
-func (b *Balancer) yes(name string) bool       { y, _ := b.values[name].(bool); return y }
-func (b *Balancer) span(name string) int64     { return int64(b.number(name) * 1e6) }
-
 // New begins a balancer with nothing known.
 func New(now int64, seed uint64, values map[string]any, host Host) *Balancer {
 	b := &Balancer{host: host, values: values, began: now, now: now, pace: 1, origin: -1, zone: -1,
-		credit: 1, admit: 1, bears: 1, part: 1, fetches: map[uint64]int{}, lines: map[lineKey]*line{}, usual: float64(second),
-		chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
+		credit: 1, admit: 1, bears: 1, part: 1, fetches: map[uint64]int{}, lines: map[lineKey]*line{},
+		usual: float64(second), chance: chance{seed ^ 0x9e3779b97f4a7c15, 1}}
 	for range 8 {
 		b.chance.next()
 	}
@@ -288,8 +196,7 @@
 	return b
 }
 
-// passes moves the clocks. What was seen fades slower while few retrievals come, so that what is known
-// always rests on enough of them.
+// passes moves the clocks. What was seen fades slower while few retrievals come: it rests on enough of them.
 func (b *Balancer) passes(now int64) {
 	b.seen += int64(float64(now-b.now) * b.pace)
 	b.bears = min(1, b.bears+float64(now-b.now)/float64(40*second))
@@ -303,8 +210,8 @@
 		b.servers[s].listed = false
 	}
 	if scope == Failed {
-		// Guards against a registry that all balancers ask at once: growing waits, spread by chance, but short
-		// enough not to count as told of what was never heard.
+		// Guards against a registry that all ask at once: growing waits, spread by chance, but not so long as to
+		// count as told.
 		b.failures = min(b.failures+1, 6)
 		wait := float64(second/4) * float64(int(1)<<b.failures)
 		if most := b.number("invariants.askEvery") * 1e6; most > 0 {
@@ -330,7 +237,7 @@
 		}
 		*h = server{hash: hash, credit: 1, roomAt: now, rate: -1}
 	}
-	// Guards cold servers against stamps that are off: it started before it was told, and by the latest the stamp allows.
+	// Guards cold servers against stamps that are off: the latest start that the stamp and the telling allow.
 	if started > h.stamp || b.stampError > 0 && started > 0 && started != h.stamp {
 		h.stamp, h.started, h.rate, h.strain = started, max(1, min(now, started+b.stampError)), -1, 0
 		h.room, h.roomAt = b.chance.part(), now // Else all wait, then come at once.
@@ -385,7 +292,7 @@
 	}
 }
 
-// open tells whether the list lets a server be sent to. Where only draining binds, the list does not prove what is up.
+// open: the list lets a server be sent to. Where only draining binds, the list does not prove what is up.
 func (b *Balancer) open(h *server) bool {
 	return h.health == Ready || b.gone && h.health == Gone && h.hash != 0 && !h.drains
 }
@@ -401,8 +308,8 @@
 	if !keyGiven {
 		key = b.chance.next() // No key: any candidates are as good.
 	}
-	// Where clocks differ, the client may wait longer than told: trips end when it goes, and that is no loss. What is
-	// held is answered by when it could have gone at the latest for the answer to count.
+	// Where clocks differ, the client may wait longer than told: trips end when it goes; what is held ends in
+	// time whatever the clocks say.
 	*r = retrieval{workload: workload, key: key, write: write, live: true, by: now + max(patience, b.drift),
 		due: now + patience + b.drift, stop: now + patience + b.drift, width: firstWidth, missed: -1,
 		trips: r.trips[:0], place: len(b.live)}
@@ -410,41 +317,35 @@
 		r.due = min(r.due, now+w.expected+int64(w.stretch*float64(predicted)))
 	}
 	b.live = append(b.live, i)
-	b.asked.add(b.seen, 1)
+	b.tally(&b.asked)
 	switch {
 	case b.beyondShare(tenant) && b.chance.part() > b.admit:
+		b.finish(now, i)
 	case !(b.aside && write) && b.busy() && b.crowded(now, r): // Aside, writes go by the caches.
-		b.turned.add(b.seen, 1)
+		b.tally(&b.turned)
 		// Guards reads against caches that slow down when crowded, while the origin has room.
 		r.direct = b.aside && !write && b.origin >= 0 && float64(b.servers[b.origin].out+1) < b.room
-		if r.direct && b.joins(now, i, keyGiven) {
-			return
+		if !r.direct || !b.joins(now, i, keyGiven) {
+			b.finish(now, i)
 		}
-	case b.joins(now, i, keyGiven):
-		return
-	}
-	b.finish(now, i)
-}
-
-func (b *Balancer) begin(now int64, i int) {
-	if b.retrievals[i].direct {
-		b.fetch(now, i)
-	} else {
-		b.route(now, i)
+	case !b.joins(now, i, keyGiven):
+		b.finish(now, i)
 	}
 }
 
 // route is the ordinary path: one of the key's candidates at random, from as many as busy answers call for.
 func (b *Balancer) route(now int64, i int) {
-	r := &b.retrievals[i]
-	s := -1
+	r, s := &b.retrievals[i], -1
+	if r.direct && !r.fetching {
+		b.fetch(now, i)
+		return
+	}
 	// Guards reads that lost trips at caches: the last one may not end as a miss, nor wait for credit not there.
 	spent := len(r.trips) > 0 && (len(r.trips) == b.mostTrips-1 || b.credit < 1)
 	if b.aside && (r.write || r.missed >= 0 || r.direct || spent) {
 		s = b.origin
 		if s >= 0 && !r.write && float64(b.servers[s].out)+b.chance.part() > b.room {
-			b.misses.add(b.seen, 1)
-			b.fails.add(b.seen, 1)
+			b.tally(&b.misses, &b.fails)
 			b.wait(now, i)
 			return
 		}
@@ -502,9 +403,8 @@
 	}
 }
 
-// usually is how many trips are in flight at a server over time, for each unit of its size, and how long
-// each takes. Busy answers count in: others' trips are what fills such a server. While few trips tell of
-// it, those to all of its kind tell more; of these only answers count, as silence is a server's own.
+// usually is how many trips are in flight at a server over time, for its size, and how long each takes; busy
+// answers are others' trips. While few tell of it, its kind tells more, by answers, as silence is its own.
 func (b *Balancer) usually(s int) (load, each float64) {
 	h := &b.servers[s]
 	k, n := &b.kinds[h.kind], h.sent.read(b.seen)
@@ -555,8 +455,7 @@
 	mean := float64(b.out)/float64(max(1, len(b.ready))) + b.held.read(b.seen, b.out)/max(1, b.size)
 	limit := overMean*mean + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
-	// order of its ranking, so that it is fetched for one cache and not for three. While the origin fails, one
-	// more fetch is dearer than any queue: the first of the ranking, whatever its load.
+	// ranking's order, to be fetched once. While the origin fails: the first of the ranking, whatever its load.
 	strict := ordered && b.fails.read(b.seen) > strain*(b.reads.read(b.seen)+1)
 	if last := b.known[r.key%knownKeys]; ordered && !strict && last.key == r.key {
 		for j := range n {
@@ -565,10 +464,9 @@
 			}
 		}
 	}
-	unreached := b.unreached.read(b.seen)
-	// Those in this balancer's zone go before the others: crossing costs. Not while the origin fails, as keys
-	// need one order for all then, nor while connects fail: a lost zone is found out server by server.
-	near := 0
+	// Those in this balancer's zone go first: crossing costs. Not while the origin fails, as keys need one order
+	// for all then, nor while connects fail: a lost zone is found out server by server.
+	near, unreached := 0, b.unreached.read(b.seen)
 	for j := 0; j < n && !strict && unreached < few*(b.good.read(b.seen)+1); j++ {
 		if c := b.best[j]; b.servers[c.server].zone == b.zone {
 			copy(b.best[near+1:j+1], b.best[near:j])
@@ -604,8 +502,7 @@
 			}
 			continue
 		}
-		// The mean over time counts too: with under one trip in flight a server, the count of the moment does
-		// not show the slow ones. Busy answers count as in flight: others' trips are what fills such a server.
+		// The mean over time too: with few in flight the count of the moment does not show the slow ones.
 		load, each := b.usually(s)
 		load += float64(h.out)
 		if r.width < len(b.ready) && each > jam*b.all.each(b.seen, 0) {
@@ -624,8 +521,7 @@
 	return least
 }
 
-// doubted draws from the posterior of a server's chance of success, as a part of the chance that all have:
-// an origin in trouble makes all fail alike.
+// doubted draws from the posterior of a server's chance of success, as a part of what all have: all may fail.
 func (b *Balancer) doubted(s int, part func() float64) bool {
 	h := &b.servers[s]
 	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
@@ -633,13 +529,12 @@
 	if h.cutAt > 0 && part() < math.Exp(-float64(b.now-h.cutAt)/float64(memory)) {
 		return true
 	}
+	n, all := good+bad, b.good.read(b.seen)+firstGood
 	if bad < 0.6 {
 		return false
 	}
-	n, all := good+bad, b.good.read(b.seen)+firstGood
 	normal := part() + part() + part() + part() - 2 // of variance 1/3
-	draw := good/n + normal*math.Sqrt(3*good*bad/(n+1))/n
-	return draw < doubt*all/(all+b.bad.read(b.seen)+firstBad)
+	return good/n+normal*math.Sqrt(3*good*bad/(n+1))/n < doubt*all/(all+b.bad.read(b.seen)+firstBad)
 }
 
 // Avoids tells whether a server would sooner be passed by than not, as it is doubted; it draws nothing.
@@ -650,9 +545,8 @@
 	return h.started > 0 && now < h.started+b.warmUp
 }
 
-// coldRoom is the budget of a cold server here. What warm servers answer this balancer in the mean, for their
-// size, tells its part of what one can do (warm by the last list); the stated start and warm-up, how much a
-// cold one can.
+// coldRoom is the budget of a cold server here: what warm ones answer this balancer, for their size, and the
+// stated start and warm-up.
 func (b *Balancer) coldRoom(now int64, s int) float64 {
 	h := &b.servers[s]
 	part := b.startPart + (1-b.startPart)*max(0, float64(now-h.started)/float64(b.warmUp))
@@ -668,8 +562,7 @@
 	return h.room
 }
 
-// mayReach tells whether the rules allow a trip to this server: nothing new to one that drains, no cold one
-// pushed over, no effect twice.
+// mayReach: the rules allow a trip there. None that drains, no cold one pushed over, no effect twice.
 func (b *Balancer) mayReach(now int64, r *retrieval, s int) bool {
 	w, to := &b.workloads[r.workload], &b.servers[s]
 	if !b.open(to) || s != b.origin && b.cold(now, s) && b.coldRoom(now, s) < 1 {
@@ -691,7 +584,8 @@
 
 // maySend is the gate before Host.Send.
 func (b *Balancer) maySend(now int64, r *retrieval, s int) bool {
-	return r.live && (r.line == nil || r.turn) && now < r.stop && len(r.trips) < b.mostTrips && b.mayReach(now, r, s)
+	return r.live && (r.line == nil || r.turn) && now < r.stop && len(r.trips) < b.mostTrips &&
+		b.mayReach(now, r, s)
 }
 
 // mayDismiss is the gate before Host.Dismiss: trying again must do no harm.
@@ -718,8 +612,8 @@
 	b.leave(now, i)
 }
 
-// drop forgets a retrieval that has its final answer. Those that waited for its fetch go on: to the cache
-// that now holds the key, or one of them to the origin.
+// drop forgets a retrieval that has its final answer. Those that waited for its fetch go to the cache that
+// holds the key now, or one of them to the origin.
 func (b *Balancer) drop(now int64, i, stored int) {
 	r := &b.retrievals[i]
 	r.live = false
@@ -797,9 +691,9 @@
 		r.trips[t].ran = perhaps
 	}
 	if h := &b.servers[s]; how == Unreached {
-		b.unreached.add(b.seen, 1)
-		// Guards servers that broke trips, take no connection and come back cold, which the list does not show yet; and
-		// the others against what may have brought it on: more in flight than one bears.
+		b.tally(&b.unreached)
+		// Guards servers that broke trips, take no connection and come back cold before the list tells; and the
+		// others against what may have brought it on: more in flight than one bears.
 		if h.broke {
 			h.started, h.room, h.roomAt = now, b.chance.part(), now
 			if h.cutAt == 0 && now > b.brokeAt+second/2 {
@@ -822,14 +716,12 @@
 	case noMore:
 		b.drop(now, i, -1)
 	case r.out > 0 || r.due == math.MaxInt64: // Another trip may still answer, or does.
-	case how == TimedOut || how == Unsent && b.drift > 0, // The client has gone, whatever was told of its patience.
+	case how == TimedOut || how == Unsent && b.drift > 0, // The client has gone, whatever was told.
 		now >= r.stop || s == b.origin && how != Full && how != Unreached,
-		how == Errored && b.fails.read(b.seen) > strain*b.reads.read(b.seen): // The origin fails all alike.
+		how == Errored && (r.strained() || b.fails.read(b.seen) > strain*b.reads.read(b.seen)): // As the next.
 		b.finish(now, i)
 	case how == Missing:
 		b.fetch(now, i)
-	case how == Errored && r.strained(): // So would the next, wherever it went.
-		b.finish(now, i)
 	case s == b.origin, how == Full && r.width >= len(b.ready): // A short origin takes no more connections.
 		b.wait(now, i)
 	case how == Full:
@@ -844,57 +736,51 @@
 // learn takes from an outcome what it tells about the server, the fleet and the origin.
 func (b *Balancer) learn(now int64, r *retrieval, s, note int, how Outcome, took int64) {
 	h, w := &b.servers[s], &b.workloads[r.workload]
-	cache, answered := s != b.origin, how == OK || how == Missing || how == Errored
-	poor := how != OK && how != Missing || how == OK && float64(took) > late*float64(w.expected)
+	well := how == OK || how == Missing
+	poor := !well || how == OK && float64(took) > late*float64(w.expected)
 	if how == CalledOff && !r.live || r.strained() {
 		return // What holds its key up is no server's fault.
 	}
-	b.suspects(r, s, how)
-	switch {
-	case how == OK || how == Missing:
-		h.good.add(b.seen, 1)
-		h.cutAt = 0
-		h.credit = min(mostCredit, h.credit+perAnswer)
-		b.credit = min(mostCredit, b.credit+perAnswer)
-	case how != Full && how != Unsent:
-		h.bad.add(b.seen, 1) // Quick errors too: a server that fails fast never looks busy.
+	b.suspects(now, r, s, how)
+	if well {
+		h.cutAt, h.credit, b.credit = 0, min(mostCredit, h.credit+perAnswer), min(mostCredit, b.credit+perAnswer)
+		b.tally(&h.good)
+	} else if how != Full && how != Unsent {
+		b.tally(&h.bad) // Quick errors too: a server that fails fast never looks busy.
 	}
 	if poor {
-		b.poor.add(b.seen, 1)
+		b.tally(&b.poor)
 	} else {
-		b.fine.add(b.seen, 1)
+		b.tally(&b.fine)
 	}
 	if poor := b.poor.read(b.seen); poor > mostPoor*(b.fine.read(b.seen)+poor)+0.5 {
 		b.admit = max(0.02, b.admit*0.95)
 	} else {
 		b.admit = min(1, b.admit+0.01)
 	}
-	if !cache {
-		// Guards writes against reads that crowd a short origin: the reads' room gives way and comes back.
-		if r.write {
-		} else if how == OK && took < w.expected/2 {
-			b.room += 1 / max(1, b.room)
-		} else {
-			b.room = max(leastRoom, b.room*0.8)
-			b.misses.add(b.seen, 1)
-		}
-		return
-	}
 	switch {
-	case how == OK || how == Missing:
-		b.good.add(b.seen, 1)
+	// Guards writes against reads that crowd a short origin: the reads' room gives way and comes back.
+	case s == b.origin && !r.write && how == OK && took < w.expected/2:
+		b.room += 1 / max(1, b.room)
+	case s == b.origin && !r.write:
+		b.room = max(leastRoom, b.room*0.8)
+		b.tally(&b.misses)
+	case s == b.origin:
+	case well:
+		b.tally(&b.good)
 		if h.warm {
-			b.warmed.add(b.seen, 1)
+			b.tally(&b.warmed)
 		}
 	case how == Full:
-		h.busy.add(b.seen, 1)
-		b.all.busy.add(b.seen, 1)
-		b.kinds[h.kind].busy.add(b.seen, 1)
+		b.tally(&h.busy, &b.all.busy, &b.kinds[h.kind].busy)
 	case how != Unsent:
-		b.bad.add(b.seen, 1)
+		b.tally(&b.bad)
+	}
+	if s == b.origin || !well && how != Errored {
+		return
 	}
 	if how == OK {
-		b.settled.add(b.seen, 1)
+		b.tally(&b.settled)
 		b.took.add(b.seen, float64(took))
 		// The least mean of late: what trips take while nothing is crowded.
 		b.usual = min(b.took.read(b.seen)/b.settled.read(b.seen), b.usual*usualGrows)
@@ -904,32 +790,28 @@
 		}
 		k.server = s
 	}
-	if answered {
-		for _, k := range [2]*kind{&b.all, &b.kinds[h.kind]} {
-			k.answered.add(b.seen, 1)
-			k.took.add(b.seen, float64(took))
-		}
+	for _, k := range [2]*kind{&b.all, &b.kinds[h.kind]} {
+		k.answered.add(b.seen, 1)
+		k.took.add(b.seen, float64(took))
 	}
 	if how == Missing {
-		b.lacked.add(b.seen, 1)
+		b.tally(&b.lacked)
 	}
-	if answered && !r.write {
-		b.reads.add(b.seen, 1)
+	if !r.write {
+		b.tally(&b.reads)
 		if how != OK || note > 1 {
-			b.misses.add(b.seen, 1)
-		}
-		if poor && (how != OK || note > 1) {
-			b.fails.add(b.seen, 1)
+			b.tally(&b.misses)
+			if poor {
+				b.tally(&b.fails)
+			}
 		}
 	}
 }
 
-// busy tells whether caches are, by what they report; without reports nothing speaks against it. Guards what
-// comes against trips that hang at a few dead servers: they are in flight for long and crowd nobody.
+// busy tells whether caches are, as far as they report: trips that hang at dead ones crowd nobody.
 func (b *Balancer) busy() bool { return !b.tells || b.heard == 0 || b.strains > mostIdle*b.heard }
 
-// crowded tells by Little's law that a new trip would wait too long, at the rate of answers: but misses
-// (aside) are answered at once and make no room; what servers turn away takes some, by its square.
+// crowded tells by Little's law that a new trip would wait too long at the rate of answers, misses left out.
 // Guards against queues that make all answers late: once full they stay full of work that nobody wants.
 func (b *Balancer) crowded(now int64, r *retrieval) bool {
 	w := &b.workloads[r.workload]
@@ -943,15 +825,13 @@
 		part *= max(leastPart, 1-b.turned.read(b.seen)/(b.asked.read(b.seen)+1))
 	}
 	full := b.all.busy.read(b.seen) / (b.all.answered.value + b.all.busy.value + 1)
-	room := (1-full)*free + (1-full)*(1-full)*rate*(b.usual+part*max(0, float64(w.expected)-b.usual))
-	room *= b.bears
+	room := (1 - full) * b.bears * (free + (1-full)*rate*(b.usual+part*max(0, float64(w.expected)-b.usual)))
 	return float64(b.out) > room+math.Sqrt(room) // The root is slack for chance: small counts vary most.
 }
 
-// beyondShare draws whether a retrieval is among what its tenant sends beyond its share of what comes in
-// here. This balancer's part of all traffic is told by the tenant that uses least of its own share. Counts
-// vary by their root: that much is not held against anybody, so that a few retrievals do not cut a tenant
-// that is inside its share.
+// beyondShare draws whether a retrieval is among what its tenant sends beyond its share of what comes here.
+// Without reports the tenant that uses least of its own tells this balancer's part of all. Counts vary by
+// their root.
 func (b *Balancer) beyondShare(t int) bool {
 	if t < 0 || b.tenants[t].quota <= 0 {
 		return false
@@ -995,7 +875,7 @@
 			}
 			if r.out == 0 {
 				b.route(now, tag-tagHeld)
-			} else if b.overdue.add(b.seen, 1); !r.strained() && b.overdue.value < mostOverdue*b.asked.read(b.seen) &&
+			} else if b.tally(&b.overdue); !r.strained() && b.overdue.value < mostOverdue*b.asked.read(b.seen) &&
 				b.turned.read(b.seen) < mostOverdue/4*b.asked.read(b.seen) {
 				if s := b.pick(now, r); s >= 0 && now < r.due && b.maySend(now, r, s) {
 					b.servers[r.trips[len(r.trips)-1].server].bad.add(b.seen, 1)
--- a/choice/lines.go
+++ b/choice/lines.go
@@ -2,12 +2,12 @@
 
 import "slices"
 
-// Lines of keys: retrievals of a key that take turns, in the order in which they came. Each key has its own, so that none
-// delays another's, and a line takes no more than can have their turn while an answer is still worth something.
+// Lines of keys: retrievals of a key that take turns, in the order in which they came. Each key has its own,
+// so that none delays another's, and a line takes no more than can have their turn while an answer has value.
 
 const (
 	mostWaiting = 256 // in one line, however quick it is
-	strained    = 2.0 // more trips of a key than this failed, each at another server than the one before, than were settled
+	strained    = 2.0 // so many more trips of a key failed, at one server after the other, than were settled
 	wellAgain   = 4.0 // room of a line that nobody needs
 )
 
@@ -18,45 +18,47 @@
 
 // line is of one key. Those that wait have had no trip.
 type line struct {
-	waiting []int
-	under   int     // had their turn and are not over, or have a trip without an outcome
-	rests   int64   // nobody's turn comes before
-	room    float64 // how many may be under way
-	each    float64 // how long a turn takes
-	turning bool
-	inOrder bool
+	waiting          []int
+	under            int     // had their turn and are not over, or have a trip without an outcome
+	rests            int64   // nobody's turn comes before
+	room             float64 // how many may be under way
+	each             float64 // how long a turn takes
+	turning, inOrder bool
 }
 
-// joins lets a retrieval go at once, or puts it into the line of its key; false if its turn would come too late.
+// joins lets a retrieval go or puts it into the line of its key; false if its turn would come too late.
 func (b *Balancer) joins(now int64, i int, keyGiven bool) bool {
 	r := &b.retrievals[i]
 	at := lineKey{r.key, keyGiven && b.workloads[r.workload].inOrder}
 	l := b.lines[at]
 	if l == nil && at.inOrder {
-		for k, old := range b.lines {
-			if len(b.lines) > 64+2*len(b.live) && old.idle(now) {
-				delete(b.lines, k)
-			}
-		}
-		l = &line{room: 1, inOrder: true}
-		b.lines[at] = l
+		l = b.newLine(now, at)
 	}
-	if l == nil {
-		b.begin(now, i)
+	if l == nil || !l.inOrder && l.idle(now-10*memory) {
+		b.route(now, i)
 		return true
 	}
-	last := min(r.due, r.by) - margin
-	ahead := float64(len(l.waiting)) + float64(l.under)
+	last, ahead := min(r.due, r.by)-margin, float64(len(l.waiting)+l.under)
 	if len(l.waiting) >= mostWaiting || max(now, l.rests)+int64(ahead*l.each/l.room) >= last {
 		return false
 	}
-	r.line = l
-	l.waiting = append(l.waiting, i)
+	r.line, l.waiting = l, append(l.waiting, i)
 	b.host.Wake(tagHeld+i, max(0, last-now))
 	b.turns(now, l)
 	return true
 }
 
+// newLine makes room first: of those that nobody stands in none is kept for long.
+func (b *Balancer) newLine(now int64, at lineKey) *line {
+	for k, l := range b.lines {
+		if len(b.lines) > 64+2*len(b.live) && l.idle(now) {
+			delete(b.lines, k)
+		}
+	}
+	b.lines[at] = &line{room: 1, inOrder: at.inOrder, rests: now}
+	return b.lines[at]
+}
+
 func (l *line) idle(now int64) bool { return l.under == 0 && len(l.waiting) == 0 && now >= l.rests }
 
 // turns lets those go whose turn it is. One that ends at once makes room for the next.
@@ -67,10 +69,9 @@
 			b.host.Wake(tagHeld+i, l.rests-now)
 			return
 		}
-		l.waiting = slices.Delete(l.waiting, 0, 1)
-		l.under++
+		l.waiting, l.under = slices.Delete(l.waiting, 0, 1), l.under+1
 		l.turning, b.retrievals[i].turn = true, true
-		b.begin(now, i)
+		b.route(now, i)
 		l.turning = false
 	}
 }
@@ -86,8 +87,8 @@
 // strained tells whether a retrieval's key is held up wherever it goes.
 func (r *retrieval) strained() bool { return r.line != nil && !r.line.inOrder }
 
-// suspects gathers what speaks for a key that is held up behind all servers: its trips fail at one after the other.
-func (b *Balancer) suspects(r *retrieval, s int, how Outcome) {
+// suspects gathers what speaks for a key held up behind all servers: its trips fail at one after the other.
+func (b *Balancer) suspects(now int64, r *retrieval, s int, how Outcome) {
 	k := &b.known[r.key%knownKeys]
 	switch {
 	case how == OK && k.key == r.key:
@@ -99,13 +100,13 @@
 		k.failed = s
 		if k.strain++; k.strain >= strained && b.lines[lineKey{r.key, false}] == nil {
 			k.strain = 0
-			b.lines[lineKey{r.key, false}] = &line{room: 1}
+			b.newLine(now, lineKey{r.key, false})
 		}
 	}
 }
 
-// paces has the key of a trip that may still run rest for as long as the settings say, and one that is held up take as
-// many turns as are answered soon.
+// paces has the key of a trip that may still run rest for as long as the settings say, and one that is held
+// up take as many turns as are answered soon.
 func (b *Balancer) paces(now int64, r *retrieval, how Outcome, took int64) {
 	l := r.line
 	switch {
@@ -122,8 +123,7 @@
 
 // leave takes a retrieval that is over out of its line, once each of its trips has ended.
 func (b *Balancer) leave(now int64, i int) {
-	r := &b.retrievals[i]
-	l := r.line
+	r, l := &b.retrievals[i], b.retrievals[i].line
 	if l == nil || r.live || r.over < len(r.trips) {
 		return
 	}
@@ -136,7 +136,7 @@
 	if len(r.trips) > 0 {
 		l.each += (float64(now-r.trips[0].sent) - l.each) / 4
 	}
-	if l.room < 1 {
+	if l.rests = max(l.rests, now); l.room < 1 {
 		l.rests = now + int64(l.each*(1/l.room-1))
 	} else if l.room >= wellAgain && len(l.waiting) == 0 && !l.inOrder {
 		delete(b.lines, lineKey{r.key, false})
