A key is held up by odds against how many trips of all are poor

Now each failure at another server adds the logarithm of 0.9 over the part of all trips that are poor (half of what is needed at most), each answer takes off the same way.

--- a/choice/lines.go
+++ b/choice/lines.go
@@ -1,13 +1,17 @@
 package choice
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Lines of keys: retrievals of a key that take turns, in the order in which they came. Each key has its own,
 // so that none delays another's, and a line takes no more than can have their turn while an answer has value.
 
 const (
 	mostWaiting = 256 // in one line, however quick it is
-	strained    = 2.0 // so many more trips of a key failed, at one server after the other, than were settled
+	strained    = 4.6 // the odds, as a logarithm, by which a key is held up
+	heldUp      = 0.9 // of its trips fail then
 	wellAgain   = 4.0 // room of a line that nobody needs
 )
 
@@ -89,16 +93,17 @@
 
 // suspects gathers what speaks for a key held up behind all servers: its trips fail at one after the other.
 func (b *Balancer) suspects(now int64, r *retrieval, s int, how Outcome) {
-	k := &b.known[r.key%knownKeys]
+	k, poor := &b.known[r.key%knownKeys], b.poor.read(b.seen)
+	poor = (poor + 0.1) / (poor + b.fine.read(b.seen) + 1)
 	switch {
 	case how == OK && k.key == r.key:
-		k.strain = max(0, k.strain-1)
+		k.strain = max(0, k.strain+math.Log((1-heldUp)/(1-poor)))
 	case how != Errored && how != TimedOut:
 	case k.key != r.key:
-		*k = read{key: r.key, server: -1, failed: s, strain: 1}
+		*k = read{key: r.key, server: -1, failed: s, strain: min(strained/2, math.Log(heldUp/poor))}
 	case k.failed != s:
 		k.failed = s
-		if k.strain++; k.strain >= strained && b.lines[lineKey{r.key, false}] == nil {
+		if k.strain += min(strained/2, math.Log(heldUp/poor)); k.strain >= strained && b.lines[lineKey{r.key, false}] == nil {
 			k.strain = 0
 			b.newLine(now, lineKey{r.key, false})
 		}
