--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -13,6 +13,7 @@
 	server int
 	at     int64
 	ended  int64
+	until  int64
 	out    bool
 	how    Outcome
 }
@@ -90,7 +91,7 @@
 	if len(r.trips) >= int(w.values["allowed.mostTrips"].(float64)) {
 		w.t.Fatalf("too many trips of %d", i)
 	}
-	r.trips = append(r.trips, sent{server: s, at: w.now, out: true})
+	r.trips = append(r.trips, sent{server: s, at: w.now, until: until, out: true})
 	w.sends[s]++
 }
 
--- a/choice/lines_test.go
+++ b/choice/lines_test.go
@@ -157,3 +157,88 @@
 		}
 	}
 }
+
+// A key that fails wherever it goes while others are settled takes turns, holds up no other, and is no server's fault;
+// it gets its room back with its answers.
+func TestKeyHeldUp(t *testing.T) {
+	w := plain(t, 1, 6, map[string]any{"allowed.mostTrips": 1.0})
+	all := func(key uint64, how Outcome) {
+		for i := range w.asked {
+			for trip := range w.asked[i].trips {
+				if w.asked[i].key == key {
+					w.answer(i, trip, how)
+				}
+			}
+		}
+	}
+	out := func(key uint64) (n int) {
+		for range 20 {
+			i := w.ask(Harmless, key, second)
+			n += len(w.asked[i].trips)
+		}
+		return n
+	}
+	for other := range uint64(200) {
+		w.ask(Harmless, 100+other, second)
+		w.step(20 * ms)
+		all(100+other, OK)
+		if other%5 == 0 {
+			w.ask(Harmless, 7, second)
+			all(7, Errored)
+		}
+	}
+	if n := out(7); n > 1 {
+		t.Errorf("%d trips at once for a key that is held up", n)
+	}
+	if n := out(8); n < 8 {
+		t.Errorf("%d trips at once for another key", n)
+	}
+	if bad := w.b.bad.read(w.b.seen); bad > 4 {
+		t.Errorf("servers are blamed %.1f times for what holds up a key", bad)
+	}
+	all(8, OK)
+	for range 60 {
+		all(7, OK)
+		w.step(50 * ms)
+		w.ask(Harmless, 7, second)
+	}
+	if all(7, OK); out(7) < 4 {
+		t.Error("a key that is well again is held")
+	}
+}
+
+// A server whose trips break and that takes no connection then has restarted: it is cold before the list tells, and all
+// are given less for a while. Broken trips alone tell neither.
+func TestRestartSeen(t *testing.T) {
+	w := plain(t, 1, 1, map[string]any{"allowed.mostTrips": 1.0})
+	ends := func(how Outcome) { w.answer(w.ask(Harmless, 1, second), 0, how) }
+	w.step(5 * second)
+	if ends(Reset); w.b.cold(w.now, 0) || w.b.bears < 1 {
+		t.Error("a broken trip is taken for a restart")
+	}
+	if ends(OK); w.b.servers[0].broke {
+		t.Error("it answered, and is still taken for broken")
+	}
+	if ends(Unreached); w.b.cold(w.now, 0) {
+		t.Error("a failed connect is taken for a restart")
+	}
+	ends(OK)
+	ends(Reset)
+	if ends(Unreached); !w.b.cold(w.now, 0) || w.b.bears > 0.9 {
+		t.Error("a restart is not seen")
+	}
+	w.step(60 * second)
+	if w.b.passes(w.now); w.b.bears < 1 {
+		t.Error("what all bear does not come back")
+	}
+}
+
+// Where buffers for answers are few, a trip ends when an answer has no value left: a slow reader keeps one no longer.
+func TestFewBuffers(t *testing.T) {
+	for buffers, want := range map[float64]int64{0: 5 * second, 4: 600 * ms} {
+		w := plain(t, 1, 3, map[string]any{"allowed.outBuffers": buffers, "workloads.0.tardyValue": 0.0})
+		if i := w.ask(Harmless, 1, 5*second); w.asked[i].trips[0].until != w.now+want {
+			t.Errorf("%v buffers: the trip ends after %d ms", buffers, (w.asked[i].trips[0].until-w.now)/ms)
+		}
+	}
+}
