The real balancer takes the new settings, checked; hosts that are gone are kept where only draining binds

Its configuration may state keepOrder, keptPromises, missShare, outBuffers, deadlineDrift, onlyDrainingBinds, orderSettle and bootStampError; each is checked at the start, on SIGHUP and by hollylever check, and left out means as before. Where only draining binds, a host that the list calls gone keeps its place for a minute (256 of them at most) unless it drained, is out by hand or lost its address to another. Tests fail without the keeping, its end, and the way hosts out by hand are told.

--- a/cmd/hollylever/given.go
+++ b/cmd/hollylever/given.go
@@ -137,6 +137,19 @@
 		return !stated || slices.ContainsFunc(words, func(w string) bool { return w == word })
 	}
 	balancers, some := g.settings["balancers"]
+	span := func(field string, most float64) bool { // In ms; left out, 0.
+		ms, stated := g.settings[field]
+		return !stated || within(ms, 0, most)
+	}
+	yes := func(field string) bool {
+		_, is := g.settings[field].(bool)
+		return is || g.settings[field] == nil
+	}
+	for w := range int(min(workloads, 1000)) {
+		if at := "workloads." + strconv.Itoa(w) + ".keepOrder"; !yes(at) {
+			add("settings."+at, "neither true nor false")
+		}
+	}
 	for _, check := range []struct {
 		good       bool
 		field, why string
@@ -152,6 +165,13 @@
 		{is("weights", "silent", "none", "nominal", "rough", "live"), "settings.weights",
 			"none of silent, nominal, rough and live"},
 		{is("zone", "") || ownZone, "settings.zone", "none of settings.zones"},
+		{span("invariants.deadlineDrift", 60e3), "settings.invariants.deadlineDrift", "not milliseconds from 0 to 60000"},
+		{span("invariants.orderSettle", 60e3), "settings.invariants.orderSettle", "not milliseconds from 0 to 60000"},
+		{span("invariants.bootStampError", 600e3), "settings.invariants.bootStampError", "not milliseconds from 0 to 600000"},
+		{span("allowed.outBuffers", 1e6), "settings.allowed.outBuffers", "not a number from 0 to 1000000"},
+		{span("goal.keptPromises", 1e6), "settings.goal.keptPromises", "not a weight of at least 0"},
+		{span("goal.missShare", 1), "settings.goal.missShare", "not a part from 0 to 1"},
+		{yes("invariants.onlyDrainingBinds"), "settings.invariants.onlyDrainingBinds", "neither true nor false"},
 		{is("registryMode", "subscribe", "automatic"), "settings.registryMode", "neither subscribe nor automatic"},
 		{is("extra.mode", "through"), "settings.extra.mode", "not through: hosts have no word yet for a read that misses"},
 		{is("report.source", "silent", "pull", "piggyback"), "settings.report.source",
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -47,7 +47,9 @@
 type what int
 
 const (
-	send what = iota
+	goneFor       = int64(time.Minute) // where only draining binds, one that the list calls gone is kept for so long
+	mostGone      = 256                // and so many of them
+	send     what = iota
 	callOff
 	dismiss
 	giveUp
@@ -85,6 +87,8 @@
 	weight           float64
 	listed           bool // by the list that is being told
 	trips            int
+	goneAt           int64 // when the list called it gone
+	spent            bool  // it drained, or its address is another's: it is not used again until it is ready
 }
 
 // Balancer is one real balancer.
@@ -118,6 +122,7 @@
 	held      tables.Indices // of retrievals
 	heap      int64          // bytes of the retrievals held
 	workloads map[string]int
+	keepsGone bool         // only draining binds: one that the list calls gone is kept for a while
 	oneShot   map[int]bool // workloads that must not run twice
 	tenants   map[string]int
 	kinds     map[string]int
@@ -140,6 +145,7 @@
 	for _, w := range b.workloads {
 		b.oneShot[w] = settings["workloads."+strconv.Itoa(w)+".effect"] == "single_shot"
 	}
+	b.keepsGone, _ = settings["invariants.onlyDrainingBinds"].(bool)
 	b.module = choice.New(b.now(), seed, settings, b)
 	if settings["registryMode"] != "subscribe" {
 		b.Subscribe() // Where changes are to come unasked: here they come by a watch all the same.
@@ -255,7 +261,8 @@
 		if to := names[health]; to != from && !saved {
 			changed = append(changed, h.name, from, to)
 		}
-		h.health = health
+		h.health, h.goneAt = health, now
+		h.spent = health == choice.Draining || health == choice.Gone && h.spent
 		b.row(now, s)
 	}
 	b.index = index
@@ -295,7 +302,8 @@
 			z = -1
 		}
 		b.byName[r.name] = s
-		b.servers[s] = server{r.name, r.address, healths[r.status], r.started, k, z, r.cell, r.weight, true, b.servers[s].trips}
+		b.servers[s] = server{name: r.name, address: r.address, health: healths[r.status], started: r.started, kind: k, zone: z, cell: r.cell,
+			weight: r.weight, listed: true, trips: b.servers[s].trips, spent: b.servers[s].spent}
 		is(s, from, healths[r.status])
 	}
 	holders := map[string]int{}
@@ -313,21 +321,35 @@
 		if other, shared := holders[h.address]; !shared {
 			holders[h.address] = s
 		} else if b.servers[other].started < h.started {
+			b.servers[other].spent = true
 			is(other, names[b.servers[other].health], choice.Gone)
 			holders[h.address] = s
 		} else if b.servers[other].started > h.started {
+			h.spent = true
 			is(s, names[h.health], choice.Gone)
 		}
 	}
 	b.module.Listed(now)
+	kept := 0
 	for s := range b.servers {
-		if h := &b.servers[s]; h.name != "" && h.health == choice.Gone && h.trips == 0 {
-			b.forget(s)
-		}
+		kept += b.forgets(now, s, kept)
 	}
 	return nil
 }
 
+// forgets gives a server's place back if it is gone for good, or else tells 1 where it is kept though it is gone.
+func (b *Balancer) forgets(now int64, s, kept int) int {
+	h := &b.servers[s]
+	switch {
+	case h.name == "" || h.health != choice.Gone:
+	case b.keepsGone && !h.spent && now < h.goneAt+goneFor && kept < mostGone:
+		return 1
+	case h.trips == 0:
+		b.forget(s)
+	}
+	return 0
+}
+
 // forget frees the place of a server that is gone and where no trip is held. Guards memory on long days, on which
 // servers are ever new.
 func (b *Balancer) forget(s int) {
--- a/routing/bans.go
+++ b/routing/bans.go
@@ -134,6 +134,9 @@
 	if health == choice.Ready && b.banned[h.name] {
 		health = choice.Draining
 	}
+	if b.keepsGone && health == choice.Gone && (b.banned[h.name] || h.spent) {
+		health = choice.Draining // Else the module might use it.
+	}
 	b.module.Row(now, s, h.name, health, h.started, h.kind, h.zone, h.cell, h.weight)
 }
 
--- a/routing/life.go
+++ b/routing/life.go
@@ -183,9 +183,8 @@
 	b.mu.Lock()
 	b.heap -= size
 	for _, s := range b.slots[i].at {
-		if b.servers[s].trips--; b.servers[s].trips == 0 && b.servers[s].health == choice.Gone {
-			b.forget(s)
-		}
+		b.servers[s].trips--
+		b.forgets(b.now(), s, 0)
 	}
 	b.slots[i] = slot{}
 	b.held.Give(i)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -32,9 +32,11 @@
 	return l.Addr().String()
 }
 
-func begin(t *testing.T, most int64) *Balancer {
+func begin(t *testing.T, most int64) *Balancer { return beginUnder(t, most, tables.Flat(gjson.Parse(settings))) }
+
+func beginUnder(t *testing.T, most int64, stated map[string]any) *Balancer {
 	pool := transport.NewPool(8, time.Minute, time.Second)
-	b, err := New(tables.Flat(gjson.Parse(settings)), []byte(strings.Replace(known, "ADDRESS", closed(t), 1)), "", 1, pool, most, "",
+	b, err := New(stated, []byte(strings.Replace(known, "ADDRESS", closed(t), 1)), "", 1, pool, most, "",
 		nil, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
@@ -170,6 +172,55 @@
 	}
 }
 
+// Where only draining binds, a server that the list calls gone is kept and used; one that drained, is out by hand or has
+// lost its address is not, and nobody is kept for ever.
+func TestGoneIsKeptWhereOnlyDrainingBinds(t *testing.T) {
+	begun := func() *Balancer {
+		stated := tables.Flat(gjson.Parse(settings))
+		stated["invariants.onlyDrainingBinds"] = true
+		b := beginUnder(t, 1<<20, stated)
+		b.lay([]string{"s"})
+		b.told(t, strings.Replace(changes(row("one", "127.0.0.1:9", "Ready", 1)), "false", "true", 1))
+		return b
+	}
+	tries := func(b *Balancer) int {
+		for range 20 {
+			r := turn{make(chan reply, 1), make(chan struct{})}
+			close(r.written)
+			b.retrieve(words("c=read,d=50"), false, r, func() {}, nil)
+		}
+		return b.counts[count{"trips", none}]
+	}
+	gone := func(b *Balancer) { b.told(t, changes(row("one", "127.0.0.1:9", "Gone", 1))) }
+	b := begun()
+	if gone(b); tries(b) == 0 {
+		t.Error("one that did not drain is not used")
+	}
+	b.servers[b.byName["one"]].goneAt -= goneFor
+	if b.told(t, changes()); b.byName["one"] != 0 {
+		t.Error("it is kept for ever")
+	}
+	b = begun()
+	gone(b)
+	if b.lay([]string{"s", "one"}); tries(b) > 0 {
+		t.Error("one that is gone and then out by hand is used")
+	}
+	for why, before := range map[string]func(b *Balancer){
+		"drained":        func(b *Balancer) { b.told(t, changes(row("one", "127.0.0.1:9", "Terminating", 1))) },
+		"is out by hand": func(b *Balancer) { b.lay([]string{"s", "one"}) },
+		"lost its address": func(b *Balancer) {
+			b.told(t, changes(row("two", "127.0.0.1:9", "Ready", 5)))
+			b.lay([]string{"s", "two"})
+		},
+	} {
+		b = begun()
+		before(b)
+		if gone(b); tries(b) > 0 {
+			t.Errorf("one that %s is used", why)
+		}
+	}
+}
+
 func TestDismissedSaysWhenToComeBack(t *testing.T) {
 	b := begin(t, 1<<20)
 	r := turn{make(chan reply, 1), make(chan struct{})}
