agreed: versions accepted by keepers, leases for all, and what to act on; pure

Keepers wrap raft's RawNode with timers of our own, so a run is repeated by its seed; a version counts with a second entry of the same term, so that a sure no stays no; leases are granted on a majority's word that came after the ask; the floor moves when no lease under an older version is left. A keeper without its state joins under a new life. Seen broken without the wait for leases, the look at the lease after a pause, what is written of votes, and a majority's word.

--- /dev/null
+++ b/agreed/document.go
@@ -0,0 +1,206 @@
+// Package agreed is about one ordered history of versions of a small document that many balancers act on, and about the leases
+// under which they do. A Keeper is one of the few whose majority accepts versions; a Holder is what every process has, and tells
+// what to act on. Both are pure: the clock, chance, messages and what lasts are handed in, so the same code runs on sockets and in a seeded
+// run of a million steps. docs/design/agreement.md has the reasons.
+package agreed
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Bounds of what can be agreed on.
+const (
+	mostNames    = 1024
+	mostLimits   = 256
+	mostText     = 256
+	mostDocument = 16 << 10
+	mostBetween  = 64 // versions between the floor and the latest
+)
+
+// Document is what all agree on.
+type Document struct {
+	Bans   []string         `cbor:"1,keyasint,omitempty" json:"bans,omitempty"` // hosts out by hand, sorted
+	Limits map[string]int64 `cbor:"2,keyasint,omitempty" json:"limits,omitempty"`
+	Digest string           `cbor:"3,keyasint,omitempty" json:"settings_digest,omitempty"` // of the settings file in force
+	Source string           `cbor:"4,keyasint,omitempty" json:"list_of,omitempty"`         // the discovery whose list counts
+	From   uint64           `cbor:"5,keyasint,omitempty" json:"list_from,omitempty"`       // and from which index on
+	Left   []string         `cbor:"6,keyasint,omitempty" json:"zones_left,omitempty"`      // sorted
+}
+
+// Version is one place of the history.
+type Version struct {
+	Number   uint64   `cbor:"1,keyasint" json:"version"`
+	ID       string   `cbor:"2,keyasint,omitempty" json:"id,omitempty"` // of the proposal
+	By       string   `cbor:"3,keyasint,omitempty" json:"by,omitempty"`
+	Why      string   `cbor:"4,keyasint,omitempty" json:"why,omitempty"`
+	Document Document `cbor:"5,keyasint" json:"document"`
+}
+
+// Change is a proposal: what is to differ from the version before.
+type Change struct {
+	ID     string           `cbor:"1,keyasint"`
+	By     string           `cbor:"2,keyasint,omitempty"`
+	Why    string           `cbor:"3,keyasint,omitempty"`
+	Base   uint64           `cbor:"4,keyasint,omitempty"` // the version that it was made for; 0: any
+	Out    []string         `cbor:"5,keyasint,omitempty"`
+	Back   []string         `cbor:"6,keyasint,omitempty"`
+	Limits map[string]int64 `cbor:"7,keyasint,omitempty"` // under 0: taken back
+	Digest *string          `cbor:"8,keyasint,omitempty"`
+	Source *string          `cbor:"9,keyasint,omitempty"`
+	From   *uint64          `cbor:"10,keyasint,omitempty"`
+	Leave  []string         `cbor:"11,keyasint,omitempty"`
+	Return []string         `cbor:"12,keyasint,omitempty"`
+}
+
+// What can be wrong with a proposal. ErrBase: another version came in between.
+var (
+	ErrBase  = errors.New("made for another version")
+	ErrEmpty = errors.New("changes nothing")
+)
+
+// Check tells whether a change can be one, whatever document it meets.
+func (c *Change) Check() error {
+	if c.ID == "" {
+		return errors.New("id: missing")
+	}
+	for _, f := range []struct {
+		name  string
+		texts []string
+		most  int
+	}{{"id", []string{c.ID}, 1}, {"by", []string{c.By}, 1}, {"why", []string{c.Why}, 1}, {"out", c.Out, mostNames}, {"back", c.Back, mostNames},
+		{"leave", c.Leave, mostNames}, {"return", c.Return, mostNames}, {"limits", keys(c.Limits), mostLimits}, {"settings_digest", opt(c.Digest), 1},
+		{"list_of", opt(c.Source), 1}} {
+		if len(f.texts) > f.most {
+			return fmt.Errorf("%s: over %d entries", f.name, f.most)
+		}
+		for _, text := range f.texts {
+			if len(text) > mostText || strings.ContainsFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f || r == 0xfffd }) {
+				return fmt.Errorf("%s: %.40q is over %d bytes or not plain text", f.name, text, mostText)
+			}
+			if text == "" && f.most > 1 {
+				return fmt.Errorf("%s: an empty name", f.name)
+			}
+		}
+	}
+	for _, both := range []struct {
+		name     string
+		one, two []string
+	}{{"back", c.Out, c.Back}, {"return", c.Leave, c.Return}} {
+		for _, name := range both.one {
+			if slices.Contains(both.two, name) {
+				return fmt.Errorf("%s: %q goes both ways", both.name, name)
+			}
+		}
+	}
+	return nil
+}
+
+func opt(s *string) []string {
+	if s == nil {
+		return nil
+	}
+	return []string{*s}
+}
+
+func keys(m map[string]int64) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// over is a set with some names more and some fewer, sorted.
+func over(set, more, fewer []string) []string {
+	out := slices.Clone(set)
+	out = append(out, more...)
+	slices.Sort(out)
+	out = slices.Compact(out)
+	return slices.DeleteFunc(out, func(name string) bool { return slices.Contains(fewer, name) })
+}
+
+// apply makes the next version. It depends on nothing but its arguments, as each keeper does it for itself.
+func (c *Change) apply(was Version) (Version, error) {
+	if c.Base != 0 && c.Base != was.Number {
+		return was, fmt.Errorf("%w: %d, not %d", ErrBase, was.Number, c.Base)
+	}
+	d := Document{Bans: over(was.Document.Bans, c.Out, c.Back), Left: over(was.Document.Left, c.Leave, c.Return), Digest: was.Document.Digest,
+		Source: was.Document.Source, From: was.Document.From, Limits: map[string]int64{}}
+	for name, most := range was.Document.Limits {
+		d.Limits[name] = most
+	}
+	for name, most := range c.Limits {
+		if d.Limits[name] = most; most < 0 {
+			delete(d.Limits, name)
+		}
+	}
+	if c.Digest != nil {
+		d.Digest = *c.Digest
+	}
+	if c.Source != nil {
+		d.Source = *c.Source
+	}
+	if c.From != nil {
+		d.From = *c.From
+	}
+	next := Version{Number: was.Number + 1, ID: c.ID, By: c.By, Why: c.Why, Document: d}
+	switch size := len(pack(d)); {
+	case slices.Equal(pack(d), pack(was.Document)):
+		return was, ErrEmpty
+	case size > mostDocument, len(d.Bans) > mostNames, len(d.Limits) > mostLimits, len(d.Left) > mostNames:
+		return was, fmt.Errorf("the document would be too large: %d bytes, %d hosts, %d limits", size, len(d.Bans), len(d.Limits))
+	}
+	return next, nil
+}
+
+var canonical = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // The options are the library's own.
+	}
+	return mode
+}()
+
+func pack(x any) []byte {
+	bytes, err := canonical.Marshal(x)
+	if err != nil {
+		panic(err) // All that is packed is our own types.
+	}
+	return bytes
+}
+
+// Digest tells a version from every other that could have its number.
+func (v Version) Digest() string { return fmt.Sprintf("%x", sha256.Sum256(pack(v)))[:16] }
+
+// Acting is what to act on.
+type Acting struct {
+	Floor, Latest uint64 // the versions that it comes from
+	Leased        bool   // under a lease; else alone
+	Document             // the strictest of them
+}
+
+// strictest puts versions together, from the floor on: what any of them forbids is forbidden. What is neither stricter nor looser is the
+// floor's.
+func strictest(versions []Version) Document {
+	if len(versions) == 0 {
+		return Document{}
+	}
+	first := versions[0].Document
+	d := Document{Digest: first.Digest, Source: first.Source, From: first.From, Limits: map[string]int64{}}
+	for _, v := range versions {
+		d.Bans, d.Left, d.From = over(d.Bans, v.Document.Bans, nil), over(d.Left, v.Document.Left, nil), max(d.From, v.Document.From)
+		for name, most := range v.Document.Limits {
+			if now, stated := d.Limits[name]; !stated || most < now {
+				d.Limits[name] = most
+			}
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/agreed/document_test.go
@@ -0,0 +1,103 @@
+package agreed
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// What is strict counts at once, what is loose waits for the floor, and what is neither is the floor's.
+func TestStrictest(t *testing.T) {
+	v := Version{Number: 1}
+	next := func(c Change) Version {
+		c.ID = "x"
+		n, err := c.apply(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v = n
+		return n
+	}
+	text, from := "d2", uint64(7)
+	one := next(Change{Out: []string{"a", "b"}, Limits: map[string]int64{"held": 9, "q": 5}})
+	two := next(Change{Out: []string{"c"}, Back: []string{"a"}, Limits: map[string]int64{"held": 12, "q": 3}, Digest: &text, From: &from})
+	three := next(Change{Limits: map[string]int64{"q": -1}})
+	d := strictest([]Version{one, two, three})
+	if !slices.Equal(d.Bans, []string{"a", "b", "c"}) || d.Limits["held"] != 9 || d.Limits["q"] != 3 || d.Digest != "" || d.From != 7 {
+		t.Errorf("over all: %+v", d)
+	}
+	if d = strictest([]Version{three}); !slices.Equal(d.Bans, []string{"b", "c"}) || d.Limits["held"] != 12 || len(d.Limits) != 1 || d.Digest != text {
+		t.Errorf("the last alone: %+v", d)
+	}
+	if _, err := (&Change{ID: "x", Base: 1, Out: []string{"z"}}).apply(v); !errors.Is(err, ErrBase) {
+		t.Errorf("made for another version: %v", err)
+	}
+	if _, err := (&Change{ID: "x", Out: []string{"b"}}).apply(v); !errors.Is(err, ErrEmpty) {
+		t.Errorf("changes nothing: %v", err)
+	}
+}
+
+func TestChangesAreChecked(t *testing.T) {
+	long := strings.Repeat("n", mostText+1)
+	for want, c := range map[string]Change{
+		"id: ":      {},
+		"out: ":     {ID: "i", Out: []string{""}},
+		"why: ":     {ID: "i", Why: "a\nb"},
+		"by: ":      {ID: "i", By: long},
+		"back: ":    {ID: "i", Out: []string{"h"}, Back: []string{"h"}},
+		"return: ":  {ID: "i", Leave: []string{"z"}, Return: []string{"z"}},
+		"list_of: ": {ID: "i", Source: &long},
+		"limits: ":  {ID: "i", Limits: map[string]int64{"\x00": 1}},
+	} {
+		if err := c.Check(); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%s%v", want, err)
+		}
+	}
+}
+
+func TestTerms(t *testing.T) {
+	terms := Terms{Lease: 1800 * time.Millisecond, RateError: 0.01, Pause: 150 * time.Millisecond}
+	if got := terms.T().Round(time.Millisecond); got != 1986*time.Millisecond || terms.Check() != nil {
+		t.Errorf("T %v, %v", got, terms.Check())
+	}
+	for _, bad := range []Terms{{Lease: time.Millisecond}, {Lease: time.Second, RateError: 0.5}, {Lease: time.Second, Pause: time.Minute}} {
+		if bad.Check() == nil {
+			t.Errorf("%+v is taken", bad)
+		}
+	}
+}
+
+// No message leads a keeper or a holder astray or out of its bounds.
+func FuzzUnpack(f *testing.F) {
+	f.Add((&Message{From: "a", Ask: &Ask{Seq: 1}}).Pack())
+	f.Add((&Message{From: "a", Raft: []byte{8, 3, 16, 1}}).Pack())
+	f.Add((&Message{From: "a", Grant: &Grant{Floor: 9, Versions: []Version{{Number: 3}, {Number: 9}}}}).Pack())
+	f.Add((&Message{From: "b1", Hello: &Hello{Life: 2, Voters: map[string]uint64{"b0": 1}}}).Pack())
+	f.Add((&Message{From: "b1", Propose: &Change{ID: "x", Out: []string{"h"}}}).Pack())
+	f.Fuzz(func(t *testing.T, bytes []byte) {
+		m, err := Unpack(bytes)
+		if err != nil {
+			return
+		}
+		w := newTown(t, 1, 3, 0, true)
+		for w.step < 400 {
+			w.one()
+		}
+		p := w.procs[0]
+		if m.Grant != nil {
+			p.holder.Heard(p.clock(), m.Grant)
+			p.holder.Acting(p.clock())
+			if len(p.holder.versions) > mostBetween+1 {
+				t.Fatal("a holder keeps more than can count")
+			}
+		} else {
+			p.keeper.Heard(p.clock(), m)
+		}
+		for w.step < 450 {
+			w.now += ms
+			w.one()
+		}
+	})
+}
--- /dev/null
+++ b/agreed/holder.go
@@ -0,0 +1,147 @@
+package agreed
+
+import (
+	"slices"
+	"time"
+)
+
+// Sender carries a message to a process, or loses it. It does not block.
+type Sender interface{ Send(to string, m *Message) }
+
+// Holder is what one process acts on. It asks for a lease again and again, of whoever leads the keepers.
+type Holder struct {
+	Name    string
+	life    uint64
+	terms   Terms
+	keepers []string
+	net     Sender
+	chance  func(n int) int
+
+	versions []Version // from the floor on
+	acting   Document  // the strictest of them
+	floor    uint64
+	Contrary int // versions heard that are not what this one knows under their number: there are two histories
+	seq      uint64
+	sent     [8]asked // the last asks, by seq
+	leader   string
+	silent   int   // asks since something came back
+	askAt    int64 // the next ask
+	until    int64 // the lease's end on this clock; 0: none
+}
+
+type asked struct {
+	seq uint64
+	at  int64
+}
+
+// NewHolder begins a holder that knows nothing. life tells it from an earlier process of its name; chance draws below n.
+func NewHolder(now int64, name string, life uint64, terms Terms, keepers []string, net Sender, chance func(n int) int) *Holder {
+	return &Holder{Name: name, life: life, terms: terms, keepers: keepers, net: net, chance: chance, askAt: now}
+}
+
+// Acting is what to act on now. It looks at the lease.
+func (h *Holder) Acting(now int64) Acting {
+	a := Acting{Floor: h.floor, Leased: now < h.until, Document: h.acting}
+	if len(h.versions) > 0 {
+		a.Latest = h.versions[len(h.versions)-1].Number
+	}
+	return a
+}
+
+// Until is when the lease ends; 0 where there is none.
+func (h *Holder) Until() int64 { return h.until }
+
+// Leader is who was heard to lead last.
+func (h *Holder) Leader() string { return h.leader }
+
+// Versions are those that count, from the floor on.
+func (h *Holder) Versions() []Version { return h.versions }
+
+// Wait is how long nothing is to be done.
+func (h *Holder) Wait(now int64) time.Duration { return time.Duration(max(0, h.askAt-now)) }
+
+// Look asks if it is time to. A third of the lease passes between asks that are answered, so that two may be lost.
+func (h *Holder) Look(now int64) {
+	if now < h.askAt {
+		return
+	}
+	every := int64(h.terms.Lease) / 3
+	if h.silent > 0 { // Sooner, and of another: the one that led may be gone.
+		every = int64(h.terms.Lease)/16 + int64(h.chance(int(h.terms.Lease)/16+1))
+	}
+	to := h.leader
+	if to == "" || h.silent > 1 {
+		to = h.keepers[h.chance(len(h.keepers))]
+	}
+	h.seq++
+	h.sent[h.seq%uint64(len(h.sent))] = asked{h.seq, now}
+	h.silent++
+	h.askAt = now + every
+	latest := uint64(0)
+	if n := len(h.versions); n > 0 {
+		latest = h.versions[n-1].Number
+	}
+	h.net.Send(to, &Message{From: h.Name, Ask: &Ask{Seq: h.seq, Life: h.life, Known: latest, Floor: h.floor}})
+}
+
+// Heard takes a grant, or news. It tells whether what to act on has changed.
+func (h *Holder) Heard(now int64, g *Grant) bool {
+	before, floor := len(h.versions), h.floor
+	whole := h.learn(g)
+	if g.Leader != "" && g.Leader != h.leader {
+		h.leader = g.Leader
+		if g.Seq == 0 {
+			h.askAt = min(h.askAt, now) // Another leads: it is asked at once.
+		}
+	}
+	granted := false
+	if a := h.sent[g.Seq%uint64(len(h.sent))]; g.Seq != 0 && a.seq == g.Seq && whole {
+		// The lease runs from the ask, not from the grant: what lies between may have taken long.
+		if until := a.at + int64(h.terms.Lease); until > h.until && now < until {
+			granted = now >= h.until
+			h.until = until
+		}
+		h.silent = 0
+		h.askAt = max(h.askAt, a.at+int64(h.terms.Lease)/3)
+	}
+	return granted || before != len(h.versions) || floor != h.floor
+}
+
+// learn takes versions, and a floor, if nothing is missing between; it tells whether all that the grant speaks of is known.
+func (h *Holder) learn(g *Grant) bool {
+	next := slices.Clone(h.versions)
+	for _, v := range g.Versions {
+		n := len(next)
+		switch {
+		case n > 0 && v.Number <= next[n-1].Number:
+			if v.Number >= next[0].Number && v.Digest() != next[v.Number-next[0].Number].Digest() {
+				h.Contrary++
+			}
+		case n > 0 && v.Number > next[n-1].Number+1 && g.Versions[0].Number != g.Floor:
+			return false // Something lies between that was not told.
+		case n > 0 && v.Number > next[n-1].Number+1:
+			next = append(next[:0], v) // All that was known is under the floor.
+		default:
+			next = append(next, v)
+		}
+	}
+	if len(next) == 0 || next[len(next)-1].Number < g.Floor {
+		return g.Floor == 0
+	}
+	h.versions = next
+	for g.Floor > h.floor && len(h.versions) > 1 && h.versions[0].Number < g.Floor {
+		h.versions = h.versions[1:]
+	}
+	if h.versions[0].Number >= g.Floor {
+		h.floor = max(h.floor, g.Floor)
+	}
+	h.acting = strictest(h.versions)
+	return true
+}
+
+// Recall lays what an earlier life knew into a holder that knows nothing yet: it acts on that, alone, until it has a lease.
+func (h *Holder) Recall(floor uint64, versions []Version) {
+	if len(h.versions) == 0 && len(versions) > 0 && len(versions) <= mostBetween+1 {
+		h.versions, h.floor, h.acting = slices.Clone(versions), floor, strictest(versions)
+	}
+}
