--- a/agreed/document_test.go
+++ b/agreed/document_test.go
@@ -101,3 +101,40 @@
 		}
 	})
 }
+
+// A process that acts on one history takes nothing of another, and no lease.
+func TestAnotherHistory(t *testing.T) {
+	h := NewHolder(0, "p", 1, Terms{Lease: time.Second}, []string{"k"}, nowhere{}, func(int) int { return 0 })
+	grant := func(seq, history uint64, versions ...Version) {
+		h.Look(h.askAt)
+		h.Heard(h.sent[h.seq%8].at+1, &Grant{Seq: h.seq, Leader: "k", Floor: versions[0].Number, Versions: versions, History: history})
+	}
+	one := Version{Number: 1}
+	if grant(1, 7, one); h.until == 0 || h.Contrary != 0 {
+		t.Fatal("no lease")
+	}
+	was := h.until
+	if grant(2, 8, one, Version{Number: 2, ID: "x"}); h.until != was || h.Contrary != 1 || len(h.versions) != 1 {
+		t.Errorf("another history is taken: %d versions, contrary %d", len(h.versions), h.Contrary)
+	}
+	if grant(3, 7, one, Version{Number: 2, ID: "y"}); h.until <= was || len(h.versions) != 2 {
+		t.Error("its own is not taken any more")
+	}
+}
+
+type nowhere struct{}
+
+func (nowhere) Send(string, *Message) {}
+
+// What others tell of drains beyond one's own list counts; that a host is well never does.
+func TestLists(t *testing.T) {
+	others := []Listed{{Name: "a", Index: 9, Digest: 1, Drains: []Drained{{"old", 4}, {"h", 8}, {"odd", 12}}}, {Name: "b", Index: 5, Digest: 3,
+		Drains: []Drained{{"k", 5}}}, {Name: "c", Index: 5, Digest: 2, Drains: []Drained{{"own", 3}}}, {Name: "d", Index: 2, Drains: []Drained{{"past", 2}}}}
+	c := Compare(5, 2, others)
+	if !slices.Equal(c.News, []string{"h", "k"}) || c.Behind != "a" || c.Latest != 9 || c.Contrary != "b" {
+		t.Errorf("%+v", c)
+	}
+	if c = Compare(9, 1, others); len(c.News) > 0 || c.Behind != "" || c.Contrary != "" {
+		t.Errorf("with the latest list: %+v", c)
+	}
+}
--- a/agreed/holder.go
+++ b/agreed/holder.go
@@ -20,7 +20,8 @@
 	versions []Version // from the floor on
 	acting   Document  // the strictest of them
 	floor    uint64
-	Contrary int // versions heard that are not what this one knows under their number: there are two histories
+	history  uint64 // the one that it acts on, from the first grant on
+	Contrary int    // grants of another history, which are not taken
 	seq      uint64
 	sent     [8]asked // the last asks, by seq
 	leader   string
@@ -109,6 +110,10 @@
 
 // learn takes versions, and a floor, if nothing is missing between; it tells whether all that the grant speaks of is known.
 func (h *Holder) learn(g *Grant) bool {
+	if g.History != 0 && h.history != 0 && g.History != h.history {
+		h.Contrary++ // Guards a process that acts on one history against another that began after it was lost.
+		return false
+	}
 	next := slices.Clone(h.versions)
 	for _, v := range g.Versions {
 		n := len(next)
@@ -116,6 +121,7 @@
 		case n > 0 && v.Number <= next[n-1].Number:
 			if v.Number >= next[0].Number && v.Digest() != next[v.Number-next[0].Number].Digest() {
 				h.Contrary++
+				return false
 			}
 		case n > 0 && v.Number > next[n-1].Number+1 && g.Versions[0].Number != g.Floor:
 			return false // Something lies between that was not told.
@@ -129,6 +135,9 @@
 		return g.Floor == 0
 	}
 	h.versions = next
+	if len(g.Versions) > 0 {
+		h.history = g.History
+	}
 	for g.Floor > h.floor && len(h.versions) > 1 && h.versions[0].Number < g.Floor {
 		h.versions = h.versions[1:]
 	}
--- a/agreed/keeper.go
+++ b/agreed/keeper.go
@@ -287,7 +287,7 @@
 
 // begin takes a founding: all that were there have the same first snapshot.
 func (k *Keeper) begin(now int64, voters map[string]uint64) {
-	first := founding(voters)
+	first := founding(k.life, voters)
 	lives := slices.Sorted(maps.Values(voters))
 	s := &pb.Snapshot{Data: pack(first), Metadata: &pb.SnapshotMetadata{Index: new(uint64(1)), Term: new(uint64(1)),
 		ConfState: &pb.ConfState{Voters: lives}}}
@@ -431,7 +431,7 @@
 
 // grant has what a holder lacks.
 func (k *Keeper) grant(seq, known, floor uint64) *Grant {
-	g := &Grant{Seq: seq, Leader: k.Name, Floor: k.state.Floor}
+	g := &Grant{Seq: seq, Leader: k.Name, Floor: k.state.Floor, History: k.state.ID}
 	for _, v := range k.state.counting() {
 		if v.Number > known || known < k.state.Floor {
 			g.Versions = append(g.Versions, v)
--- a/agreed/messages.go
+++ b/agreed/messages.go
@@ -32,6 +32,7 @@
 	Leader   string    `cbor:"2,keyasint,omitempty"`
 	Floor    uint64    `cbor:"3,keyasint,omitempty"`
 	Versions []Version `cbor:"4,keyasint,omitempty"` // from the floor on, those that the holder lacks
+	History  uint64    `cbor:"5,keyasint,omitempty"` // which history: a fleet that lost one begins another
 }
 
 // Hello tells what a keeper has: which life of its state, and what founding it knows of.
--- a/agreed/state.go
+++ b/agreed/state.go
@@ -14,6 +14,7 @@
 	Floor      uint64            `cbor:"2,keyasint"`
 	Voters     map[string]uint64 `cbor:"3,keyasint"` // keepers, and which life of each votes
 	Candidates []candidate       `cbor:"4,keyasint,omitempty"`
+	ID         uint64            `cbor:"5,keyasint"` // of the history: its founder's life
 }
 
 // candidate is a change that was written and has not been accepted.
@@ -33,8 +34,8 @@
 var errNotWritten = errors.New("not among what was written")
 
 // founding is the history's beginning.
-func founding(voters map[string]uint64) state {
-	return state{History: []Version{{Number: 1}}, Floor: 1, Voters: voters}
+func founding(founder uint64, voters map[string]uint64) state {
+	return state{History: []Version{{Number: 1}}, Floor: 1, Voters: voters, ID: founder}
 }
 
 func (s *state) latest() Version { return s.History[len(s.History)-1] }
--- /dev/null
+++ b/cmd/hollyfleet/fleet_test.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"hollylever/joining"
+	"hollylever/standin/between"
+)
+
+// plan plays a seed's faults between five processes, with proposals all the while, and then heals all. It gives what was proposed.
+func plan(w *town, seconds int) (asked []porcupine.Operation) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	began := time.Now()
+	propose := func(n int) {
+		p, host := w.procs[w.chance.IntN(len(w.procs))], fmt.Sprint("h", w.chance.IntN(5))
+		c := joining.Proposal{ID: fmt.Sprint("p", n), Why: "plan"}
+		if c.Out = []string{host}; w.chance.IntN(2) == 0 {
+			c.Out, c.Back = nil, c.Out
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			call := time.Since(began)
+			a, err := p.propose(c)
+			if end := time.Since(began); err == nil && (a.Version != 0 || a.Sure) {
+				mu.Lock()
+				asked = append(asked, porcupine.Operation{ClientId: n, Input: c.ID, Call: int64(call), Output: a.Version, Return: int64(end)})
+				mu.Unlock()
+			}
+		}()
+	}
+	for n := 0; time.Since(began) < time.Duration(seconds)*time.Second; n++ {
+		p := w.procs[w.chance.IntN(len(w.procs))]
+		switch w.chance.IntN(12) {
+		case 0, 1:
+			side := []bool{}
+			for range w.procs {
+				side = append(side, w.chance.IntN(2) == 0)
+			}
+			w.faults(func(i, j int) between.Faults { return between.Faults{Cut: side[i] != side[j]} })
+		case 2: // What it sends is lost; it hears all.
+			at := slices.Index(w.procs, p)
+			w.faults(func(i, j int) between.Faults { return between.Faults{Cut: i == at} })
+		case 3:
+			w.faults(func(int, int) between.Faults {
+				return between.Faults{Loss: 0.3, Repeats: 0.3, Spread: 60 * time.Millisecond}
+			})
+		case 4, 5:
+			w.heal()
+		case 6:
+			w.kill(p)
+		case 7, 8:
+			for _, p := range w.procs {
+				if p.cmd == nil {
+					w.start(p)
+				}
+				w.goOn(p)
+			}
+		case 9:
+			w.stop(p)
+		}
+		propose(2 * n)
+		propose(2*n + 1)
+		time.Sleep(time.Duration(150+w.chance.IntN(400)) * time.Millisecond)
+	}
+	w.heal()
+	for _, p := range w.procs {
+		if p.cmd == nil {
+			w.start(p)
+		}
+		w.goOn(p)
+	}
+	wait.Wait()
+	return asked
+}
+
+// history is what a sequence of accepted proposals is: each has a number of its own, in the order of real time; a sure no changes nothing.
+var history = porcupine.Model{
+	Init: func() any { return uint64(1) },
+	Step: func(state, _, output any) (bool, any) {
+		last, number := state.(uint64), output.(uint64)
+		if number == 0 {
+			return true, last
+		}
+		return number > last, number
+	},
+}
+
+func plans() int {
+	if n, err := strconv.Atoi(os.Getenv("HOLLYFLEET_PLANS")); err == nil {
+		return n
+	}
+	return 2
+}
+
+// TestPlans plays seeded plans of faults: cuts, also one way, loss and repeats, crashes, stops; clocks are off by the stated error. No two
+// processes contradict each other for longer than T, nobody acts on what is loose while an older lease lasts, there is one history, and
+// when all is healed all agree.
+func TestPlans(t *testing.T) {
+	from, _ := strconv.Atoi(os.Getenv("HOLLYFLEET_FROM"))
+	for seed := range plans() {
+		t.Run(fmt.Sprint(from+seed), func(t *testing.T) {
+			t.Parallel()
+			w := newTown(t, uint64(from+seed), 5, 3, nil)
+			w.agree(1)
+			asked := plan(w, 5)
+			most := uint64(1)
+			for _, o := range asked {
+				most = max(most, o.Output.(uint64))
+			}
+			w.agree(most)
+			all := w.trace()
+			worst, wrong := check(all, terms.Pause)
+			if wrong != "" || worst > terms.T() {
+				t.Errorf("longest contradiction %v of %v; %s\n%s", worst, terms.T(), wrong, w.logs())
+			}
+			if !porcupine.CheckOperations(history, asked) {
+				t.Errorf("no one history: %v", asked)
+			}
+			t.Logf("%d decisions, %d versions, longest contradiction %v of T %v", len(all), most, worst, terms.T())
+		})
+	}
+}
+
+// TestLeaderStopped: the keeper that leads is stopped for longer than a lease and goes on as if nothing had been; meanwhile others lead and
+// accept. It finds its lease over before it decides anything.
+func TestLeaderStopped(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 1, 5, 3, nil)
+	w.agree(1)
+	s, _ := w.procs[4].status()
+	at := slices.IndexFunc(w.procs, func(p *process) bool { return p.name == s.Leads })
+	w.stop(w.procs[at])
+	until(t, "another leader", func() bool {
+		a, err := w.procs[(at+1)%3].propose(joining.Proposal{ID: fmt.Sprint("x", time.Now().UnixNano()), Out: []string{fmt.Sprint("h", time.Now().UnixNano())}})
+		return err == nil && a.Version != 0
+	})
+	time.Sleep(2 * terms.Lease) // It is stopped for longer than a lease lasts: that is the fault, not a wait for something.
+	w.goOn(w.procs[at])
+	w.agree(2)
+	if worst, wrong := check(w.trace(), terms.Pause); wrong != "" || worst > terms.T() {
+		t.Errorf("longest contradiction %v of %v; %s\n%s", worst, terms.T(), wrong, w.logs())
+	}
+}
+
+// TestClockBeyondWhatIsStated: with a clock that runs at a tenth of the true rate the checker finds what the leases rest on.
+func TestClockBeyondWhatIsStated(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 2, 5, 3, func(p *process) {
+		if p.name == "b4" {
+			p.clock = 0.05
+		}
+	})
+	w.agree(1)
+	w.faults(func(i, j int) between.Faults { return between.Faults{Cut: i == 4 || j == 4} })
+	var a joining.Answer
+	until(t, "a version without the one that is cut off", func() bool {
+		a, _ = w.procs[0].propose(joining.Proposal{ID: "x", Out: []string{"h"}})
+		return a.Version != 0
+	})
+	until(t, "a contradiction", func() bool {
+		worst, _ := check(w.trace(), terms.Pause)
+		return worst > terms.T()
+	})
+}
+
+// TestNoMajority: a proposal without a majority is answered within 5 s, and is not in force afterwards; what is strict stays.
+func TestNoMajority(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 3, 5, 3, nil)
+	w.agree(1)
+	if a, err := w.procs[3].propose(joining.Proposal{ID: "first", Out: []string{"h"}}); err != nil || a.Version != 2 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	w.agree(2)
+	w.kill(w.procs[0])
+	w.kill(w.procs[1])
+	began := time.Now()
+	a, err := w.procs[4].propose(joining.Proposal{ID: "second", Back: []string{"h"}})
+	if took := time.Since(began); err != nil || a.Version != 0 || took > 5500*time.Millisecond {
+		t.Fatalf("%+v after %v, %v", a, took, err)
+	}
+	until(t, "being alone", func() bool {
+		s, err := w.procs[4].status()
+		return err == nil && !s.Acting.Leased && slices.Contains(s.Acting.Bans, "h")
+	})
+	w.start(w.procs[0])
+	w.start(w.procs[1])
+	w.agree(2)
+	for _, p := range w.procs {
+		if s, err := p.status(); err != nil || !slices.Contains(s.Acting.Bans, "h") {
+			t.Errorf("%s: %+v, %v", p.name, s, err)
+		}
+	}
+}
+
+// TestLateOnes: a process that starts during a cut and knows nothing acts alone, and comes in by itself; keepers restarted one by one and
+// all at once keep the history.
+func TestLateOnes(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 4, 5, 3, nil)
+	w.agree(1)
+	if a, err := w.procs[0].propose(joining.Proposal{ID: "first", Out: []string{"h"}}); err != nil || a.Version != 2 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	w.agree(2)
+	w.kill(w.procs[4])
+	w.faults(func(i, j int) between.Faults { return between.Faults{Cut: i == 4 || j == 4} })
+	w.start(w.procs[4])
+	until(t, "the late one", func() bool {
+		s, err := w.procs[4].status()
+		return err == nil && !s.Acting.Leased && s.Acting.Latest == 0
+	})
+	w.heal()
+	w.agree(2)
+	for n := range 3 {
+		w.kill(w.procs[n])
+		w.start(w.procs[n])
+		w.agree(2)
+	}
+	for n := range 3 {
+		w.kill(w.procs[n])
+	}
+	for n := range 3 {
+		w.start(w.procs[n])
+	}
+	w.agree(2)
+	if a, err := w.procs[3].propose(joining.Proposal{ID: "last", Back: []string{"h"}}); err != nil || a.Version != 3 {
+		t.Errorf("%+v, %v", a, err)
+	}
+	w.agree(3)
+	if worst, wrong := check(w.trace(), terms.Pause); wrong != "" || worst > terms.T() {
+		t.Errorf("longest contradiction %v; %s", worst, wrong)
+	}
+}
--- /dev/null
+++ b/cmd/hollyfleet/main.go
@@ -0,0 +1,40 @@
+// Command hollyfleet is a balancer that is one of a fleet: hollylever with the parts by which many agree.
+package main
+
+import (
+	"github.com/rs/zerolog"
+
+	"hollylever/agreed"
+	"hollylever/fields"
+	"hollylever/fleet"
+	"hollylever/members"
+	"hollylever/routing"
+	"hollylever/serving"
+)
+
+func main() { serving.Main(join) }
+
+func join(own fields.Values, name, zone string, b *routing.Balancer, log zerolog.Logger) (serving.Fleet, error) {
+	f, err := fleet.Start(own, name, zone, acts{b}, log)
+	if err != nil {
+		return nil, err
+	}
+	b.Decides(func() { f.Decides() })
+	return f, nil
+}
+
+// acts puts what is agreed on before the balancer.
+type acts struct{ *routing.Balancer }
+
+func (a acts) Heeds(what agreed.Acting) { a.Balancer.Heeds(what.Bans, int(what.Limits["held"])) }
+
+func (a acts) Drained(names []string) { a.News(names) }
+
+func (a acts) List() (uint64, uint64, []members.Drain) {
+	index, digest, drains := a.Lists()
+	out := make([]members.Drain, len(drains))
+	for n, d := range drains {
+		out[n] = members.Drain(d)
+	}
+	return index, digest, out
+}
--- a/fields/fields.go
+++ b/fields/fields.go
@@ -1,5 +1,5 @@
 // Package fields is about our own settings: what a field is, and the one reader of the file that holds them. Each package declares its own
-// part beside the code that uses it; cmd/hollylever puts the parts together. Examples and explanations are made from the same
+// part beside the code that uses it; serving puts the parts together. Examples and explanations are made from the same
 // declarations. The platform's own file is not this package's business.
 //
 // Read gives either all values or all mistakes, each with its place; it changes nothing by itself.
@@ -22,8 +22,11 @@
 	Duration
 	Size
 	Yes
+	Text // any plain text, of one line
 )
 
+const mostText = 4096
+
 // When is when a change of a field counts.
 type When int
 
@@ -118,12 +121,19 @@
 		whole = number
 	case f.Kind == Count:
 		return "", 0, fmt.Errorf("has to be a whole number")
+	case !isText && f.Kind == Text:
+		return "", 0, fmt.Errorf("has to be a text")
 	case !isText && f.Kind == Word:
 		return "", 0, fmt.Errorf("has to be one of %s", strings.Join(f.Words, ", "))
 	case !isText && f.Kind == Duration:
 		return "", 0, fmt.Errorf(`has to be a duration with its unit, such as "100ms"`)
 	case !isText:
 		return "", 0, fmt.Errorf(`has to be a size with its unit, such as "8 MiB"`)
+	case f.Kind == Text:
+		if len(text) > mostText || strings.ContainsFunc(text, func(r rune) bool { return r < ' ' }) {
+			return "", 0, fmt.Errorf("is over %d bytes, or not one line of text", mostText)
+		}
+		return text, 0, nil
 	case f.Kind == Word:
 		for _, w := range f.Words {
 			if w == text {
@@ -194,6 +204,8 @@
 		return "one of " + strings.Join(f.Words, ", ")
 	case Yes:
 		return "either true or false"
+	case Text:
+		return "a text of at most " + strconv.Itoa(mostText) + " bytes"
 	}
 	return f.Least + " to " + f.Most
 }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,458 @@
+// Package fleet runs what a process does as one of many: the exchange, its lease, and its part as a keeper if it is one. It brings
+// clocks, sockets and the disk to agreed and members, and tells the balancer what to act on. One lock stands round what is agreed; nothing
+// blocks under it but a keeper's disk.
+package fleet
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"hollylever/agreed"
+	"hollylever/fields"
+	"hollylever/joining"
+	"hollylever/members"
+	"hollylever/store"
+)
+
+// Acts is what is told what to act on: the balancer. Heeds is called under no lock, whenever it changes.
+type Acts interface {
+	Heeds(agreed.Acting)
+	Drained(names []string) // hosts that other processes' later lists call draining or gone
+	List() (index, digest uint64, drains []members.Drain)
+}
+
+// Fleet is one process's part in the fleet.
+type Fleet struct {
+	name, zone string
+	terms      agreed.Terms
+	behind     time.Duration
+	keepers    []string
+	acts       Acts
+	log        zerolog.Logger
+	exchange   members.Exchange
+	came       chan []byte
+	changed    chan struct{}
+	life       uint64
+	lost       atomic.Int64 // messages that came while too many waited
+	until      atomic.Int64 // the lease's end, for who looks at each decision
+	alone      atomic.Int64 // decisions without a lease
+	under      atomic.Int64 // and under one
+	trace      *os.File
+
+	mu       sync.Mutex
+	holder   *agreed.Holder
+	keeper   *agreed.Keeper
+	last     *store.Log
+	acting   agreed.Acting
+	waiting  map[string]chan agreed.Outcome
+	cards    uint64
+	news     []string
+	stale    bool // its list is behind, and it said so
+	differs  bool
+	contrary int
+}
+
+const (
+	mostCame = 4096
+	answerIn = 4900 * time.Millisecond // an operator has some answer to a proposal within 5 s
+)
+
+// rate is 1 but where a test has clocks that are off.
+var rate = 1.0
+
+// ClockOff is for tests' processes: this one's clock runs at so many times the true rate.
+func ClockOff(by float64) { rate = by }
+
+// Now is the clock that leases run on: it goes on while the process, or the machine, stands still.
+func Now() int64 {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		return 0 // Not on any system that this is built for.
+	}
+	if rate != 1 {
+		return int64(float64(t.Nano()) * rate)
+	}
+	return t.Nano()
+}
+
+// Start joins the fleet, as the checked table says. name is the balancer's, of whose processes each is a life.
+func Start(own fields.Values, name, zone string, acts Acts, log zerolog.Logger) (*Fleet, error) {
+	if err := joining.Check(own, name); err != nil {
+		return nil, err
+	}
+	peers, _ := joining.Peers(own.Word("fleet.peers"))
+	f := &Fleet{name: name, zone: zone, terms: joining.Of(own), behind: own.Duration("fleet.behind"), keepers: joining.Names(own.Word("fleet.keepers")), acts: acts, log: log,
+		came: make(chan []byte, mostCame), changed: make(chan struct{}, 1), waiting: map[string]chan agreed.Outcome{}}
+	var seed [16]byte
+	crand.Read(seed[:])
+	// Later lives have higher numbers: by the system's clock, and by chance within a second.
+	f.life = uint64(time.Now().Unix())<<24 | uint64(binary.LittleEndian.Uint32(seed[:4])&0xffffff)
+	source := rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+	chance := source.IntN // Only called under the lock.
+	if path := own.Word("fleet.trace"); path != "" {
+		var err error
+		if f.trace, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+			return nil, fmt.Errorf("fleet.trace: %w", err)
+		}
+	}
+	f.holder = agreed.NewHolder(Now(), name, f.life, f.terms, f.keepers, f, chance)
+	if slices.Contains(f.keepers, name) {
+		if err := f.keep(own.Word("fleet.state"), chance); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if own.Word("fleet.way") == "gossip" {
+		f.exchange, err = members.OpenGossip(name, own.Word("fleet.listen"), peers, int(own.Count("fleet.rate")), f)
+	} else {
+		f.exchange, err = members.OpenPlain(name, own.Word("fleet.listen"), peers, int(own.Count("fleet.rate")), f)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	log.Info().Str("listen", own.Word("fleet.listen")).Bool("keeper", f.keeper != nil).Dur("t_ms", f.terms.T()).Msg("fleet joined")
+	return f, nil
+}
+
+// keep begins a keeper, with what lasts of it.
+func (f *Fleet) keep(path string, chance func(int) int) (err error) {
+	var records [][]byte
+	var lasting agreed.Lasting = forgets{}
+	if path != "" {
+		f.last, records, err = store.Open(path)
+		switch {
+		case errors.Is(err, store.ErrHeld):
+			// Another process of this balancer keeps, over an upgrade: one keeps at a time.
+			f.log.Info().Msg("another process of this name keeps; this one does not")
+			return nil
+		case errors.Is(err, store.ErrDamaged):
+			f.log.Error().Str("file", path).Msg("what lasted is damaged and was put aside: this keeper learns anew")
+		case err != nil:
+			return fmt.Errorf("fleet.state: %w", err)
+		}
+		lasting = f.last
+	}
+	f.keeper, err = agreed.NewKeeper(Now(), f.name, f.life, f.terms, f.keepers, records, lasting, f, chance)
+	if err != nil {
+		return fmt.Errorf("fleet.state: %w", err)
+	}
+	return nil
+}
+
+// forgets is where a keeper without a disk writes: its life is its state's.
+type forgets struct{}
+
+func (forgets) Add([][]byte) error  { return nil }
+func (forgets) Swap([][]byte) error { return nil }
+
+// Send is how holder and keeper send: to itself by the way that all messages come.
+func (f *Fleet) Send(to string, m *agreed.Message) {
+	bytes := m.Pack()
+	if to == f.name {
+		f.Message(bytes)
+		return
+	}
+	f.exchange.Send(to, bytes)
+}
+
+// Message takes what the exchange hears. It does not wait.
+func (f *Fleet) Message(bytes []byte) {
+	select {
+	case f.came <- bytes:
+	default:
+		f.lost.Add(1)
+	}
+}
+
+// Card takes a member's card: what later lists say of drains is news.
+func (f *Fleet) Card(members.Card) {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run plays the process's part until the context ends.
+func (f *Fleet) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	tell := time.NewTicker(time.Second)
+	defer tell.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			f.exchange.Close()
+			f.mu.Lock()
+			if f.last != nil {
+				f.last.Close()
+			}
+			f.mu.Unlock()
+			return
+		case bytes := <-f.came:
+			f.hear(bytes)
+		case <-timer.C:
+		case <-f.changed:
+			f.gossip()
+		case <-tell.C:
+			f.exchange.Tell(f.card())
+			f.gossip()
+		}
+		timer.Reset(f.look())
+	}
+}
+
+func (f *Fleet) hear(bytes []byte) {
+	m, err := agreed.Unpack(bytes)
+	if err != nil {
+		f.log.Warn().Err(err).Msg("not a message of the fleet")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch now := Now(); {
+	case m.Grant != nil:
+		f.holder.Heard(now, m.Grant)
+	case m.Outcome != nil:
+		if wait := f.waiting[m.Outcome.ID]; wait != nil {
+			select {
+			case wait <- *m.Outcome:
+			default:
+			}
+		}
+	case f.keeper != nil:
+		f.keeper.Heard(now, m)
+	}
+}
+
+// look does what is due, and tells the balancer what to act on if that has changed.
+func (f *Fleet) look() time.Duration {
+	f.mu.Lock()
+	now := Now()
+	f.holder.Look(now)
+	wait := f.holder.Wait(now)
+	if f.keeper != nil {
+		f.keeper.Look(now)
+		wait = min(wait, f.keeper.Wait(now))
+		if err := f.keeper.Broken(); err != nil {
+			f.log.Error().Err(err).Msg("this keeper is silent from now on")
+			f.keeper = nil
+		}
+	}
+	was := f.acting
+	f.acting = f.holder.Acting(now)
+	f.until.Store(f.holder.Until())
+	if f.acting.Leased {
+		wait = min(wait, time.Duration(f.holder.Until()-now))
+	}
+	acting, contrary := f.acting, f.holder.Contrary
+	f.mu.Unlock()
+	if contrary > f.contrary {
+		f.contrary = contrary
+		f.log.Error().Msg("there are two histories: what this process acts on is another's")
+	}
+	if was.Floor != acting.Floor || was.Latest != acting.Latest {
+		f.log.Info().Uint64("floor", acting.Floor).Uint64("latest", acting.Latest).Int("bans", len(acting.Bans)).Msg("acts on")
+		f.acts.Heeds(acting)
+	}
+	if was.Leased != acting.Leased {
+		if acting.Leased {
+			f.log.Info().Uint64("latest", acting.Latest).Msg("under a lease")
+		} else {
+			f.log.Warn().Uint64("latest", acting.Latest).Msg("alone: cut off from the majority, acts on the strictest that it knows")
+		}
+	}
+	return max(wait, time.Millisecond)
+}
+
+// Decides is called before each decision: it looks at the lease. It allocates nothing.
+func (f *Fleet) Decides() (leased bool) {
+	now := Now()
+	if leased = now < f.until.Load(); leased {
+		f.under.Add(1)
+	} else {
+		f.alone.Add(1)
+	}
+	if f.trace != nil {
+		f.traced(now, leased)
+	}
+	return leased
+}
+
+// traced writes on what was decided, for the checker of merged traces.
+func (f *Fleet) traced(now int64, leased bool) {
+	f.mu.Lock()
+	a := f.acting
+	digest := ""
+	if v := f.holder.Versions(); len(v) > 0 {
+		digest = v[len(v)-1].Digest()
+	}
+	f.mu.Unlock()
+	var t unix.Timespec
+	unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	fmt.Fprintf(f.trace, "%d %s %d %d %t %s\n", t.Nano(), f.name, a.Floor, a.Latest, leased, digest)
+}
+
+// card is what this process tells of itself.
+func (f *Fleet) card() members.Card {
+	index, digest, drains := f.acts.List()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cards++
+	return members.Card{Name: f.name, Zone: f.zone, Life: f.life, Seq: f.cards, Keeper: f.keeper != nil, Leads: f.keeper != nil && f.keeper.Leads(),
+		Leased: f.acting.Leased, Floor: f.acting.Floor, Latest: f.acting.Latest, Index: index, Digest: digest, Drains: drains}
+}
+
+// gossip takes from other processes' cards what is strict: drains that this one's list does not have yet.
+func (f *Fleet) gossip() {
+	index, digest, _ := f.acts.List()
+	var cards []agreed.Listed
+	now := time.Now()
+	for _, m := range f.exchange.Members() {
+		if !m.Gone(now) && m.Name != f.name {
+			drains := make([]agreed.Drained, len(m.Drains))
+			for n, d := range m.Drains {
+				drains[n] = agreed.Drained(d)
+			}
+			cards = append(cards, agreed.Listed{Name: m.Name, Index: m.Index, Digest: m.Digest, Drains: drains})
+		}
+	}
+	f.mu.Lock()
+	what := agreed.Compare(index, digest, cards)
+	news := what.News
+	changed := !slices.Equal(news, f.news)
+	f.news = news
+	stale, differs := f.stale, f.differs
+	f.stale, f.differs = what.Behind != "", what.Contrary != ""
+	f.mu.Unlock()
+	if changed {
+		f.acts.Drained(news)
+		f.log.Info().Strs("hosts", news).Msg("drains by others' later lists")
+	}
+	if !stale && what.Behind != "" {
+		f.log.Warn().Uint64("index", index).Str("member", what.Behind).Uint64("its", what.Latest).Msg("list behind another's")
+	}
+	if !differs && what.Contrary != "" {
+		f.log.Warn().Uint64("index", index).Str("member", what.Contrary).Msg("another list under the same index")
+	}
+}
+
+// Propose asks the keepers to accept a change, and waits for their answer.
+func (f *Fleet) Propose(ctx context.Context, c agreed.Change) agreed.Outcome {
+	if err := c.Check(); err != nil {
+		return agreed.Outcome{ID: c.ID, Wrong: err.Error(), Sure: true}
+	}
+	answer := make(chan agreed.Outcome, 1)
+	f.mu.Lock()
+	if len(f.waiting) >= 64 {
+		f.mu.Unlock()
+		return agreed.Outcome{ID: c.ID, Wrong: "too many proposals wait", Sure: true}
+	}
+	f.waiting[c.ID] = answer
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		delete(f.waiting, c.ID)
+		f.mu.Unlock()
+	}()
+	end, again := time.NewTimer(answerIn), time.NewTicker(250*time.Millisecond)
+	defer end.Stop()
+	defer again.Stop()
+	nobody, asked := agreed.Outcome{ID: c.ID, Wrong: "no keeper answered: no majority is heard"}, 0
+	for {
+		f.mu.Lock()
+		to := f.holder.Leader()
+		if to == "" || asked%4 == 3 {
+			to = f.keepers[asked%len(f.keepers)]
+		}
+		f.Send(to, &agreed.Message{From: f.name, Propose: &c})
+		f.mu.Unlock()
+		asked++
+	wait:
+		select {
+		case o := <-answer:
+			if o.Number == 0 && o.Sure && strings.HasPrefix(o.Wrong, "nobody leads") {
+				nobody = o // One may lead in a moment.
+				break wait
+			}
+			return o
+		case <-again.C:
+		case <-end.C:
+			return nobody
+		case <-ctx.Done():
+			return nobody
+		}
+	}
+}
+
+// Status is what the door shows.
+type Status struct {
+	Name     string           `json:"name"`
+	Zone     string           `json:"zone,omitempty"`
+	Leads    string           `json:"leads,omitempty"`
+	Acting   agreed.Acting    `json:"acting"`
+	T        string           `json:"t"`
+	LeaseMS  int64            `json:"lease_left_ms"`
+	Alone    int64            `json:"decisions_alone"`
+	Under    int64            `json:"decisions_under_lease"`
+	Lost     int64            `json:"messages_lost"`
+	Members  []Stands         `json:"members"`
+	News     []string         `json:"drains_by_others,omitempty"`
+	Keeper   *KeeperStands    `json:"keeper,omitempty"`
+	Versions []agreed.Version `json:"versions_that_count"`
+}
+
+// Stands is a member as this process heard of it.
+type Stands struct {
+	members.Card
+	AgoMS int64 `json:"heard_ms_ago"`
+	Gone  bool  `json:"gone"`
+}
+
+// KeeperStands is a keeper's own view.
+type KeeperStands struct {
+	Leads   bool `json:"leads"`
+	Founded bool `json:"founded"`
+	Holders int  `json:"holders"`
+}
+
+// Status tells how things stand.
+func (f *Fleet) Status() Status {
+	list := f.exchange.Members()
+	own := f.card()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := Now()
+	s := Status{Name: f.name, Zone: f.zone, Leads: f.holder.Leader(), Acting: f.holder.Acting(now), T: f.terms.T().Round(time.Millisecond).String(),
+		LeaseMS: max(0, f.holder.Until()-now) / 1e6, Alone: f.alone.Load(), Under: f.under.Load(), Lost: f.lost.Load(), News: f.news,
+		Versions: slices.Clone(f.holder.Versions()), Members: []Stands{{Card: own}}}
+	for _, m := range list {
+		s.Members = append(s.Members, Stands{m.Card, time.Since(m.Heard).Milliseconds(), m.Gone(time.Now())})
+	}
+	if f.keeper != nil {
+		s.Keeper = &KeeperStands{Leads: f.keeper.Leads(), Founded: f.keeper.Founded(), Holders: f.keeper.Holders(now)}
+	}
+	return s
+}
+
+// History is what this process knows of it: a keeper more than others.
+func (f *Fleet) History() []agreed.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.keeper != nil && f.keeper.Founded() {
+		all, _ := f.keeper.History()
+		return slices.Clone(all)
+	}
+	return slices.Clone(f.holder.Versions())
+}
--- /dev/null
+++ b/joining/joining.go
@@ -0,0 +1,144 @@
+// Package joining is what a process is told to be one of a fleet: the table of our own settings, its checks, and the stated times that follow
+// from it. It is small, so that programs without the fleet's parts can read and check the table too.
+package joining
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"hollylever/fields"
+)
+
+const (
+	mostPeers = 1024
+	mostName  = 128
+)
+
+// Part is the table of our own settings that this package has.
+var Part = fields.Part{Table: "fleet", Help: "Being one of a fleet that agrees: bin/hollyfleet only.", Fields: []fields.Field{
+	{Name: "on", Kind: fields.Yes, Default: "false", When: fields.AtStart, Help: "Whether it is."},
+	{Name: "listen", Kind: fields.Text, Default: "", When: fields.AtStart, Help: "Where other processes of the fleet reach this one, ADDRESS:PORT, datagrams and connections."},
+	{Name: "peers", Kind: fields.Text, Default: "", When: fields.AtStart, Help: "Processes named beforehand, this one among them: NAME=ADDRESS:PORT, with commas between."},
+	{Name: "keepers", Kind: fields.Text, Default: "", When: fields.AtStart, Help: "Names of those whose majority accepts versions: one, three, five or seven, the same everywhere."},
+	{Name: "way", Kind: fields.Word, Default: "plain", Words: []string{"plain", "gossip"}, When: fields.AtStart,
+		Help: "Talk to the peers named only, or find others through them."},
+	{Name: "state", Kind: fields.Text, Default: "", When: fields.AtStart, Help: "A keeper's file on a disk that lasts; without one it joins anew after each start."},
+	{Name: "lease", Kind: fields.Duration, Default: "1.8s", Least: "200ms", Most: "1m", When: fields.AtStart, Help: "How long a lease lasts. The same everywhere."},
+	{Name: "rate_error", Kind: fields.Count, Default: "10", Least: "0", Most: "100", When: fields.AtStart,
+		Help: "By how much a clock's rate may be off, in thousandths. The same everywhere."},
+	{Name: "pause", Kind: fields.Duration, Default: "150ms", Least: "0s", Most: "1m", When: fields.AtStart,
+		Help: "What may lie between the look at a lease and the act."},
+	{Name: "rate", Kind: fields.Count, Default: "1000000", Least: "10000", Most: "1000000000", When: fields.AtStart, Help: "Bytes a second that it sends at most."},
+	{Name: "behind", Kind: fields.Duration, Default: "3s", Least: "100ms", Most: "10m", When: fields.AtStart,
+		Help: "How far its list may be behind another's before it says so."},
+	{Name: "trace", Kind: fields.Text, Default: "", When: fields.AtStart, Help: "A file for a line on each decision, for tests."},
+}}
+
+// Of gives the stated times that the values name.
+func Of(own fields.Values) Terms {
+	return Terms{Lease: own.Duration("fleet.lease"), RateError: float64(own.Count("fleet.rate_error")) / 1000, Pause: own.Duration("fleet.pause")}
+}
+
+// Check tells what of the table does not fit together; each error begins with the field.
+func Check(own fields.Values, name string) error {
+	if !own.Yes("fleet.on") {
+		return nil
+	}
+	if err := Of(own).Check(); err != nil {
+		return fmt.Errorf("fleet.%w", err)
+	}
+	peers, err := Peers(own.Word("fleet.peers"))
+	keepers := Names(own.Word("fleet.keepers"))
+	named := func(name string) bool {
+		return slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == name })
+	}
+	switch {
+	case err != nil:
+		return fmt.Errorf("fleet.peers: %w", err)
+	case own.Word("fleet.listen") == "":
+		return errors.New("fleet.listen: missing")
+	case !slices.Contains([]int{1, 3, 5, 7}, len(keepers)):
+		return fmt.Errorf("fleet.keepers: names %d, not one, three, five or seven", len(keepers))
+	case name != "" && !named(name) && own.Word("fleet.way") == "plain":
+		return fmt.Errorf("fleet.peers: %q, this process, is not among them", name)
+	}
+	for n, keeper := range keepers {
+		if slices.Contains(keepers[:n], keeper) {
+			return fmt.Errorf("fleet.keepers: %q stands twice", keeper)
+		}
+		if !named(keeper) {
+			return fmt.Errorf("fleet.keepers: %q is none of the peers", keeper)
+		}
+	}
+	return nil
+}
+
+// Names reads a list of names with commas between.
+func Names(text string) (all []string) {
+	for _, name := range strings.Split(text, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+// Peer is one that is named beforehand.
+type Peer struct{ Name, Address string }
+
+// Peers reads a list of names and addresses: "b1=127.0.0.1:7001, b2=127.0.0.1:7002".
+func Peers(text string) ([]Peer, error) {
+	var peers []Peer
+	for _, part := range strings.Split(text, ",") {
+		if part = strings.TrimSpace(part); part == "" {
+			continue
+		}
+		name, address, is := strings.Cut(part, "=")
+		if !is || name == "" || len(name) > mostName {
+			return nil, fmt.Errorf("%q is not NAME=ADDRESS:PORT", part)
+		}
+		if _, err := net.ResolveUDPAddr("udp", address); err != nil {
+			return nil, fmt.Errorf("%q: %q is not an address and a port", name, address)
+		}
+		if slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == name }) {
+			return nil, fmt.Errorf("%q stands twice", name)
+		}
+		peers = append(peers, Peer{name, address})
+	}
+	if len(peers) > mostPeers {
+		return nil, fmt.Errorf("over %d peers", mostPeers)
+	}
+	return peers, nil
+}
+
+// Terms are the stated times. All processes of a fleet have the same.
+type Terms struct {
+	Lease     time.Duration // on the holder's clock, from when it asked
+	RateError float64       // of any clock
+	Pause     time.Duration // what may lie between the look at a lease and the act
+}
+
+// Outlasts is W: what a granter waits on its own clock, after which a lease is over on any other's.
+func (t Terms) Outlasts() time.Duration {
+	return time.Duration(float64(t.Lease) * (1 + t.RateError) / (1 - t.RateError))
+}
+
+// T is the longest time for which two processes under leases can act on rules that contradict each other.
+func (t Terms) T() time.Duration { return t.Outlasts() + t.Pause }
+
+// Check tells what is wrong with them.
+func (t Terms) Check() error {
+	switch {
+	case t.Lease < 100*time.Millisecond || t.Lease > time.Minute:
+		return fmt.Errorf("lease: %v is not 100ms to 1m", t.Lease)
+	case t.RateError < 0 || t.RateError > 0.1:
+		return fmt.Errorf("rate_error: %v is not 0 to 0.1", t.RateError)
+	case t.Pause < 0 || t.Pause > t.Lease:
+		return fmt.Errorf("pause: %v is not 0s to the lease", t.Pause)
+	}
+	return nil
+}
--- /dev/null
+++ b/joining/proposal.go
@@ -0,0 +1,71 @@
+package joining
+
+import (
+	"bytes"
+	"errors"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"hollylever/fields"
+)
+
+// Proposal is what an operator proposes, as its file has it and as the door takes it.
+type Proposal struct {
+	ID     string           `toml:"-" json:"id"`
+	By     string           `toml:"by" json:"by,omitempty"`
+	Why    string           `toml:"why" json:"why,omitempty"`
+	Base   uint64           `toml:"made_for" json:"made_for,omitempty"`
+	Out    []string         `toml:"out" json:"out,omitempty"`
+	Back   []string         `toml:"back" json:"back,omitempty"`
+	Limits map[string]int64 `toml:"limits" json:"limits,omitempty"`
+	Digest *string          `toml:"settings_digest" json:"settings_digest,omitempty"`
+	Source *string          `toml:"list_of" json:"list_of,omitempty"`
+	From   *uint64          `toml:"list_from" json:"list_from,omitempty"`
+	Leave  []string         `toml:"leave" json:"leave,omitempty"`
+	Return []string         `toml:"return" json:"return,omitempty"`
+}
+
+// Answer is what became of it.
+type Answer struct {
+	ID      string `json:"id"`
+	Version uint64 `json:"version,omitempty"`
+	Wrong   string `json:"wrong,omitempty"`
+	Sure    bool   `json:"sure"`
+}
+
+// ReadProposal reads a file, strictly: a field that is none, or of another kind, is a mistake with its place.
+func ReadProposal(file string, text []byte) (p Proposal, wrong []fields.Mistake) {
+	reader := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	err := reader.Decode(&p)
+	var odd *toml.StrictMissingError
+	var form *toml.DecodeError
+	switch {
+	case err == nil:
+	case errors.As(err, &odd):
+		for _, e := range odd.Errors {
+			line, column := e.Position()
+			field := ""
+			for n, part := range e.Key() {
+				if n > 0 {
+					field += "."
+				}
+				field += part
+			}
+			wrong = append(wrong, fields.Mistake{File: file, Line: line, Column: column, Field: field, Why: "no such field; there are by, why, made_for, out, back, " +
+				"limits, settings_digest, list_of, list_from, leave, return"})
+		}
+	case errors.As(err, &form):
+		line, column := form.Position()
+		field := ""
+		for n, part := range form.Key() {
+			if n > 0 {
+				field += "."
+			}
+			field += part
+		}
+		wrong = append(wrong, fields.Mistake{File: file, Line: line, Column: column, Field: field, Why: form.Error()})
+	default:
+		wrong = append(wrong, fields.Mistake{File: file, Why: err.Error()})
+	}
+	return p, wrong
+}
--- a/operators/door.go
+++ b/operators/door.go
@@ -27,6 +27,8 @@
 	mostHead    = 4 << 10
 	mostBody    = 4 << 10
 	mostID      = 512
+	fleetFor    = 8 * time.Second
+	mostPropose = 64 << 10
 )
 
 // Balancer is what the door asks. No call may wait on clients or hosts.
@@ -38,12 +40,13 @@
 }
 
 // Open listens at the address and answers calls from now on. It gives where it listens.
-func Open(address string, b Balancer) (string, error) {
+// What stands under /fleet is asked of fleet, if there is one.
+func Open(address string, b Balancer, fleet http.Handler) (string, error) {
 	inner, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: door{b}, ReadHeaderTimeout: headFor, ReadTimeout: headFor, WriteTimeout: answerFor,
+	server := &http.Server{Handler: door{b, fleet}, ReadHeaderTimeout: headFor, ReadTimeout: headFor, WriteTimeout: answerFor,
 		MaxHeaderBytes: mostHead, ErrorLog: stdlog.New(io.Discard, "", 0), // Callers' mistakes are answered, not logged.
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, callerOf, c) }}
 	server.SetKeepAlivesEnabled(false)
@@ -51,13 +54,22 @@
 	return inner.Addr().String(), nil
 }
 
-type door struct{ Balancer }
+type door struct {
+	Balancer
+	fleet http.Handler
+}
 
 // ServeHTTP answers a call.
 func (d door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c, is := r.Context().Value(callerOf).(*caller); is {
 		c.whole()
 	}
+	if d.fleet != nil && (r.URL.Path == "/fleet" || strings.HasPrefix(r.URL.Path, "/fleet/")) {
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(fleetFor)) // A proposal waits for a majority.
+		r.Body = http.MaxBytesReader(w, r.Body, mostPropose)
+		d.fleet.ServeHTTP(w, r)
+		return
+	}
 	if r.ContentLength < 0 || r.ContentLength > mostBody {
 		http.Error(w, "no call has a body", http.StatusRequestEntityTooLarge)
 		return
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -116,7 +116,13 @@
 	once      map[string]bool // names ever listed
 	names     []string        // the same, in a ring
 	oldest    int             // in it
-	banned    map[string]bool // names of servers that are out by hand
+	banned    map[string]bool // names of servers that are out, for whatever reason
+	byHand    map[string]bool // of these, by hand
+	byFleet   map[string]bool // by what the fleet agreed on
+	byNews    map[string]bool // by others' later lists
+	decides   func()          // called before each decision; nil: nobody asks
+	mostOpen  int             // retrievals held, as agreed on; 0: nothing is
+	drains    []Drain         // the last ones of the list
 	open      map[string]bool // ids of retrievals that have no final answer yet
 	slots     []slot
 	held      tables.Indices // of retrievals
@@ -260,6 +266,9 @@
 		h := &b.servers[s]
 		if to := names[health]; to != from && !saved {
 			changed = append(changed, h.name, from, to)
+			if health != choice.Ready && from == names[choice.Ready] {
+				b.drained(h.name, b.index)
+			}
 		}
 		h.health, h.goneAt = health, now
 		h.spent = health == choice.Draining || health == choice.Gone && h.spent
--- a/routing/bans.go
+++ b/routing/bans.go
@@ -40,7 +40,7 @@
 func (b *Balancer) Ban(name string, out bool) error {
 	b.mu.Lock()
 	_, there := b.byName[name]
-	listed := there || b.once[name] || b.banned[name]
+	listed := there || b.once[name] || b.byHand[name]
 	b.mu.Unlock()
 	if !listed {
 		return ErrNeverListed
@@ -56,7 +56,7 @@
 	if err != nil || b.bans.file == "" {
 		b.mu.Lock() // A damaged file is made good by what is in force.
 		now = nil
-		for other := range b.banned {
+		for other := range b.byHand {
 			now = append(now, other)
 		}
 		b.mu.Unlock()
@@ -103,14 +103,23 @@
 	}
 }
 
-// lay puts bans over the list: the module hears of what changed as of changes of the list.
-func (b *Balancer) lay(names []string) {
+// lay puts bans by hand over the list.
+func (b *Balancer) lay(names []string) { b.layOver(&b.byHand, names) }
+
+// layOver puts one kind of bans over the list, in place of those of its kind: the module hears of what changed as of changes of the list.
+func (b *Balancer) layOver(kind *map[string]bool, names []string) {
 	var changed []string
 	b.mu.Lock()
+	*kind = map[string]bool{}
+	for _, name := range names {
+		(*kind)[name] = true
+	}
 	before := b.banned
 	b.banned = map[string]bool{}
-	for _, name := range names {
-		b.banned[name] = true
+	for _, names := range []map[string]bool{b.byHand, b.byFleet, b.byNews} {
+		for name := range names {
+			b.banned[name] = true
+		}
 	}
 	now := b.now()
 	b.module.Listing(now, choice.Incremental)
@@ -123,7 +132,14 @@
 	b.module.Listed(now)
 	b.mu.Unlock()
 	for _, name := range changed {
-		b.log.Info().Str("server", name).Bool("out", !before[name]).Msg("server by hand")
+		switch kind {
+		case &b.byHand:
+			b.log.Info().Str("server", name).Bool("out", !before[name]).Msg("server by hand")
+		case &b.byFleet:
+			b.log.Info().Str("server", name).Bool("out", !before[name]).Msg("server by the fleet")
+		default:
+			b.log.Info().Str("server", name).Bool("out", !before[name]).Msg("server by another's list")
+		}
 	}
 }
 
--- /dev/null
+++ b/routing/fleet.go
@@ -0,0 +1,70 @@
+package routing
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"hollylever/choice"
+)
+
+// What a fleet of balancers agrees on, laid over what this one knows. Without a fleet nothing of this is called.
+
+const mostDrains = 64
+
+// Drain is a host that the list called draining or gone, and under which index.
+type Drain struct {
+	Host  string
+	Index uint64
+}
+
+// Decides has f called before each decision, under the lock: it looks at the lease.
+func (b *Balancer) Decides(f func()) {
+	b.mu.Lock()
+	b.decides = f
+	b.mu.Unlock()
+}
+
+func (b *Balancer) deciding() {
+	if b.decides != nil {
+		b.decides()
+	}
+}
+
+// Heeds takes what the fleet agreed on: hosts that are out, and how many retrievals are held at most (0: as the settings say).
+func (b *Balancer) Heeds(out []string, held int) {
+	b.mu.Lock()
+	b.mostOpen = held
+	b.mu.Unlock()
+	b.layOver(&b.byFleet, out)
+}
+
+// News takes what others' later lists call draining or gone.
+func (b *Balancer) News(out []string) { b.layOver(&b.byNews, out) }
+
+// drained remembers a drain of the list, under the lock.
+func (b *Balancer) drained(name string, index uint64) {
+	b.drains = slices.DeleteFunc(b.drains, func(d Drain) bool { return d.Host == name })
+	if b.drains = append(b.drains, Drain{name, index}); len(b.drains) > mostDrains {
+		b.drains = slices.Delete(b.drains, 0, 1)
+	}
+}
+
+// Lists tells the index of the list that is acted on, a digest that tells it from another of that index, and its last drains.
+func (b *Balancer) Lists() (index, digest uint64, drains []Drain) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for s := range b.servers {
+		if h := &b.servers[s]; h.name != "" && h.health != choice.Gone {
+			of := fnv.New64a()
+			of.Write([]byte(h.name))
+			of.Write([]byte{byte(h.health)})
+			digest ^= of.Sum64()
+		}
+	}
+	for _, d := range b.drains { // One that is ready again is no news any more.
+		if s, known := b.byName[d.Host]; !known || b.servers[s].health != choice.Ready {
+			drains = append(drains, d)
+		}
+	}
+	return b.index, digest, drains
+}
--- a/routing/life.go
+++ b/routing/life.go
@@ -45,7 +45,7 @@
 		owner = -1
 	}
 	id := string(words[2])
-	full := b.held.Out() >= b.mostHeld || b.heap+size > b.mostHeap
+	full := b.held.Out() >= b.mostHeld || b.mostOpen > 0 && b.held.Out() >= b.mostOpen || b.heap+size > b.mostHeap
 	if !known || b.open[id] || full {
 		twice := b.open[id]
 		switch {
@@ -71,6 +71,7 @@
 	b.heap += size
 	b.counts[count{"retrievals", none}]++
 	i, told := b.take()
+	b.deciding()
 	b.module.Asked(b.now(), i, patience, w, owner, protocol.Key(words[1]), true, write, predicted)
 	b.mu.Unlock()
 	good()
@@ -162,6 +163,7 @@
 				if n.load != nil {
 					b.module.Reported(now, n.server, n.load)
 				}
+				b.deciding()
 				b.module.Ended(now, i, n.trip, n.server, n.note, outcome, took, b.slots[i].final)
 				b.mu.Unlock()
 			}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -32,7 +32,9 @@
 	return l.Addr().String()
 }
 
-func begin(t *testing.T, most int64) *Balancer { return beginUnder(t, most, tables.Flat(gjson.Parse(settings))) }
+func begin(t *testing.T, most int64) *Balancer {
+	return beginUnder(t, most, tables.Flat(gjson.Parse(settings)))
+}
 
 func beginUnder(t *testing.T, most int64, stated map[string]any) *Balancer {
 	pool := transport.NewPool(8, time.Minute, time.Second)
--- a/cmd/hollylever/asks.go
+++ b/serving/asks.go
@@ -1,6 +1,7 @@
-package main
+package serving
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"hollylever/joining"
 	"hollylever/routing"
 )
 
@@ -37,14 +39,19 @@
 
 // call makes one call. An answer of no is an error that says what the door said.
 func (a *asker) call(method, path string) (string, error) {
+	return a.callWith(method, path, nil, doorFor)
+}
+
+// callWith is a call that has a body, and waits for so long.
+func (a *asker) callWith(method, path string, body []byte, wait time.Duration) (string, error) {
 	if a.door == "" {
 		return "", coded{errors.New("--door: not given, and LB_MGMT is not set"), exitUse}
 	}
-	call, err := http.NewRequest(method, "http://"+a.door+path, nil)
+	call, err := http.NewRequest(method, "http://"+a.door+path, bytes.NewReader(body))
 	if err != nil {
 		return "", coded{fmt.Errorf("--door: %q is not an address and a port", a.door), exitUse}
 	}
-	client := &http.Client{Timeout: doorFor, Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil},
+	client := &http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	answer, err := client.Do(call)
 	if err != nil {
@@ -157,7 +164,8 @@
 		return out.Flush()
 	}})
 	for word, path := range map[string]string{"out": "/cache-hosts/disable/", "back": "/cache-hosts/enable/"} {
-		c.AddCommand(&cobra.Command{Use: word + " ID", Short: map[string]string{"out": "Take a cache host out, whatever discovery lists",
+		byAll, why := false, ""
+		one := &cobra.Command{Use: word + " ID", Short: map[string]string{"out": "Take a cache host out, whatever discovery lists",
 			"back": "Use a cache host again"}[word], Args: cobra.ExactArgs(1),
 			ValidArgsFunction: func(*cobra.Command, []string, string) (ids []string, _ cobra.ShellCompDirective) {
 				all, _ := a.hosts()
@@ -167,6 +175,13 @@
 				return ids, cobra.ShellCompDirectiveNoFileComp
 			},
 			RunE: func(c *cobra.Command, ids []string) error {
+				if byAll {
+					p := joining.Proposal{Out: ids, Why: why}
+					if word == "back" {
+						p.Out, p.Back = nil, ids
+					}
+					return a.propose(c, p)
+				}
 				if _, err := a.call(http.MethodPost, path+url.PathEscape(ids[0])); err != nil {
 					return err
 				}
@@ -175,7 +190,10 @@
 				}
 				fmt.Fprintf(c.OutOrStdout(), "%s is %s\n", ids[0], map[string]string{"out": "out", "back": "in use again"}[word])
 				return nil
-			}})
+			}}
+		one.Flags().BoolVar(&byAll, "fleet", false, "propose it to the fleet: it counts at all balancers")
+		one.Flags().StringVar(&why, "why", "", "with --fleet: why, for the history")
+		c.AddCommand(one)
 	}
 	return c
 }
--- a/cmd/hollylever/cli.go
+++ b/serving/cli.go
@@ -1,4 +1,4 @@
-package main
+package serving
 
 import (
 	"errors"
@@ -7,10 +7,12 @@
 	"os"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"hollylever/fields"
+	"hollylever/joining"
 )
 
 // The codes with which a command ends.
@@ -41,7 +43,7 @@
 	root.SetOut(out)
 	root.SetErr(wrong)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return coded{err, exitUse} })
-	root.AddCommand(serveCommand(), checkCommand(), hostsCommand(), readyCommand(), figuresCommand(), configCommand(), versionCommand())
+	root.AddCommand(serveCommand(), checkCommand(), hostsCommand(), readyCommand(), figuresCommand(), fleetCommand(), configCommand(), versionCommand())
 	for _, c := range append(root.Commands(), root) {
 		noWord(c)
 	}
@@ -92,7 +94,7 @@
 					fmt.Fprintln(c.OutOrStdout(), m)
 				}
 				if len(wrong) == 0 {
-					fmt.Fprintf(c.OutOrStdout(), "%s: good\n", file)
+					fmt.Fprintf(c.OutOrStdout(), "%s: good%s\n", file, stated(file))
 				}
 				bad += len(wrong)
 			}
@@ -110,8 +112,15 @@
 		return []fields.Mistake{{File: file, Why: err.Error()}}
 	}
 	if begins := strings.TrimLeft(string(text[:min(len(text), 64)]), " \t\r\n\ufeff"); !strings.HasSuffix(file, ".json") && !strings.HasPrefix(begins, "{") {
-		_, wrong := fields.Parse(file, text, parts)
-		return wrong
+		own, wrong := fields.Parse(file, text, parts)
+		if len(wrong) > 0 {
+			return wrong
+		}
+		if err := joining.Check(own, ""); err != nil {
+			field, why, _ := strings.Cut(err.Error(), ": ")
+			return []fields.Mistake{{File: file, Field: field, Why: why}}
+		}
+		return nil
 	}
 	_, wrong := examine(file, text, func(string) string { return "" })
 	for n := range wrong {
@@ -122,6 +131,15 @@
 	return wrong
 }
 
+// stated tells T, the longest time for which two processes under leases can contradict each other, where a file has a fleet.
+func stated(file string) string {
+	own, wrong := fields.Read(file, parts)
+	if len(wrong) > 0 || !own.Yes("fleet.on") {
+		return ""
+	}
+	return fmt.Sprintf("; T is %v", joining.Of(own).T().Round(time.Millisecond))
+}
+
 func configCommand() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Show what hollylever's own settings may hold"}
 	c.AddCommand(&cobra.Command{Use: "example", Short: "Print a file with every field at its default", Args: cobra.NoArgs,
--- a/cmd/hollylever/cli_test.go
+++ b/serving/cli_test.go
@@ -1,4 +1,4 @@
-package main
+package serving
 
 import (
 	"bytes"
@@ -160,7 +160,7 @@
 
 // The example that comes along is what the program itself would print.
 func TestExampleIsTheProgramsOwn(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/hollylever.toml")
+	text, err := os.ReadFile("../deploy/hollylever.toml")
 	if err != nil || string(text) != fields.Example(parts) {
 		t.Errorf("deploy/hollylever.toml: %v; hollylever config example > deploy/hollylever.toml mends it", err)
 	}
--- a/cmd/hollylever/helper_test.go
+++ b/serving/helper_test.go
@@ -1,4 +1,4 @@
-package main
+package serving
 
 import (
 	"bufio"
@@ -28,7 +28,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
-		main()
+		Main(nil)
 		os.Exit(0)
 	}
 	os.Exit(m.Run())
--- a/cmd/hollylever/kin.go
+++ b/serving/kin.go
@@ -1,4 +1,4 @@
-package main
+package serving
 
 import (
 	"context"
--- a/cmd/hollylever/lines.go
+++ b/serving/lines.go
@@ -1,4 +1,4 @@
-package main
+package serving
 
 // line is one that can be logged: its message, and its fields beside time, level, balancer and message. The summary has, besides, a field
 // for each thing that happened.
@@ -19,6 +19,20 @@
 	{"counts at the next start", []string{"field"}},
 	{"accept failed", []string{"error"}},
 	{"server by hand", []string{"server", "out"}},
+	{"server by the fleet", []string{"server", "out"}},
+	{"server by another's list", []string{"server", "out"}},
+	{"fleet joined", []string{"listen", "keeper", "t_ms"}},
+	{"another process of this name keeps; this one does not", nil},
+	{"what lasted is damaged and was put aside: this keeper learns anew", []string{"file"}},
+	{"this keeper is silent from now on", []string{"error"}},
+	{"not a message of the fleet", []string{"error"}},
+	{"there are two histories: what this process acts on is another's", nil},
+	{"acts on", []string{"floor", "latest", "bans"}},
+	{"under a lease", []string{"latest"}},
+	{"alone: cut off from the majority, acts on the strictest that it knows", []string{"latest"}},
+	{"drains by others' later lists", []string{"hosts"}},
+	{"list behind another's", []string{"index", "member", "its"}},
+	{"another list under the same index", []string{"index", "member"}},
 	{"bans not taken", []string{"error"}},
 	{"recalled", []string{"servers", "keys", "ago_ms"}},
 	{"not recalled", []string{"error"}},
--- a/cmd/hollylever/lines_test.go
+++ b/serving/lines_test.go
@@ -1,4 +1,4 @@
-package main
+package serving
 
 import (
 	"go/ast"
@@ -15,7 +15,7 @@
 // logged finds each line that the sources log: its message, and the fields that are named in the same chain of calls.
 func logged(t *testing.T) map[string][]string {
 	found := map[string][]string{}
-	for _, place := range []string{".", "../../routing", "../../watch", "../../operators", "../../transport", "../../kin", "../../learnt"} {
+	for _, place := range []string{".", "../routing", "../watch", "../operators", "../transport", "../kin", "../learnt", "../fleet"} {
 		files, err := filepath.Glob(filepath.Join(place, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatal(place, err)
@@ -73,7 +73,7 @@
 // What can be logged is listed, and on-call staff are told of each line and each of its fields.
 func TestLinesAreListedAndTold(t *testing.T) {
 	var told string
-	for _, page := range []string{"../../docs/oncall.md", "../../docs/upgrades.md"} {
+	for _, page := range []string{"../docs/oncall.md", "../docs/upgrades.md", "../docs/fleet.md"} {
 		text, err := os.ReadFile(page)
 		if err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/serving/main.go
@@ -0,0 +1,292 @@
+// Package serving is one real balancer: clients in front, cache hosts behind, the decision module between; and the commands of people.
+// cmd/hollylever is this alone; cmd/hollyfleet hands in what makes it one of a fleet.
+package serving
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollylever/fields"
+	"hollylever/joining"
+	"hollylever/kin"
+	"hollylever/learnt"
+	"hollylever/operators"
+	"hollylever/routing"
+	"hollylever/transport"
+	"hollylever/watch"
+)
+
+const (
+	reserve    = 32                     // descriptors that are for neither clients nor hosts
+	stragglers = 500 * time.Millisecond // after SIGTERM clients go on coming and asking for so long
+	lastAnswer = 600 * time.Millisecond // and the longest hard stop: all have ended so long after it
+	cutFor     = 50 * time.Millisecond  // before that: what is still on its way then is cut off
+	sweepEvery = 50 * time.Millisecond
+	flushFor   = 100 * time.Millisecond // for them at the end
+)
+
+// Fleet is what makes a balancer one of a fleet.
+type Fleet interface {
+	Run(context.Context)
+	http.Handler // for the operators' door
+}
+
+// Join joins a fleet, as the checked table of our own settings says.
+type Join func(own fields.Values, name, zone string, b *routing.Balancer, log zerolog.Logger) (Fleet, error)
+
+var joins Join // nil: this program is built without
+
+// Main is the program.
+func Main(join Join) {
+	joins = join
+	if len(os.Args) > 1 {
+		os.Exit(commands(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	if err := serve(os.Getenv("LB_EXTRA")); err != nil { // As the platform starts it: nothing of the commands is made.
+		fmt.Fprintln(os.Stderr, "hollylever:", err)
+		os.Exit(1)
+	}
+}
+
+// serve is the balancer, until SIGTERM. ours names a file of our own settings, if any.
+func serve(ours string) error {
+	stop, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(again, syscall.SIGHUP) // First of all: uncaught it ends the program.
+	told, err := read(false)
+	if err != nil {
+		return err
+	}
+	own, err := extra(ours)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(told.cores)))
+	memory := int64(told.memory * (1 << 20))
+	all, hosts := kin.Amount{Memory: memory}, (told.sockets-reserve)/2
+	front := told.sockets - reserve - hosts
+	if told.inherited >= 0 {
+		memory /= 2 // Guards against two processes over an upgrade, whose memory counts together.
+		hosts, front = hosts-reserve/2, front-reserve/2
+		all.Clients, all.Hosts = int64(front), int64(hosts)
+	}
+	debug.SetMemoryLimit(memory * 7 / 10)
+	debug.SetGCPercent(int(min(400, max(50, memory>>20)))) // A small machine collects sooner.
+	log, wrote, flush := logging(own, told.name)
+	defer flush()
+	idle, _ := told.settings["allowed.connIdle"].(float64)
+	dial, _ := told.settings["allowed.dialTimeout"].(float64)
+	pool := transport.NewPool(hosts, time.Duration(idle*1e6*0.7), time.Duration(dial*1e6))
+	bans, left := "", "" // Without a place of their own they last as long as the process.
+	var before *learnt.Snapshot
+	var family *kin.Kin // nil: nobody else can be there, or nothing is known of others
+	if place := os.Getenv("TMPDIR"); place != "" {
+		bans = filepath.Join(place, "hollylever.bans")
+		if told.inherited >= 0 {
+			if family, err = kin.Join(place, all); err != nil {
+				log.Warn().Err(err).Msg("kin not joined")
+			}
+		}
+		if own.Yes("learnt.on") {
+			left = filepath.Join(place, "hollylever.learnt")
+			at := learnt.File{Path: left}
+			if before, err = at.Read(told.name, routing.Fingerprint(told.settings), time.Now(), own.Duration("learnt.lasts")); err != nil {
+				log.Warn().Err(err).Msg("not recalled")
+			}
+		}
+	}
+	balancer, err := routing.New(told.settings, told.known, told.discovery, told.seed, pool, memory/6, bans, before, log)
+	if err != nil {
+		return fmt.Errorf("%s: known: %w", told.file, err)
+	}
+	var listener *transport.Listener
+	if told.inherited >= 0 {
+		if listener, err = transport.Inherit(told.inherited, front); err != nil {
+			return fmt.Errorf("LB_LISTEN_FD: %w", err)
+		}
+	} else if listener, err = transport.Listen(told.listen, front); err != nil {
+		return fmt.Errorf("%s: listen: %w", told.file, err)
+	}
+	listener.Budget = transport.NewBudget(memory / 6)
+	listener.Odd = func(err error) { log.Warn().Err(err).Msg("accept failed") }
+
+	limits := limited{listener, pool, balancer}
+	if family != nil {
+		limits.join(family)
+	}
+	var fleet Fleet
+	if own.Yes("fleet.on") {
+		if joins == nil {
+			return errors.New("fleet.on: this program is built without; start hollyfleet in its place")
+		}
+		if err := joining.Check(own, told.name); err != nil {
+			return fmt.Errorf("%s: %w", ours, err)
+		}
+		zone, _ := told.settings["zone"].(string)
+		if fleet, err = joins(own, told.name, zone, balancer, log); err != nil {
+			return fmt.Errorf("%s: %w", ours, err)
+		}
+	}
+	mgmt := "" // No door for operators.
+	if told.mgmt != "" {
+		var asks http.Handler
+		if fleet != nil {
+			asks = fleet
+		}
+		if mgmt, err = operators.Open(told.mgmt, balancer, asks); err != nil {
+			return fmt.Errorf("%s: mgmt: %w", told.file, err)
+		}
+	}
+
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	still := watch.New(balancer.Lock(), log, wrote)
+	still.Over(own.Duration("watch.over"))
+	listener.InHand = &still.Accept
+	if own.Yes("watch.on") {
+		go still.Run(ctx)
+	}
+	go listener.Serve(balancer.Serve)
+	balancer.Takes(true)
+	if family != nil {
+		family.Now(kin.Serving)
+		go limits.share(ctx, family, log)
+	}
+	every := make(chan time.Duration, 1)
+	if left != "" {
+		every <- own.Duration("learnt.every")
+		go keep(ctx, balancer.Keeper(left, told.name), family, every, log)
+	}
+	if fleet != nil {
+		gone := make(chan struct{})
+		go func() { fleet.Run(ctx); close(gone) }()
+		defer func() { end(); <-gone }()
+	}
+	go balancer.Follow(ctx)
+	go balancer.FollowBans(ctx)
+	log.Info().Str("listen", listener.Address()).Str("mgmt", mgmt).Int("clients", front).Int("hosts", hosts).
+		Int64("memory_mb", int64(told.memory)).Msg("serving")
+
+	hardStop := longest(told.settings)
+	var spent watch.Spent
+	summarize := func() {
+		cpu, collections := spent.Since()
+		balancer.Summary(listener.Count(), cpu, collections)
+	}
+	sweep, summary := time.NewTicker(sweepEvery), time.NewTicker(own.Duration("log.summary"))
+	for {
+		select {
+		case <-sweep.C:
+			pool.Sweep()
+			listener.Sweep()
+		case <-summary.C:
+			summarize()
+		case <-again:
+			now, err := read(true)
+			newer, wrong := extra(ours)
+			if err == nil {
+				err = wrong
+			}
+			if err != nil {
+				log.Warn().Err(err).Msg("configuration not taken") // What is in force stays.
+				continue
+			}
+			log.Info().Str("discovery", now.discovery).Str("before", told.discovery).Msg("configuration read again")
+			if now.discovery != told.discovery {
+				balancer.Move(now.discovery)
+			}
+			now.inherited = told.inherited
+			told = now
+			for _, name := range fields.Changed(parts, own, newer, fields.AtStart) {
+				log.Info().Str("field", name).Msg("counts at the next start")
+			}
+			for _, name := range fields.Changed(parts, own, newer, fields.AtOnce) {
+				log.Info().Str("field", name).Msg("counts from now on")
+			}
+			own = newer
+			zerolog.SetGlobalLevel(levels[own.Word("log.level")])
+			still.Over(own.Duration("watch.over"))
+			summary.Reset(own.Duration("log.summary"))
+			select {
+			case every <- own.Duration("learnt.every"):
+			default: // Nobody keeps anything, or the last change is not taken up yet; SIGHUP again.
+			}
+		case <-stop:
+			balancer.Takes(false)
+			if family != nil {
+				family.Now(kin.Leaving)
+			}
+			log.Info().Int("clients", listener.Count()).Msg("stopping")
+			until := time.Now().Add(lastAnswer + hardStop)
+			listener.Last()
+			if told.inherited >= 0 {
+				listener.Leave() // Whoever else holds the socket goes on accepting.
+			}
+			time.Sleep(stragglers)
+			pool.Fade()
+			all, cut := listener.Close(until.Add(-cutFor)), 0
+			if !all { // A stream, or a client that does not read: its time is over.
+				cut = listener.Cut(cutFor)
+			}
+			summarize()
+			log.Info().Bool("all_answered", all).Int("cut_off", cut).Msg("stopped")
+			return nil
+		}
+	}
+}
+
+// keep has what was learnt written down while it serves, so that a process that is killed leaves it too.
+func keep(ctx context.Context, keeper *routing.Keeper, family *kin.Kin, every <-chan time.Duration, log zerolog.Logger) {
+	odd, tick := false, time.NewTicker(time.Hour)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case span := <-every:
+			tick.Reset(span)
+			continue
+		case <-tick.C:
+		}
+		if family != nil && !family.Writes() {
+			continue // Another process knows more.
+		}
+		err := keeper.Keep()
+		if err != nil && !errors.Is(err, learnt.ErrTaken) && !odd {
+			log.Warn().Err(err).Msg("not kept") // Once for a run of them.
+		}
+		odd = err != nil
+	}
+}
+
+// flushed writes what the log still holds, for a moment: whoever should read it may be gone.
+func flushed(out io.Closer) {
+	done := make(chan struct{})
+	go func() { out.Close(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(flushFor):
+	}
+}
+
+// longest is the longest hard stop of all workloads.
+func longest(settings map[string]any) time.Duration {
+	most, count := 0.0, settings["workloads"].(float64)
+	for i := range int(count) {
+		stop, _ := settings["workloads."+strconv.Itoa(i)+".hardStop"].(float64)
+		most = max(most, stop)
+	}
+	return time.Duration(most * 1e6)
+}
--- a/cmd/hollylever/parts.go
+++ b/serving/parts.go
@@ -1,4 +1,4 @@
-package main
+package serving
 
 import (
 	"io"
@@ -8,12 +8,13 @@
 	"github.com/rs/zerolog/diode"
 
 	"hollylever/fields"
+	"hollylever/joining"
 	"hollylever/learnt"
 	"hollylever/watch"
 )
 
 // parts are all that our own settings file may hold.
-var parts = []fields.Part{logPart, watch.Part, learnt.Part}
+var parts = []fields.Part{logPart, watch.Part, learnt.Part, joining.Part}
 
 var logPart = fields.Part{Table: "log", Help: "The log, on standard error.", Fields: []fields.Field{
 	{Name: "level", Kind: fields.Word, Default: "info", Words: []string{"debug", "info", "warn", "error"}, When: fields.AtOnce,
--- /dev/null
+++ b/store/log.go
@@ -0,0 +1,184 @@
+// Package store keeps records over a crash: one file, each record with its length and checksum. What Add was given is on the disk when it
+// returns; Swap writes a new file aside and renames it. A file that ends amid a record lost the end of an Add that never returned, and is cut
+// there; anything else that does not fit is damage, and is said so: nothing of it may be trusted.
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+const (
+	magic      = "hlkeep1\n"
+	headOf     = 8
+	mostRecord = 4 << 20
+	mostFile   = 256 << 20
+)
+
+// ErrDamaged: the file is not what this package wrote.
+var ErrDamaged = errors.New("damaged: nothing of it is taken")
+
+// ErrHeld: another process has the file.
+var ErrHeld = errors.New("held by another process")
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Log is an open file of records. One caller at a time.
+type Log struct {
+	path string
+	file *os.File
+	lock *os.File
+}
+
+// Open opens or makes a file and gives the records in it. With ErrDamaged it gives a log all the same: its first Swap or Add begins anew, and
+// what was there is kept aside.
+func Open(path string) (*Log, [][]byte, error) {
+	lock, err := os.OpenFile(path+".lock", os.O_CREATE|os.O_RDWR|syscall.O_CLOEXEC, 0o600)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, nil, ErrHeld
+	}
+	l := &Log{path: path, lock: lock}
+	bytes, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		l.Close()
+		return nil, nil, err
+	}
+	records, whole, bad := parse(bytes)
+	if bad != nil {
+		if err := os.Rename(path, path+".damaged"); err != nil {
+			l.Close()
+			return nil, nil, err
+		}
+		bytes, whole = nil, 0
+	}
+	if l.file, err = os.OpenFile(path, os.O_CREATE|os.O_RDWR|syscall.O_CLOEXEC, 0o600); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	if whole == 0 {
+		if err = l.Swap(nil); err != nil {
+			l.Close()
+			return nil, nil, err
+		}
+		return l, nil, bad
+	}
+	if whole < len(bytes) {
+		err = l.file.Truncate(int64(whole))
+	}
+	if err == nil {
+		_, err = l.file.Seek(int64(whole), 0)
+	}
+	if err == nil {
+		err = l.file.Sync()
+	}
+	if err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	return l, records, bad
+}
+
+// parse gives the records, and up to where the file is whole.
+func parse(bytes []byte) (records [][]byte, whole int, bad error) {
+	if len(bytes) < len(magic) {
+		if string(bytes) != magic[:len(bytes)] {
+			return nil, 0, ErrDamaged
+		}
+		return nil, 0, nil // Its making was cut short.
+	}
+	if string(bytes[:len(magic)]) != magic || len(bytes) > mostFile {
+		return nil, 0, ErrDamaged
+	}
+	for at := len(magic); ; {
+		whole = at
+		if len(bytes)-at < headOf {
+			return records, whole, nil
+		}
+		size := int(binary.LittleEndian.Uint32(bytes[at:]))
+		if size > mostRecord {
+			return nil, 0, ErrDamaged
+		}
+		if len(bytes)-at-headOf < size {
+			return records, whole, nil
+		}
+		body := bytes[at+headOf : at+headOf+size]
+		if crc32.Checksum(body, table) != binary.LittleEndian.Uint32(bytes[at+4:]) {
+			return nil, 0, ErrDamaged
+		}
+		records = append(records, body)
+		at += headOf + size
+	}
+}
+
+func frame(out []byte, records [][]byte) ([]byte, error) {
+	for _, r := range records {
+		if len(r) > mostRecord {
+			return nil, fmt.Errorf("a record of %d bytes", len(r))
+		}
+		out = binary.LittleEndian.AppendUint32(out, uint32(len(r)))
+		out = binary.LittleEndian.AppendUint32(out, crc32.Checksum(r, table))
+		out = append(out, r...)
+	}
+	return out, nil
+}
+
+// Add puts records at the end, in one write, and waits for the disk.
+func (l *Log) Add(records [][]byte) error {
+	bytes, err := frame(nil, records)
+	if err != nil {
+		return err
+	}
+	if _, err := l.file.Write(bytes); err != nil {
+		return err
+	}
+	return l.file.Sync()
+}
+
+// Swap puts records in the place of all that were there.
+func (l *Log) Swap(records [][]byte) error {
+	bytes, err := frame([]byte(magic), records)
+	if err != nil {
+		return err
+	}
+	aside, err := os.OpenFile(l.path+".new", os.O_CREATE|os.O_RDWR|os.O_TRUNC|syscall.O_CLOEXEC, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err = aside.Write(bytes); err == nil {
+		err = aside.Sync()
+	}
+	if err == nil {
+		err = os.Rename(l.path+".new", l.path)
+	}
+	if err != nil {
+		aside.Close()
+		return err
+	}
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.file = aside
+	dir, err := os.Open(filepath.Dir(l.path))
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return dir.Sync()
+}
+
+// Close lets another process have the file.
+func (l *Log) Close() {
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.lock.Close()
+}
--- a/watch/judge.go
+++ b/watch/judge.go
@@ -1,4 +1,4 @@
-// Package watch notices that the program stood still, and says why. cmd/hollylever starts it; what it looks at (the
+// Package watch notices that the program stood still, and says why. serving starts it; what it looks at (the
 // module's lock, accepts, writes of the log) is handed in as marks and a lock. While all is well it costs a
 // wake-up every 25 ms and some readings of the kernel's and the runtime's counts every 100 ms, nothing a retrieval.
 //
