--- a/serving/cli_test.go
+++ b/serving/cli_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -165,3 +167,65 @@
 		t.Errorf("deploy/hollylever.toml: %v; hollylever config example > deploy/hollylever.toml mends it", err)
 	}
 }
+
+// Without a table fleet nothing listens but what the platform asked for; with one, this program says that it is built without.
+func TestNoFleetHere(t *testing.T) {
+	t.Parallel()
+	p := start(t, list(1, true), nil)
+	listens, datagrams := 0, 0
+	inodes := map[string]bool{}
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.cmd.Process.Pid))
+	for _, file := range files {
+		if at, err := os.Readlink(file); err == nil {
+			if inode, is := strings.CutPrefix(at, "socket:["); is {
+				inodes[strings.TrimSuffix(inode, "]")] = true
+			}
+		}
+	}
+	for _, table := range []string{"tcp", "tcp6", "udp", "udp6"} {
+		text, _ := os.ReadFile("/proc/net/" + table)
+		for _, line := range strings.Split(string(text), "\n") {
+			if f := strings.Fields(line); len(f) > 9 && inodes[f[9]] {
+				if strings.HasPrefix(table, "udp") {
+					datagrams++
+				} else if f[3] == "0A" {
+					listens++
+				}
+			}
+		}
+	}
+	if listens != 1 || datagrams != 0 {
+		t.Errorf("%d sockets listen, %d are for datagrams", listens, datagrams)
+	}
+	own := filepath.Join(t.TempDir(), "own.toml")
+	os.WriteFile(own, []byte("[fleet]\non = true\nlisten = \"127.0.0.1:1\"\npeers = \"n=127.0.0.1:1\"\nkeepers = \"n\"\n"), 0o600)
+	cmd := programWith(fileWith(t, map[string]any{"known": json.RawMessage(list(1, true))}), "LB_EXTRA="+own)
+	out, err := cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "fleet.on: this program is built without") || strings.Count(string(out), "\n") != 1 {
+		t.Errorf("%v, %q", err, out)
+	}
+}
+
+// A table fleet that does not fit together is a mistake that names its field.
+func TestFleetIsChecked(t *testing.T) {
+	t.Parallel()
+	good := "[fleet]\non = true\nlisten = \"127.0.0.1:1\"\npeers = \"a=127.0.0.1:1, b=127.0.0.1:2, c=127.0.0.1:3\"\nkeepers = \"a, b, c\"\n"
+	file := filepath.Join(t.TempDir(), "own.toml")
+	for want, text := range map[string]string{
+		"good; T is 1.986s":            good,
+		"fleet.keepers: names 2":       strings.Replace(good, "a, b, c\"\n", "a, b\"\n", 1),
+		"fleet.keepers: \"d\" is none": strings.Replace(good, "a, b, c\"\n", "a, b, d\"\n", 1),
+		"fleet.peers: \"a\" stands":    strings.Replace(good, "b=127", "a=127", 1),
+		"fleet.peers: \"b 127":         strings.Replace(good, "b=127", "b 127", 1),
+		"fleet.listen: missing":        strings.Replace(good, "127.0.0.1:1\"\npeers", "\"\npeers", 1),
+		"fleet.pause: ":                good + "pause = \"1m\"\n",
+		"fleet.lease: is not":          good + "lease = \"1h\"\n",
+	} {
+		os.WriteFile(file, []byte(text), 0o600)
+		var out bytes.Buffer
+		commands([]string{"check", file}, &out, io.Discard)
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q, not %q", out.String(), want)
+		}
+	}
+}
