Upgrades of a fleet's processes: one member, bans from the first retrieval on; two sides of a cut

A second process of a balancer acts on what the first left under TMPDIR, alone, and joins (and keeps, if it is a keeper) when the place is free.

--- a/cmd/hollyfleet/fleet_test.go
+++ b/cmd/hollyfleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -173,6 +174,87 @@
 	})
 }
 
+// TestUpgrades: every balancer is upgraded amid proposals. The new process has the bans from its first retrieval on, and is one member with
+// the old one: it joins, and keeps, when that has gone.
+func TestUpgrades(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 5, 5, 3, nil)
+	w.agree(1)
+	if a, err := w.procs[0].propose(joining.Proposal{ID: "first", Out: []string{"h"}}); err != nil || a.Version != 2 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	w.agree(2)
+	version := uint64(2)
+	for n, old := range w.procs {
+		next := *old
+		next.listen, next.door = free(t), free(t)
+		w.start(&next)
+		until(t, "the new process", func() bool {
+			s, err := next.status()
+			return err == nil && s.Acting.Latest >= version && slices.Contains(s.Acting.Bans, "h")
+		})
+		a := joining.Answer{}
+		until(t, "a version amid the upgrade", func() bool {
+			var err error
+			a, err = w.procs[(n+1)%5].propose(joining.Proposal{ID: fmt.Sprint("u", n), Out: []string{fmt.Sprint("u", n)}})
+			return err == nil && a.Version != 0
+		})
+		version = a.Version
+		old.cmd.Process.Signal(syscall.SIGTERM)
+		old.cmd.Wait()
+		w.procs[n] = &next
+		w.agree(version)
+	}
+	if worst, wrong := check(w.trace(), terms.Pause); wrong != "" || worst > terms.T() {
+		t.Errorf("longest contradiction %v; %s", worst, wrong)
+	}
+	if s, err := w.procs[4].status(); err != nil || len(s.Acting.Bans) != 6 {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
+
+// TestBothSidesOfACut: two operators on both sides of a cut propose what contradicts the other, made for the same version, three times in
+// a second. One side has a majority: its proposals count, the other's do not, then or later.
+func TestBothSidesOfACut(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 6, 5, 3, nil)
+	w.agree(1)
+	s, _ := w.procs[3].status()
+	leads := slices.IndexFunc(w.procs, func(p *process) bool { return p.name == s.Leads })
+	few := []int{leads, 3} // Who leads is on the side of the few.
+	w.faults(func(i, j int) between.Faults {
+		return between.Faults{Cut: slices.Contains(few, i) != slices.Contains(few, j)}
+	})
+	lost := make(chan joining.Answer, 3)
+	for n := range 3 {
+		go func() {
+			a, _ := w.procs[3].propose(joining.Proposal{ID: fmt.Sprint("few", n), Back: []string{"h"}, Out: []string{fmt.Sprint("few", n)}})
+			lost <- a
+		}()
+	}
+	for n := range 3 {
+		until(t, "a version on the side of the many", func() bool {
+			a, err := w.procs[4].propose(joining.Proposal{ID: fmt.Sprint("many", n), Out: []string{fmt.Sprint("many", n)}})
+			return err == nil && a.Version != 0
+		})
+	}
+	for range 3 {
+		if a := <-lost; a.Version != 0 {
+			t.Errorf("the few had %+v accepted", a)
+		}
+	}
+	w.heal()
+	w.agree(4)
+	for _, p := range w.procs {
+		if s, err := p.status(); err != nil || !slices.Equal(s.Acting.Bans, []string{"many0", "many1", "many2"}) {
+			t.Errorf("%s acts on %+v, %v", p.name, s.Acting, err)
+		}
+	}
+	if worst, wrong := check(w.trace(), terms.Pause); wrong != "" || worst > terms.T() {
+		t.Errorf("longest contradiction %v; %s", worst, wrong)
+	}
+}
+
 // TestNoMajority: a proposal without a majority is answered within 5 s, and is not in force afterwards; what is strict stays.
 func TestNoMajority(t *testing.T) {
 	t.Parallel()
--- a/cmd/hollyfleet/rig_test.go
+++ b/cmd/hollyfleet/rig_test.go
@@ -117,6 +117,9 @@
 		own := fmt.Sprintf("[log]\nlevel = \"info\"\n[watch]\non = false\n[fleet]\non = true\nlisten = %q\npeers = %q\nkeepers = %q\nstate = %q\nlease = %q\nrate_error = 10\n"+
 			"pause = %q\ntrace = %q\n", addresses[i], strings.Join(peers, ", "), strings.Join(names[:keepers], ", "), filepath.Join(w.dir, p.name+".state"),
 			terms.Lease, terms.Pause, filepath.Join(w.dir, p.name+".trace"))
+		if err := os.Mkdir(filepath.Join(w.dir, p.name), 0o700); err != nil {
+			t.Fatal(err)
+		}
 		for file, text := range map[string]string{p.config: config, p.own: own} {
 			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 				t.Fatal(err)
@@ -141,8 +144,8 @@
 	}
 	defer log.Close()
 	p.cmd = exec.Command(os.Args[0])
-	p.cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+p.config, "LB_EXTRA="+p.own, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=", "LB_MGMT=", "TMPDIR=",
-		fmt.Sprint(clockOff, "=", p.clock))
+	p.cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+p.config, "LB_EXTRA="+p.own, "LB_LISTEN="+p.listen, "LB_DISCOVERY=", "LB_NAME=",
+		"LB_MGMT="+p.door, "TMPDIR="+filepath.Join(w.dir, p.name), fmt.Sprint(clockOff, "=", p.clock))
 	p.cmd.Stderr = log
 	if err := p.cmd.Start(); err != nil {
 		w.t.Fatal(err)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -51,6 +52,9 @@
 	alone      atomic.Int64 // decisions without a lease
 	under      atomic.Int64 // and under one
 	trace      *os.File
+	left       string // where the next process finds what this one acts on; "": nowhere
+	join       func() error
+	keeps      func() error
 
 	mu       sync.Mutex
 	holder   *agreed.Holder
@@ -66,8 +70,9 @@
 }
 
 const (
-	mostCame = 4096
-	answerIn = 4900 * time.Millisecond // an operator has some answer to a proposal within 5 s
+	mostCame  = 4096
+	joinEvery = 50 * time.Millisecond
+	answerIn  = 4900 * time.Millisecond // an operator has some answer to a proposal within 5 s
 )
 
 // rate is 1 but where a test has clocks that are off.
@@ -108,20 +113,48 @@
 			return nil, fmt.Errorf("fleet.trace: %w", err)
 		}
 	}
+	if place := os.Getenv("TMPDIR"); place != "" {
+		f.left = filepath.Join(place, "hollylever.fleet")
+	}
 	f.holder = agreed.NewHolder(Now(), name, f.life, f.terms, f.keepers, f, chance)
-	if slices.Contains(f.keepers, name) {
-		if err := f.keep(own.Word("fleet.state"), chance); err != nil {
-			return nil, err
+	f.recall()
+	f.join = func() error {
+		if f.exchange != nil {
+			return nil
+		}
+		open := func() (members.Exchange, error) {
+			return members.OpenPlain(name, own.Word("fleet.listen"), peers, int(own.Count("fleet.rate")), f)
+		}
+		if own.Word("fleet.way") == "gossip" {
+			open = func() (members.Exchange, error) {
+				return members.OpenGossip(name, own.Word("fleet.listen"), peers, int(own.Count("fleet.rate")), f)
+			}
+		}
+		exchange, err := open()
+		if err != nil {
+			return fmt.Errorf("fleet.listen: %w", err)
 		}
+		f.mu.Lock()
+		f.exchange = exchange
+		f.mu.Unlock()
+		return nil
 	}
-	var err error
-	if own.Word("fleet.way") == "gossip" {
-		f.exchange, err = members.OpenGossip(name, own.Word("fleet.listen"), peers, int(own.Count("fleet.rate")), f)
-	} else {
-		f.exchange, err = members.OpenPlain(name, own.Word("fleet.listen"), peers, int(own.Count("fleet.rate")), f)
+	f.keeps = func() error {
+		if f.keeper != nil || !slices.Contains(f.keepers, name) {
+			return nil
+		}
+		return f.keep(own.Word("fleet.state"), chance)
+	}
+	// Over an upgrade the process before this one still has the place, and may keep: the two are one member. This one acts alone, on
+	// what the other left, until it has gone.
+	switch err := f.join(); {
+	case errors.Is(err, unix.EADDRINUSE):
+		log.Info().Msg("another process of this name is in the fleet; this one joins when it has gone")
+	case err != nil:
+		return nil, err
 	}
-	if err != nil {
-		return nil, fmt.Errorf("fleet.listen: %w", err)
+	if err := f.keeps(); err != nil && !errors.Is(err, store.ErrHeld) {
+		return nil, err
 	}
 	log.Info().Str("listen", own.Word("fleet.listen")).Bool("keeper", f.keeper != nil).Dur("t_ms", f.terms.T()).Msg("fleet joined")
 	return f, nil
@@ -135,9 +168,7 @@
 		f.last, records, err = store.Open(path)
 		switch {
 		case errors.Is(err, store.ErrHeld):
-			// Another process of this balancer keeps, over an upgrade: one keeps at a time.
-			f.log.Info().Msg("another process of this name keeps; this one does not")
-			return nil
+			return err // Another process of this balancer keeps, over an upgrade: one keeps at a time.
 		case errors.Is(err, store.ErrDamaged):
 			f.log.Error().Str("file", path).Msg("what lasted is damaged and was put aside: this keeper learns anew")
 		case err != nil:
@@ -145,8 +176,10 @@
 		}
 		lasting = f.last
 	}
-	f.keeper, err = agreed.NewKeeper(Now(), f.name, f.life, f.terms, f.keepers, records, lasting, f, chance)
-	if err != nil {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.keeper, err = agreed.NewKeeper(Now(), f.name, f.life, f.terms, f.keepers, records, lasting, f, chance); err != nil {
+		f.keeper = nil
 		return fmt.Errorf("fleet.state: %w", err)
 	}
 	return nil
@@ -165,7 +198,9 @@
 		f.Message(bytes)
 		return
 	}
-	f.exchange.Send(to, bytes)
+	if f.exchange != nil {
+		f.exchange.Send(to, bytes)
+	}
 }
 
 // Message takes what the exchange hears. It does not wait.
@@ -188,13 +223,17 @@
 // Run plays the process's part until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
-	tell := time.NewTicker(time.Second)
+	tell, again := time.NewTicker(time.Second), time.NewTicker(joinEvery)
 	defer tell.Stop()
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			f.exchange.Close()
 			f.mu.Lock()
+			if f.exchange != nil {
+				f.exchange.Close()
+			}
+			f.keeper = nil
 			if f.last != nil {
 				f.last.Close()
 			}
@@ -205,9 +244,15 @@
 		case <-timer.C:
 		case <-f.changed:
 			f.gossip()
+		case <-again.C:
+			if f.join() == nil && f.keeps() == nil {
+				again.Stop()
+			}
 		case <-tell.C:
-			f.exchange.Tell(f.card())
-			f.gossip()
+			if f.exchange != nil {
+				f.exchange.Tell(f.card())
+				f.gossip()
+			}
 		}
 		timer.Reset(f.look())
 	}
@@ -265,6 +310,7 @@
 	if was.Floor != acting.Floor || was.Latest != acting.Latest {
 		f.log.Info().Uint64("floor", acting.Floor).Uint64("latest", acting.Latest).Int("bans", len(acting.Bans)).Msg("acts on")
 		f.acts.Heeds(acting)
+		f.leave()
 	}
 	if was.Leased != acting.Leased {
 		if acting.Leased {
@@ -429,8 +475,13 @@
 
 // Status tells how things stand.
 func (f *Fleet) Status() Status {
-	list := f.exchange.Members()
 	own := f.card()
+	var list []members.Member
+	f.mu.Lock()
+	if f.exchange != nil {
+		list = f.exchange.Members()
+	}
+	f.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := Now()
