--- a/agreed/fleet_test.go
+++ b/agreed/fleet_test.go
@@ -8,6 +8,8 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -408,6 +410,33 @@
 	return w
 }
 
+// TestManyPlans is not for CI: HOLLYLEVER_PLANS short runs, each from its seed.
+func TestManyPlans(t *testing.T) {
+	plans, err := strconv.Atoi(os.Getenv("HOLLYLEVER_PLANS"))
+	if err != nil {
+		t.Skip("only where it is asked for")
+	}
+	var worst, versions, told atomic.Int64
+	var wait sync.WaitGroup
+	for lane := range 6 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for seed := uint64(lane); seed < uint64(plans); seed += 6 {
+				w := play(t, seed, []int{3, 5, 7}[seed/3%3], 2500)
+				if w.broken != "" && told.Add(1) < 5 {
+					t.Errorf("seed %d: %s", seed, w.broken)
+				}
+				versions.Add(int64(len(w.digests)))
+				for at := worst.Load(); w.worst > at && !worst.CompareAndSwap(at, w.worst); at = worst.Load() {
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	t.Logf("%d plans, %d versions, longest contradiction %v of %v", plans, versions.Load(), time.Duration(worst.Load()), terms.T())
+}
+
 // TestRulesAreSeenBroken takes out one part after the other that the rules rest on; each time a rule is seen broken.
 func TestRulesAreSeenBroken(t *testing.T) {
 	for part, c := range map[string]struct {
--- /dev/null
+++ b/cmd/hollylab/agree.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"hollylever/joining"
+	"hollylever/standin/between"
+)
+
+// accord makes the demo's balancers one fleet, with a relay for each ordered pair of them.
+type accord struct {
+	relays [][]*between.Relay
+	owns   []string // files of our own settings
+}
+
+const (
+	accordLease = "400ms" // shorter than the default, as a demo is short: T is 558 ms
+	accordPause = "150ms"
+	agreeFor    = 8 * time.Second
+)
+
+// newAccord names ports for n processes and writes their settings into a folder.
+func newAccord(folder string, n int) (*accord, error) {
+	a := &accord{}
+	var at, names []string
+	for i := range n {
+		address, err := freePort()
+		if err != nil {
+			return a, err
+		}
+		at, names = append(at, address), append(names, fmt.Sprint("n", i+1))
+	}
+	for i := range n {
+		var row []*between.Relay
+		var peers []string
+		for j := range n {
+			r, err := between.New(at[j], uint64(i*n+j))
+			if err != nil {
+				return a, err
+			}
+			row = append(row, r)
+			to := r.Address()
+			if i == j {
+				to = at[j]
+			}
+			peers = append(peers, names[j]+"="+to)
+		}
+		a.relays = append(a.relays, row)
+		own := filepath.Join(folder, names[i]+".toml")
+		text := fmt.Sprintf("[fleet]\non = true\nlisten = %q\npeers = %q\nkeepers = %q\nstate = %q\nlease = %q\npause = %q\n", at[i], strings.Join(peers, ", "),
+			strings.Join(names, ", "), filepath.Join(folder, names[i]+".state"), accordLease, accordPause)
+		if err := os.WriteFile(own, []byte(text), 0o600); err != nil {
+			return a, err
+		}
+		a.owns = append(a.owns, own)
+	}
+	return a, nil
+}
+
+func freePort() (string, error) {
+	for range 50 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		l.Close()
+		if err == nil {
+			u.Close()
+			return l.Addr().String(), nil
+		}
+	}
+	return "", fmt.Errorf("no port is free for datagrams and connections")
+}
+
+func (a *accord) close() {
+	for _, row := range a.relays {
+		for _, r := range row {
+			r.Close()
+		}
+	}
+}
+
+// apart cuts one from the others, or ends that.
+func (a *accord) apart(one int, cut bool) {
+	for i, row := range a.relays {
+		for j, r := range row {
+			r.Set(between.Faults{Cut: cut && (i == one) != (j == one)})
+		}
+	}
+}
+
+// actsOn is what a balancer's door says that it acts on.
+type actsOn struct {
+	Leads  string `json:"leads"`
+	Acting struct {
+		Floor, Latest uint64
+		Leased        bool
+		Bans          []string `json:"bans"`
+	} `json:"acting"`
+}
+
+func (w *town) actsOn(n int) (s actsOn, err error) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Get("http://" + w.processes[n].Mgmt + "/fleet")
+	if err != nil {
+		return s, err
+	}
+	defer answer.Body.Close()
+	return s, json.NewDecoder(answer.Body).Decode(&s)
+}
+
+// propose asks through a balancer's door; it gives the version, 0 if none came of it.
+func (w *town) propose(n int, p joining.Proposal) uint64 {
+	p.ID, p.By = rand.Text(), "demo"
+	body, _ := json.Marshal(p)
+	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Post("http://"+w.processes[n].Mgmt+"/fleet/propose", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	var said joining.Answer
+	if json.NewDecoder(answer.Body).Decode(&said) != nil {
+		return 0
+	}
+	return said.Version
+}
+
+// agree waits until all act on this version, under leases; what does not come is wrong.
+func (w *town) agree(ctx context.Context, version uint64) {
+	for end := time.Now().Add(agreeFor); time.Now().Before(end); {
+		all := true
+		for n := range w.processes {
+			s, err := w.actsOn(n)
+			all = all && err == nil && s.Acting.Leased && s.Acting.Latest >= version && s.Acting.Floor == s.Acting.Latest
+		}
+		if all || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.wrong("the balancers do not agree on version %d", version)
+}
+
+// cutApart: a ban is agreed on while one balancer is cut off; it says that it is alone, and takes the ban when it is back.
+func cutApart(ctx context.Context, w *town, over time.Duration) {
+	host, last := w.hosts[1].Name, balancerCount-1
+	w.agree(ctx, 1)
+	w.accord.apart(last, true)
+	out := uint64(0)
+	for end := time.Now().Add(agreeFor); out == 0 && time.Now().Before(end) && ctx.Err() == nil; {
+		out = w.propose(0, joining.Proposal{Out: []string{host}, Why: "demo: cut"})
+	}
+	if out == 0 && ctx.Err() == nil {
+		w.wrong("a majority does not accept a ban")
+	}
+	pause(ctx, max(over/2, 700*time.Millisecond))
+	if s, err := w.actsOn(last); err != nil || s.Acting.Leased {
+		w.wrong("who is cut off takes itself for part of the fleet")
+	}
+	w.accord.apart(last, false)
+	w.agree(ctx, out)
+	if s, err := w.actsOn(last); ctx.Err() == nil && (err != nil || len(s.Acting.Bans) != 1) {
+		w.wrong("who is back does not have the ban")
+	}
+	w.agree(ctx, w.propose(last, joining.Proposal{Back: []string{host}, Why: "demo: over"}))
+}
+
+// stopped: the keeper that leads is stopped for longer than a lease, and goes on as if nothing had been.
+func stopped(ctx context.Context, w *town, over time.Duration) {
+	w.agree(ctx, 1)
+	s, _ := w.actsOn(0)
+	for n, p := range w.processes {
+		if s.Leads != fmt.Sprint("n", n+1) {
+			continue
+		}
+		p.Cmd.Process.Signal(syscall.SIGSTOP)
+		pause(ctx, 700*time.Millisecond)
+		p.Cmd.Process.Signal(syscall.SIGCONT)
+	}
+	version := uint64(0)
+	for end := time.Now().Add(agreeFor); version == 0 && time.Now().Before(end) && ctx.Err() == nil; {
+		version = w.propose(1, joining.Proposal{Limits: map[string]int64{"held": 10000}, Why: "demo: pause"})
+	}
+	w.agree(ctx, version)
+}
--- a/cmd/hollylab/demo.go
+++ b/cmd/hollylab/demo.go
@@ -101,7 +101,7 @@
 
 // play runs a demo from its start to its end; however that comes, nothing of it is left.
 func play(ctx context.Context, p plan) (*verdict, error) {
-	w, err := newTown(p.program)
+	w, err := newTown(p.program, p.trouble.agree)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/hollylab/demo_test.go
+++ b/cmd/hollylab/demo_test.go
@@ -27,7 +27,7 @@
 		}
 		defer os.RemoveAll(place)
 		program = filepath.Join(place, "hollylever")
-		if out, err := exec.Command("go", "build", "-o", program, "hollylever/cmd/hollylever").CombinedOutput(); err != nil {
+		if out, err := exec.Command("go", "build", "-o", place, "hollylever/cmd/hollylever", "hollylever/cmd/hollyfleet").CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
 			return 1
 		}
@@ -61,7 +61,7 @@
 
 // A host that dies in the first second, and processes that are replaced, break no rule; nothing of it is left.
 func TestDemoKeepsTheRules(t *testing.T) {
-	for _, trouble := range []string{"crash", "upgrade"} {
+	for _, trouble := range []string{"crash", "upgrade", "cut", "pause"} {
 		v, err := play(context.Background(), short(t, trouble))
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/hollylab/town.go
+++ b/cmd/hollylab/town.go
@@ -47,6 +47,7 @@
 	hosts     []*standin.Host
 	kinds     []int
 	platforms []*standin.Platform
+	accord    *accord // nil: each decides alone
 
 	mu        sync.Mutex
 	processes []*standin.Process // one that serves for each platform
@@ -54,7 +55,7 @@
 	troubles  []string // what went wrong beside the rules
 }
 
-func newTown(program string) (w *town, err error) {
+func newTown(program string, agree bool) (w *town, err error) {
 	w = &town{origin: standin.NewOrigin(fetchTakes, fetchAtOnce), discovery: standin.NewDiscovery()}
 	defer func() {
 		if err != nil {
@@ -64,6 +65,12 @@
 	if w.folder, err = os.MkdirTemp("", "hollylab-"); err != nil {
 		return w, err
 	}
+	if agree {
+		if w.accord, err = newAccord(w.folder, balancerCount); err != nil {
+			return w, err
+		}
+		program = filepath.Join(filepath.Dir(program), "hollyfleet")
+	}
 	entries := map[string]string{}
 	for n := range hostCount {
 		k := []int{1, 0, 1, 2}[n%4]
@@ -81,7 +88,11 @@
 		if err := os.Mkdir(folder, 0o700); err != nil {
 			return w, err
 		}
-		p, err := standin.NewPlatform(folder, standin.Setup{Name: fmt.Sprint("n", n+1), Settings: townSettings, Known: w.discovery.Whole(),
+		var variables []string
+		if agree {
+			variables = []string{"LB_EXTRA=" + w.accord.owns[n]}
+		}
+		p, err := standin.NewPlatform(folder, standin.Setup{Variables: variables, Name: fmt.Sprint("n", n+1), Settings: townSettings, Known: w.discovery.Whole(),
 			Discovery: w.discovery.Address, Limits: standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 512}, Core: -1, Program: program})
 		if err != nil {
 			return w, err
@@ -151,6 +162,9 @@
 		h.Close()
 	}
 	w.discovery.Close()
+	if w.accord != nil {
+		w.accord.close()
+	}
 	if w.folder != "" {
 		os.RemoveAll(w.folder)
 	}
--- a/cmd/hollylab/trouble.go
+++ b/cmd/hollylab/trouble.go
@@ -9,6 +9,7 @@
 type trouble struct {
 	name, says string
 	play       func(ctx context.Context, w *town, over time.Duration)
+	agree      bool // the balancers are a fleet that agrees
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
@@ -21,8 +22,8 @@
 }
 
 var troubles = []trouble{
-	{"none", "nothing happens", func(context.Context, *town, time.Duration) {}},
-	{"crash", "two hosts die, the list hears of it a second later, and they come back cold", func(ctx context.Context, w *town, over time.Duration) {
+	{name: "none", says: "nothing happens", play: func(context.Context, *town, time.Duration) {}},
+	{name: "crash", says: "two hosts die, the list hears of it a second later, and they come back cold", play: func(ctx context.Context, w *town, over time.Duration) {
 		for _, n := range []int{1, 2} {
 			w.hosts[n].Down()
 		}
@@ -43,12 +44,12 @@
 			w.tell(n, "Ready")
 		}
 	}},
-	{"slow", "the origin takes ten times as long", func(ctx context.Context, w *town, over time.Duration) {
+	{name: "slow", says: "the origin takes ten times as long", play: func(ctx context.Context, w *town, over time.Duration) {
 		w.origin.Takes(10 * fetchTakes)
 		pause(ctx, over)
 		w.origin.Takes(fetchTakes)
 	}},
-	{"drain", "three hosts drain, go, and come back cold", func(ctx context.Context, w *town, over time.Duration) {
+	{name: "drain", says: "three hosts drain, go, and come back cold", play: func(ctx context.Context, w *town, over time.Duration) {
 		for _, n := range []int{0, 3, 5} {
 			w.hosts[n].Out(true)
 			w.tell(n, "Terminating")
@@ -65,12 +66,12 @@
 			w.tell(n, "Ready")
 		}
 	}},
-	{"flush", "all caches are emptied", func(ctx context.Context, w *town, over time.Duration) {
+	{name: "flush", says: "all caches are emptied", play: func(ctx context.Context, w *town, over time.Duration) {
 		for _, h := range w.hosts {
 			h.Flush()
 		}
 	}},
-	{"upgrade", "each balancer is replaced by a new process under load", func(ctx context.Context, w *town, over time.Duration) {
+	{name: "upgrade", says: "each balancer is replaced by a new process under load", play: func(ctx context.Context, w *town, over time.Duration) {
 		for n, p := range w.platforms {
 			w.mu.Lock()
 			old := w.processes[n]
@@ -94,4 +95,6 @@
 			}
 		}
 	}},
+	{name: "cut", says: "one of a fleet of balancers is cut off from the others while a ban is agreed on", play: cutApart, agree: true},
+	{name: "pause", says: "the balancer that leads a fleet stands still for longer than a lease", play: stopped, agree: true},
 }
