--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,6 +46,7 @@
 	proves      = 8.0 // answers prove half of what they can of a cold server: three times its part
 	leastRoom   = 0.1 // under one, reads are let in by chance
 	leastBorne  = 0.3
+	brokeFor    = 2    // so often no connection after a broken trip is a restart
 	firstRoom   = 40.0 // aside: reads all may have out at the origin beyond two each, at first
 )
 
@@ -83,7 +84,8 @@
 	stamp, started   int64 // its last start: as the list has it, and the latest that it can have been
 	kind, zone, cell int
 	listed, warm     bool    // by the last list
-	drains, broke    bool    // drained, and not ready since; broke trips, and answered nothing since
+	drains           bool    // and not ready since
+	broke            int     // broke a trip, and took no connection so often since, with no answer between
 	size             float64 // by the list
 	out              int     // trips in flight
 	held             held
@@ -694,15 +696,20 @@
 		b.tally(&b.unreached)
 		// Guards servers that broke trips, take no connection and come back cold before the list tells; and the
 		// others against what may have brought it on: more in flight than one bears.
-		if h.broke {
+		if h.broke > 0 {
+			h.broke++
+		}
+		if h.broke > brokeFor {
 			h.started, h.room, h.roomAt = now, b.chance.part(), now
-			if h.cutAt == 0 && now > b.brokeAt+second/2 {
+			if h.broke == brokeFor+1 && now > b.brokeAt+second/2 {
 				b.bears, b.brokeAt = max(leastBorne, b.bears*0.7), now
 			}
 		}
 		h.cutAt = now
-	} else if h.broke = h.broke || how == Reset; how == OK || how == Missing {
-		h.broke = false
+	} else if how == Reset {
+		h.broke = max(1, h.broke)
+	} else if how == OK || how == Missing {
+		h.broke = 0
 	}
 	b.learn(now, r, s, note, how, took)
 	if how == Missing && r.missed < 0 {
