A restart is a broken trip and two failed connects: resets alone throttled a whole fleet

Where connections are reset under trips and while trips come, a broken trip and a connect cut short follow each other by chance; each took a host for restarted and the room of the crowd gate to 0.7.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,8 +52,6 @@
 
 const tagList, tagHeld = 0, 1 // what a timer is for: the list, or with its index added a retrieval
 
-type ran int8
-
 const running, perhaps, never, done ran = 0, 1, 2, 3 // running: in flight
 
 type trip struct {
@@ -696,10 +694,7 @@
 		b.tally(&b.unreached)
 		// Guards servers that broke trips, take no connection and come back cold before the list tells; and the
 		// others against what may have brought it on: more in flight than one bears.
-		if h.broke > 0 {
-			h.broke++
-		}
-		if h.broke > brokeFor {
+		if h.broke += min(1, h.broke); h.broke > brokeFor {
 			h.started, h.room, h.roomAt = now, b.chance.part(), now
 			if h.broke == brokeFor+1 && now > b.brokeAt+second/2 {
 				b.bears, b.brokeAt = max(leastBorne, b.bears*0.7), now
@@ -708,8 +703,6 @@
 		h.cutAt = now
 	} else if how == Reset {
 		h.broke = max(1, h.broke)
-	} else if how == OK || how == Missing {
-		h.broke = 0
 	}
 	b.learn(now, r, s, note, how, took)
 	if how == Missing && r.missed < 0 {
@@ -750,7 +743,8 @@
 	}
 	b.suspects(now, r, s, how)
 	if well {
-		h.cutAt, h.credit, b.credit = 0, min(mostCredit, h.credit+perAnswer), min(mostCredit, b.credit+perAnswer)
+		h.cutAt, h.broke, h.credit = 0, 0, min(mostCredit, h.credit+perAnswer)
+		b.credit = min(mostCredit, b.credit+perAnswer)
 		b.tally(&h.good)
 	} else if how != Full && how != Unsent {
 		b.tally(&h.bad) // Quick errors too: a server that fails fast never looks busy.
--- a/choice/lines.go
+++ b/choice/lines.go
@@ -103,9 +103,10 @@
 		*k = read{key: r.key, server: -1, failed: s, strain: min(strained/2, math.Log(heldUp/poor))}
 	case k.failed != s:
 		k.failed = s
-		if k.strain += min(strained/2, math.Log(heldUp/poor)); k.strain >= strained && b.lines[lineKey{r.key, false}] == nil {
+		k.strain += min(strained/2, math.Log(heldUp/poor))
+		if at := (lineKey{r.key, false}); k.strain >= strained && b.lines[at] == nil {
 			k.strain = 0
-			b.newLine(now, lineKey{r.key, false})
+			b.newLine(now, at)
 		}
 	}
 }
--- a/choice/plain.go
+++ b/choice/plain.go
@@ -8,6 +8,9 @@
 // What the module stands on: records without a method that decides, sums that fade, chance, and how it reads the
 // settings. No decision is made here.
 
+// ran is whether a trip ran.
+type ran int8
+
 // kind is what the servers of one kind answered, and the largest size that a list gave one of them.
 type kind struct {
 	answered, took, busy sum
