Quotas by agreement, lists that go back, settings that are not those in force

quota.T of a version lowers tenant T's share; a list whose index goes back is held against what it was for a minute; a balancer whose settings have another digest than was agreed on says so. TestHeeds, TestListGoesBack; a process that knows nothing starts in a cut.

--- a/agreed/document_test.go
+++ b/agreed/document_test.go
@@ -138,3 +138,26 @@
 		t.Errorf("with the latest list: %+v", c)
 	}
 }
+
+// A list that goes back is held against what it was, until it has come past that or has stayed lower for a minute.
+func TestListGoesBack(t *testing.T) {
+	var o Own
+	minute := int64(time.Minute)
+	for n, c := range []struct {
+		at    int64
+		index uint64
+		held  bool
+		went  bool
+	}{{1, 5, false, false}, {2, 9, false, false}, {3, 4, true, true}, {4, 6, true, false}, {5, 9, false, false}, {6, 1, true, true},
+		{6 + minute - 1, 2, true, false}, {6 + minute, 3, false, false}, {7 + minute, 4, false, false}} {
+		before, went := o.Saw(c.at, Listed{Index: c.index, Drains: []Drained{{"h", c.index}}})
+		if len(before) > 0 != c.held || went != c.went {
+			t.Errorf("%d: index %d: held against %v, went %v", n, c.index, before, went)
+		}
+		if c.held {
+			if got := Compare(c.index, 0, before); !slices.Contains(got.News, "h") {
+				t.Errorf("%d: what was out is not out: %+v", n, got)
+			}
+		}
+	}
+}
--- a/agreed/lists.go
+++ b/agreed/lists.go
@@ -1,6 +1,9 @@
 package agreed
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Listed is what a process tells of the list that it acts on.
 type Listed struct {
@@ -23,6 +26,28 @@
 	Contrary string // who has another list under the same index
 }
 
+// Gone back: a list whose index is lower than it was is not taken for what it loosens, until it has come past that again, or has stayed
+// lower for this long: then discovery has begun anew.
+const backFor = int64(time.Minute)
+
+// Own is one's own list over time.
+type Own struct {
+	highest Listed
+	since   int64 // when it went back; 0: it did not
+}
+
+// Saw takes one's own list. If it went back, it gives what it was before, which counts like another's; and whether it just went.
+func (o *Own) Saw(now int64, l Listed) (before []Listed, went bool) {
+	switch {
+	case l.Index >= o.highest.Index || o.since != 0 && now-o.since >= backFor:
+		o.highest, o.since = l, 0
+		return nil, false
+	case o.since == 0:
+		o.since, went = now, true
+	}
+	return []Listed{o.highest}, went
+}
+
 // Compare looks at others' lists. What they tell of drains beyond one's own index counts; that a host is well, never.
 func Compare(index, digest uint64, others []Listed) (c Compared) {
 	for _, o := range others {
--- a/choice/state.go
+++ b/choice/state.go
@@ -220,5 +220,8 @@
 	return known
 }
 
+// Quota sets a tenant's, in retrievals a second, for all balancers together.
+func (b *Balancer) Quota(tenant int, rps float64) { b.tenants[tenant].quota = rps }
+
 // Share sets which part of the balancer's trips this process sends: its part of what cold servers may be sent.
 func (b *Balancer) Share(part float64) { b.part = part }
--- a/cmd/hollyfleet/fleet_test.go
+++ b/cmd/hollyfleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"sync"
@@ -296,6 +297,9 @@
 	}
 	w.agree(2)
 	w.kill(w.procs[4])
+	if err := os.Remove(filepath.Join(w.dir, "b4", "hollylever.fleet")); err != nil { // What it would know from before.
+		t.Error(err)
+	}
 	w.faults(func(i, j int) between.Faults { return between.Faults{Cut: i == 4 || j == 4} })
 	w.start(w.procs[4])
 	until(t, "the late one", func() bool {
--- a/cmd/hollyfleet/main.go
+++ b/cmd/hollyfleet/main.go
@@ -14,8 +14,8 @@
 
 func main() { serving.Main(join) }
 
-func join(own fields.Values, name, zone string, b *routing.Balancer, log zerolog.Logger) (serving.Fleet, error) {
-	f, err := fleet.Start(own, name, zone, acts{b}, log)
+func join(own fields.Values, name, zone, settings string, b *routing.Balancer, log zerolog.Logger) (serving.Fleet, error) {
+	f, err := fleet.Start(own, name, zone, settings, acts{b}, log)
 	if err != nil {
 		return nil, err
 	}
@@ -26,7 +26,7 @@
 // acts puts what is agreed on before the balancer.
 type acts struct{ *routing.Balancer }
 
-func (a acts) Heeds(what agreed.Acting) { a.Balancer.Heeds(what.Bans, int(what.Limits["held"])) }
+func (a acts) Heeds(what agreed.Acting) { a.Balancer.Heeds(what.Bans, what.Limits) }
 
 func (a acts) Drained(names []string) { a.News(names) }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,6 +38,9 @@
 // Fleet is one process's part in the fleet.
 type Fleet struct {
 	name, zone string
+	settings   string // a digest of them
+	own        agreed.Own
+	odd        bool // its settings are not those in force, and it said so
 	terms      agreed.Terms
 	behind     time.Duration
 	keepers    []string
@@ -94,12 +97,12 @@
 }
 
 // Start joins the fleet, as the checked table says. name is the balancer's, of whose processes each is a life.
-func Start(own fields.Values, name, zone string, acts Acts, log zerolog.Logger) (*Fleet, error) {
+func Start(own fields.Values, name, zone, settings string, acts Acts, log zerolog.Logger) (*Fleet, error) {
 	if err := joining.Check(own, name); err != nil {
 		return nil, err
 	}
 	peers, _ := joining.Peers(own.Word("fleet.peers"))
-	f := &Fleet{name: name, zone: zone, terms: joining.Of(own), behind: own.Duration("fleet.behind"), keepers: joining.Names(own.Word("fleet.keepers")), acts: acts, log: log,
+	f := &Fleet{name: name, zone: zone, settings: settings, terms: joining.Of(own), behind: own.Duration("fleet.behind"), keepers: joining.Names(own.Word("fleet.keepers")), acts: acts, log: log,
 		came: make(chan []byte, mostCame), changed: make(chan struct{}, 1), waiting: map[string]chan agreed.Outcome{}}
 	var seed [16]byte
 	crand.Read(seed[:])
@@ -312,6 +315,11 @@
 		f.acts.Heeds(acting)
 		f.leave()
 	}
+	if odd := acting.Leased && acting.Digest != "" && acting.Digest != f.settings; odd != f.odd {
+		if f.odd = odd; odd {
+			f.log.Warn().Str("own", f.settings).Str("in_force", acting.Digest).Msg("settings are not those in force")
+		}
+	}
 	if was.Leased != acting.Leased {
 		if acting.Leased {
 			f.log.Info().Uint64("latest", acting.Latest).Msg("under a lease")
@@ -357,13 +365,20 @@
 	defer f.mu.Unlock()
 	f.cards++
 	return members.Card{Name: f.name, Zone: f.zone, Life: f.life, Seq: f.cards, Keeper: f.keeper != nil, Leads: f.keeper != nil && f.keeper.Leads(),
-		Leased: f.acting.Leased, Floor: f.acting.Floor, Latest: f.acting.Latest, Index: index, Digest: digest, Drains: drains}
+		Version: f.settings, Leased: f.acting.Leased, Floor: f.acting.Floor, Latest: f.acting.Latest, Index: index, Digest: digest, Drains: drains}
 }
 
 // gossip takes from other processes' cards what is strict: drains that this one's list does not have yet.
 func (f *Fleet) gossip() {
-	index, digest, _ := f.acts.List()
-	var cards []agreed.Listed
+	index, digest, drains := f.acts.List()
+	mine := agreed.Listed{Name: f.name, Index: index, Digest: digest}
+	for _, d := range drains {
+		mine.Drains = append(mine.Drains, agreed.Drained(d))
+	}
+	cards, went := f.own.Saw(Now(), mine)
+	if went {
+		f.log.Warn().Uint64("index", index).Uint64("before", cards[0].Index).Msg("list went back: what the later one took out stays out for a while")
+	}
 	now := time.Now()
 	for _, m := range f.exchange.Members() {
 		if !m.Gone(now) && m.Name != f.name {
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -121,7 +121,7 @@
 	byFleet   map[string]bool // by what the fleet agreed on
 	byNews    map[string]bool // by others' later lists
 	decides   func()          // called before each decision; nil: nobody asks
-	mostOpen  int             // retrievals held, as agreed on; 0: nothing is
+	mostOpen  int             // retrievals held at most, by what the fleet agreed on
 	drains    []Drain         // the last ones of the list
 	open      map[string]bool // ids of retrievals that have no final answer yet
 	slots     []slot
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strconv"
 
 	"hollylever/choice"
 )
@@ -20,6 +21,9 @@
 // Decides has f called before each decision, under the lock: it looks at the lease.
 func (b *Balancer) Decides(f func()) {
 	b.mu.Lock()
+	if b.decides == nil && b.mostOpen == 0 {
+		b.mostOpen = b.mostHeld
+	}
 	b.decides = f
 	b.mu.Unlock()
 }
@@ -30,10 +34,21 @@
 	}
 }
 
-// Heeds takes what the fleet agreed on: hosts that are out, and how many retrievals are held at most (0: as the settings say).
-func (b *Balancer) Heeds(out []string, held int) {
+// Heeds takes what the fleet agreed on: hosts that are out, and limits by name. held: how many retrievals are held at most; quota.T: tenant T's
+// retrievals a second, for all balancers. Where the settings have a smaller one, that counts.
+func (b *Balancer) Heeds(out []string, limits map[string]int64) {
 	b.mu.Lock()
-	b.mostOpen = held
+	b.mostOpen = b.mostHeld
+	if most, stated := limits["held"]; stated {
+		b.mostOpen = int(min(int64(b.mostHeld), most))
+	}
+	for name, t := range b.tenants {
+		quota := number(b.settings, "tenants."+strconv.Itoa(t)+".quotaRps")
+		if most, stated := limits["quota."+name]; stated && (quota <= 0 || float64(most) < quota) {
+			quota = max(float64(most), 1e-9) // None at all would mean no limit.
+		}
+		b.module.Quota(t, quota)
+	}
 	b.mu.Unlock()
 	b.layOver(&b.byFleet, out)
 }
--- a/routing/life.go
+++ b/routing/life.go
@@ -45,7 +45,7 @@
 		owner = -1
 	}
 	id := string(words[2])
-	full := b.held.Out() >= b.mostHeld || b.mostOpen > 0 && b.held.Out() >= b.mostOpen || b.heap+size > b.mostHeap
+	full := b.held.Out() >= b.mostHeld || b.decides != nil && b.held.Out() >= b.mostOpen || b.heap+size > b.mostHeap
 	if !known || b.open[id] || full {
 		twice := b.open[id]
 		switch {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -296,3 +296,44 @@
 		t.Errorf("%d names are remembered, %d in the ring", len(b.once), len(b.names))
 	}
 }
+
+// What the fleet agreed on is laid over what this balancer knows, and taken off again; the smaller limit counts.
+func TestHeeds(t *testing.T) {
+	b := begin(t, 1<<20)
+	looks := 0
+	b.Decides(func() { looks++ })
+	b.told(t, changes(row("one", "127.0.0.1:9", "Ready", 1)))
+	here := func() string { return fmt.Sprint(b.banned["one"], b.mostOpen) }
+	b.Heeds([]string{"one"}, map[string]int64{"held": 1})
+	if here() != "true 1" {
+		t.Error("out and bounded:", here())
+	}
+	b.mu.Lock()
+	b.take()
+	b.mu.Unlock()
+	r := turn{make(chan reply, 1), make(chan struct{})}
+	close(r.written)
+	b.retrieve(words("c=read,d=100"), false, r, func() {}, nil)
+	if answer := string((<-r.answer).bytes); answer != "-BUSY\r\n" || looks != 0 {
+		t.Errorf("%q over what is agreed on, after %d looks", answer, looks)
+	}
+	b.lay([]string{"one"})
+	if b.Heeds(nil, map[string]int64{"held": 99}); here() != "true 3" {
+		t.Error("by hand, and more than the settings:", here())
+	}
+	b.lay(nil)
+	if b.Heeds(nil, nil); here() != "false 3" {
+		t.Error("nothing:", here())
+	}
+	b.retrieve(words("c=read,d=50"), false, r, func() {}, nil)
+	if <-r.answer; looks == 0 {
+		t.Error("decided without a look at the lease")
+	}
+	if b.News([]string{"one"}); !b.banned["one"] {
+		t.Error("news of a drain is not taken")
+	}
+	b.told(t, changes(row("one", "127.0.0.1:9", "Terminating", 1)))
+	if index, digest, drains := b.Lists(); index != 9 || digest == 0 || len(drains) != 1 || drains[0] != (Drain{"one", 9}) {
+		t.Error(index, digest, drains)
+	}
+}
--- a/serving/given.go
+++ b/serving/given.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"net"
@@ -20,6 +21,7 @@
 // given is what the balancer is told at its start.
 type given struct {
 	file, name, listen, discovery, mgmt string
+	digest                              string // of the settings
 	seed                                uint64
 	cores, memory                       float64
 	sockets                             int
@@ -87,6 +89,7 @@
 	}
 	g := &given{file: file, name: object.Get("name").String(), cores: object.Get("limits.cores").Num,
 		memory: object.Get("limits.memory_mb").Num, sockets: int(object.Get("limits.sockets").Num),
+		digest:    fmt.Sprintf("%x", sha256.Sum256([]byte(object.Get("settings").Raw)))[:16],
 		inherited: -1, known: []byte(object.Get("known").Raw), settings: tables.Flat(object.Get("settings"))}
 	if name := variable("LB_NAME"); name != "" {
 		g.name = name
--- a/serving/lines.go
+++ b/serving/lines.go
@@ -28,6 +28,8 @@
 	{"this keeper is silent from now on", []string{"error"}},
 	{"not a message of the fleet", []string{"error"}},
 	{"there are two histories: what this process acts on is another's", nil},
+	{"list went back: what the later one took out stays out for a while", []string{"index", "before"}},
+	{"settings are not those in force", []string{"own", "in_force"}},
 	{"acts on", []string{"floor", "latest", "bans"}},
 	{"under a lease", []string{"latest"}},
 	{"alone: cut off from the majority, acts on the strictest that it knows", []string{"latest"}},
--- a/serving/main.go
+++ b/serving/main.go
@@ -45,7 +45,7 @@
 }
 
 // Join joins a fleet, as the checked table of our own settings says.
-type Join func(own fields.Values, name, zone string, b *routing.Balancer, log zerolog.Logger) (Fleet, error)
+type Join func(own fields.Values, name, zone, settings string, b *routing.Balancer, log zerolog.Logger) (Fleet, error)
 
 var joins Join // nil: this program is built without
 
@@ -136,7 +136,7 @@
 			return fmt.Errorf("%s: %w", ours, err)
 		}
 		zone, _ := told.settings["zone"].(string)
-		if fleet, err = joins(own, told.name, zone, balancer, log); err != nil {
+		if fleet, err = joins(own, told.name, zone, told.digest, balancer, log); err != nil {
 			return fmt.Errorf("%s: %w", ours, err)
 		}
 	}
