--- a/agreed/document_test.go
+++ b/agreed/document_test.go
@@ -161,3 +161,31 @@
 		}
 	}
 }
+
+// Without a ticket nothing is written: what the network repeats late cannot come into force after its proposer was told no for sure.
+func TestTickets(t *testing.T) {
+	w := newTown(t, 1, 3, 0, true)
+	for n := 0; n < 20_000 && !slices.ContainsFunc(w.procs, func(p *proc) bool { return p.keeper.Leads() && p.holder.until != 0 }); n++ {
+		w.one()
+	}
+	p := w.procs[slices.IndexFunc(w.procs, func(p *proc) bool { return p.keeper.Leads() })]
+	k := p.keeper
+	written := func(id string, t *Ticket) bool {
+		k.Heard(p.clock(), &Message{From: p.name, Propose: &Change{ID: id, Out: []string{id}}, Ticket: t})
+		return slices.ContainsFunc(k.open, func(o open) bool { return o.change.ID == id })
+	}
+	fresh := &Ticket{k.term, p.clock()}
+	for why, ticket := range map[string]*Ticket{"none": nil, "of another term": {k.term - 1, p.clock()}, "old": {k.term, p.clock() - int64(answerIn) - 1},
+		"of the future": {k.term, p.clock() + int64(time.Second)}} {
+		if written(why, ticket) {
+			t.Errorf("written with a ticket: %s", why)
+		}
+	}
+	if !written("good", fresh) {
+		t.Error("not written with a good ticket")
+	}
+	k.answer(&open{change: Change{ID: "no"}, from: p.name, until: p.clock() + int64(answerIn)}, &Outcome{ID: "no", Wrong: "no", Sure: true})
+	if written("no", fresh) {
+		t.Error("written after a sure no")
+	}
+}
--- a/agreed/keeper.go
+++ b/agreed/keeper.go
@@ -70,6 +70,7 @@
 	readAt    int64
 	holders   map[holder]*holding
 	open      []open // proposals, if it leads
+	said      []said
 	moving    uint64 // the floor that has been proposed
 	changing  int64  // when a change of members was proposed last
 	Contended int    // proposals withdrawn, for figures
@@ -101,6 +102,12 @@
 	accepted bool // the second entry is written
 }
 
+// said is a no that was sure, and when.
+type said struct {
+	Outcome
+	at int64
+}
+
 type heardHello struct {
 	Hello
 	at int64
@@ -330,7 +337,7 @@
 	case m.Ask != nil:
 		k.ask(now, m.From, *m.Ask)
 	case m.Propose != nil:
-		k.propose(now, m.From, *m.Propose)
+		k.propose(now, m.From, *m.Propose, m.Ticket)
 	}
 	k.settle(now)
 }
@@ -505,8 +512,10 @@
 }
 
 // propose takes a proposal.
-func (k *Keeper) propose(now int64, from string, c Change) {
+func (k *Keeper) propose(now int64, from string, c Change, t *Ticket) {
 	o := open{change: c, from: from, until: now + int64(answerIn)}
+	k.said = slices.DeleteFunc(k.said, func(s said) bool { return now-s.at > 2*int64(answerIn) })
+	before := slices.IndexFunc(k.said, func(s said) bool { return s.ID == c.ID })
 	number := uint64(0)
 	if k.Founded() {
 		number = k.state.numberOf(c.ID)
@@ -522,6 +531,10 @@
 	case number != 0:
 		k.answer(&o, &Outcome{ID: c.ID, Number: number, Sure: true})
 	case slices.ContainsFunc(k.open, func(o open) bool { return o.change.ID == c.ID }):
+	case before >= 0:
+		k.answer(&o, &k.said[before].Outcome)
+	case t == nil || t.Term != k.term || now-t.At > int64(answerIn) || now < t.At:
+		k.answer(&o, &Outcome{ID: c.ID, Ticket: &Ticket{k.term, now}})
 	case len(k.open) >= mostOpen:
 		k.answer(&o, &Outcome{ID: c.ID, Wrong: "too many proposals wait", Sure: true})
 	default:
@@ -534,6 +547,9 @@
 }
 
 func (k *Keeper) answer(o *open, what *Outcome) {
+	if what.Sure && what.Number == 0 && k.Leads() && !slices.ContainsFunc(k.said, func(s said) bool { return s.ID == what.ID }) && len(k.said) < mostAsking {
+		k.said = append(k.said, said{*what, o.until - int64(answerIn)}) // Whatever the network repeats gets the same answer.
+	}
 	k.net.Send(o.from, &Message{From: k.Name, Outcome: what})
 }
 
@@ -614,7 +630,7 @@
 			k.answer(&o, &Outcome{ID: o.change.ID, Wrong: "another leads now: look at the history"})
 		}
 	}
-	k.ledAt, k.asking, k.reading, k.open, k.moving, k.changing = 0, nil, 0, nil, 0, 0
+	k.ledAt, k.asking, k.reading, k.open, k.moving, k.changing, k.said = 0, nil, 0, nil, 0, 0, nil // Tickets of this term are void.
 	k.holders = map[holder]*holding{}
 	if leads {
 		k.ledAt = now
--- a/agreed/messages.go
+++ b/agreed/messages.go
@@ -16,6 +16,14 @@
 	Hello   *Hello   `cbor:"5,keyasint,omitempty"` // a keeper to the others
 	Propose *Change  `cbor:"6,keyasint,omitempty"` // to a keeper
 	Outcome *Outcome `cbor:"7,keyasint,omitempty"` // and back
+	Ticket  *Ticket  `cbor:"8,keyasint,omitempty"` // of a proposal
+}
+
+// Ticket lets a proposal be written: by who leads in this term, for as long as an answer to it is owed. Without tickets a message that the
+// network repeats late could be written after its proposer was told no for sure.
+type Ticket struct {
+	Term uint64 `cbor:"1,keyasint"`
+	At   int64  `cbor:"2,keyasint"` // on the leader's clock
 }
 
 // Ask is for a lease.
@@ -44,10 +52,11 @@
 
 // Outcome is what became of a proposal.
 type Outcome struct {
-	ID     string `cbor:"1,keyasint"`
-	Number uint64 `cbor:"2,keyasint,omitempty"` // its version, if it was accepted
-	Wrong  string `cbor:"3,keyasint,omitempty"` // why not
-	Sure   bool   `cbor:"4,keyasint,omitempty"` // false: unknown, look at the history
+	ID     string  `cbor:"1,keyasint"`
+	Number uint64  `cbor:"2,keyasint,omitempty"` // its version, if it was accepted
+	Wrong  string  `cbor:"3,keyasint,omitempty"` // why not
+	Sure   bool    `cbor:"4,keyasint,omitempty"` // false: unknown, look at the history
+	Ticket *Ticket `cbor:"5,keyasint,omitempty"` // no answer yet: send it again, with this
 }
 
 const mostMessage = 1 << 20
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -64,7 +64,7 @@
 	keeper   *agreed.Keeper
 	last     *store.Log
 	acting   agreed.Acting
-	waiting  map[string]chan agreed.Outcome
+	waiting  map[string]chan said
 	cards    uint64
 	news     []string
 	stale    bool // its list is behind, and it said so
@@ -103,7 +103,7 @@
 	}
 	peers, _ := joining.Peers(own.Word("fleet.peers"))
 	f := &Fleet{name: name, zone: zone, settings: settings, terms: joining.Of(own), behind: own.Duration("fleet.behind"), keepers: joining.Names(own.Word("fleet.keepers")), acts: acts, log: log,
-		came: make(chan []byte, mostCame), changed: make(chan struct{}, 1), waiting: map[string]chan agreed.Outcome{}}
+		came: make(chan []byte, mostCame), changed: make(chan struct{}, 1), waiting: map[string]chan said{}}
 	var seed [16]byte
 	crand.Read(seed[:])
 	// Later lives have higher numbers: by the system's clock, and by chance within a second.
@@ -275,7 +275,7 @@
 	case m.Outcome != nil:
 		if wait := f.waiting[m.Outcome.ID]; wait != nil {
 			select {
-			case wait <- *m.Outcome:
+			case wait <- said{*m.Outcome, m.From}:
 			default:
 			}
 		}
@@ -414,7 +414,7 @@
 	if err := c.Check(); err != nil {
 		return agreed.Outcome{ID: c.ID, Wrong: err.Error(), Sure: true}
 	}
-	answer := make(chan agreed.Outcome, 1)
+	answer := make(chan said, 4)
 	f.mu.Lock()
 	if len(f.waiting) >= 64 {
 		f.mu.Unlock()
@@ -430,24 +430,41 @@
 	end, again := time.NewTimer(answerIn), time.NewTicker(250*time.Millisecond)
 	defer end.Stop()
 	defer again.Stop()
-	nobody, asked := agreed.Outcome{ID: c.ID, Wrong: "no keeper answered: no majority is heard"}, 0
+	// Until it went to somebody with a ticket, nobody can have written it: then a no is sure.
+	nobody, asked, to, ticket := agreed.Outcome{ID: c.ID, Wrong: "nobody leads: no majority of the keepers is heard", Sure: true}, 0, "", (*agreed.Ticket)(nil)
 	for {
 		f.mu.Lock()
-		to := f.holder.Leader()
-		if to == "" || asked%4 == 3 {
-			to = f.keepers[asked%len(f.keepers)]
+		if ticket == nil {
+			if to = f.holder.Leader(); to == "" || asked%4 == 3 {
+				to = f.keepers[asked%len(f.keepers)]
+			}
 		}
-		f.Send(to, &agreed.Message{From: f.name, Propose: &c})
+		f.Send(to, &agreed.Message{From: f.name, Propose: &c, Ticket: ticket})
 		f.mu.Unlock()
 		asked++
-	wait:
 		select {
 		case o := <-answer:
-			if o.Number == 0 && o.Sure && strings.HasPrefix(o.Wrong, "nobody leads") {
-				nobody = o // One may lead in a moment.
-				break wait
+			switch {
+			case o.Ticket != nil:
+				ticket, to = o.Ticket, o.from
+				nobody = agreed.Outcome{ID: c.ID, Wrong: "no word of a majority"}
+				continue
+			case o.Number == 0 && strings.HasPrefix(o.Wrong, "nobody leads"):
+				ticket = nil // One may lead in a moment.
+			default:
+				return o.Outcome
+			}
+		case <-again.C:
+			if asked%4 == 3 {
+				ticket = nil // Who gave it may be gone: it is asked of another.
 			}
-			return o
+			continue
+		case <-end.C:
+			return nobody
+		case <-ctx.Done():
+			return nobody
+		}
+		select {
 		case <-again.C:
 		case <-end.C:
 			return nobody
@@ -457,6 +474,12 @@
 	}
 }
 
+// said is an answer to a proposal, and whose.
+type said struct {
+	agreed.Outcome
+	from string
+}
+
 // Status is what the door shows.
 type Status struct {
 	Name     string           `json:"name"`
