--- a/cmd/hollyfleet/rig_test.go
+++ b/cmd/hollyfleet/rig_test.go
@@ -65,20 +65,11 @@
 }
 
 func free(t testing.TB) string {
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		u, err := net.ListenPacket("udp", l.Addr().String())
-		l.Close()
-		if err == nil {
-			u.Close()
-			return l.Addr().String()
-		}
+	at, err := between.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return at
 }
 
 // newTown starts n processes, of which the first are keepers; clocks are off by the stated error, either way.
--- a/cmd/hollylab/agree.go
+++ b/cmd/hollylab/agree.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -35,7 +34,7 @@
 	a := &accord{}
 	var at, names []string
 	for i := range n {
-		address, err := freePort()
+		address, err := between.Free()
 		if err != nil {
 			return a, err
 		}
@@ -68,22 +67,6 @@
 	return a, nil
 }
 
-func freePort() (string, error) {
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		u, err := net.ListenPacket("udp", l.Addr().String())
-		l.Close()
-		if err == nil {
-			u.Close()
-			return l.Addr().String(), nil
-		}
-	}
-	return "", fmt.Errorf("no port is free for datagrams and connections")
-}
-
 func (a *accord) close() {
 	for _, row := range a.relays {
 		for _, r := range row {
--- a/standin/between/between.go
+++ b/standin/between/between.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -11,6 +12,18 @@
 	"time"
 )
 
+// Free gives an address of the loopback for datagrams and connections, on a number of its own, so that nobody else takes its port before
+// whoever it is for.
+func Free() (string, error) {
+	at := fmt.Sprintf("127.%d.%d.%d:0", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
 // Faults are what a relay does to what passes.
 type Faults struct {
 	Cut           bool
