--- a/cmd/hollyfleet/rig_test.go
+++ b/cmd/hollyfleet/rig_test.go
@@ -253,6 +253,26 @@
 	return a, json.NewDecoder(answer.Body).Decode(&a)
 }
 
+// history is the ids of the proposals that became versions, as a process has them.
+func (p *process) history(t testing.TB) (ids []string) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Get("http://" + p.door + "/fleet/history")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var all []struct{ ID string }
+	if err := json.NewDecoder(answer.Body).Decode(&all); err != nil || len(all) == 0 {
+		t.Fatal(all, err)
+	}
+	for _, v := range all {
+		if v.ID != "" {
+			ids = append(ids, v.ID)
+		}
+	}
+	return ids
+}
+
 // until waits for something that has to come; the time is only a bound.
 func until(t testing.TB, what string, come func() bool) {
 	t.Helper()
