--- a/agreed/fleet_test.go
+++ b/agreed/fleet_test.go
@@ -22,29 +22,31 @@
 // A town is a fleet under one true clock: processes with clocks of their own rate, a network that loses, delays, repeats and cuts, and
 // the rules looked at after every step.
 type town struct {
-	t       testing.TB
-	chance  *rand.Rand
-	now     int64
-	procs   []*proc
-	queue   flights
-	sent    uint64
-	cut     map[[2]int]bool
-	loss    float64
-	repeats float64
-	slow    int64 // the longest delay
-	step    int
-	looked  int64
-	ids     int
-	changes map[string]Change
-	settled map[string]uint64 // proposals that were answered with a version
-	refused map[string]bool   // that were answered with a sure no
-	digests map[uint64]string // of versions, as somebody had them
-	heard   []moment          // by version: when it was acted on first, as the latest and as the floor
-	worst   int64             // the longest contradiction so far
-	broken  string            // the first rule broken
-	unsafe  func(k *Keeper)   // takes a part out
-	forget  bool              // keepers do not write their votes
-	blind   bool              // leases are not looked at again
+	t        testing.TB
+	chance   *rand.Rand
+	now      int64
+	procs    []*proc
+	queue    flights
+	sent     uint64
+	bytes    uint64
+	bySender map[int]uint64
+	cut      map[[2]int]bool
+	loss     float64
+	repeats  float64
+	slow     int64 // the longest delay
+	step     int
+	looked   int64
+	ids      int
+	changes  map[string]Change
+	settled  map[string]uint64 // proposals that were answered with a version
+	refused  map[string]bool   // that were answered with a sure no
+	digests  map[uint64]string // of versions, as somebody had them
+	heard    []moment          // by version: when it was acted on first, as the latest and as the floor
+	worst    int64             // the longest contradiction so far
+	broken   string            // the first rule broken
+	unsafe   func(k *Keeper)   // takes a part out
+	forget   bool              // keepers do not write their votes
+	blind    bool              // leases are not looked at again
 }
 
 type moment struct{ latest, floor int64 }
@@ -89,9 +91,11 @@
 	return last
 }
 
-// fly puts a message on its way; what a stopped process has not read waits in its buffer, which holds so much.
+// fly puts a message on its way.
 func (w *town) fly(after int64, from, to int, bytes []byte) {
 	w.sent++
+	w.bytes += uint64(len(bytes))
+	w.bySender[from] += uint64(len(bytes))
 	heap.Push(&w.queue, flight{w.now + after, w.sent, from, to, bytes})
 }
 
@@ -142,7 +146,7 @@
 
 func newTown(t testing.TB, seed uint64, keepers, others int, disks bool) *town {
 	w := &town{t: t, chance: rand.New(rand.NewPCG(seed, 7)), now: 1e12, looked: 1e12, cut: map[[2]int]bool{}, slow: 3 * ms, settled: map[string]uint64{},
-		refused: map[string]bool{}, changes: map[string]Change{}, digests: map[uint64]string{}}
+		refused: map[string]bool{}, bySender: map[int]uint64{}, changes: map[string]Change{}, digests: map[uint64]string{}}
 	for n := range keepers + others {
 		p := &proc{town: w, n: n, name: fmt.Sprintf("b%d", n), rate: 1 + terms.RateError*(2*w.chance.Float64()-1), base: w.chance.Int64N(1e15),
 			keeps: disks, waiting: map[string]bool{}, ticketed: map[string]bool{}}
@@ -446,6 +450,60 @@
 	t.Logf("%d plans, %d versions, longest contradiction %v of %v", plans, versions.Load(), time.Duration(worst.Load()), terms.T())
 }
 
+// TestSizes is not for CI: what agreement costs with many holders, in the time of the run. HOLLYLEVER_SIZES names how many.
+func TestSizes(t *testing.T) {
+	if os.Getenv("HOLLYLEVER_SIZES") == "" {
+		t.Skip("only where it is asked for")
+	}
+	for _, word := range strings.Split(os.Getenv("HOLLYLEVER_SIZES"), ",") {
+		n, err := strconv.Atoi(word)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := newTown(t, 1, 3, n-3, true)
+		all := func(floor bool, version uint64) bool {
+			for _, p := range w.procs {
+				a := p.holder.Acting(p.clock())
+				if !a.Leased || a.Latest < version || floor && a.Floor < version {
+					return false
+				}
+			}
+			return true
+		}
+		for !all(true, 1) {
+			w.one()
+		}
+		began, bytes, sent := w.now, w.bytes, w.sent
+		clear(w.bySender)
+		for w.now < began+int64(10*time.Second) {
+			w.one()
+		}
+		leads := slices.IndexFunc(w.procs, func(p *proc) bool { return p.keeper != nil && p.keeper.Leads() })
+		t.Logf("%d processes at rest: %.0f bytes and %.1f messages a process and second; who leads sends %.0f bytes a second", n,
+			float64(w.bytes-bytes)/10/float64(n), float64(w.sent-sent)/10/float64(n), float64(w.bySender[leads])/10)
+		var strict, loose []int64
+		for v := uint64(2); v < 12; v++ {
+			began := w.now
+			w.propose(n-1, leads, Change{Out: []string{fmt.Sprint("h", v)}})
+			for !all(false, v) {
+				w.one()
+			}
+			strict = append(strict, w.now-began)
+			for !all(true, v) {
+				w.one()
+			}
+			loose = append(loose, w.now-began)
+		}
+		slices.Sort(strict)
+		slices.Sort(loose)
+		t.Logf("%d processes: what is strict counts at the last after a median of %v, most %v; what is loose after %v, most %v", n, time.Duration(strict[5]),
+			time.Duration(strict[9]), time.Duration(loose[5]), time.Duration(loose[9]))
+		if w.broken != "" {
+			t.Error(w.broken)
+		}
+	}
+}
+
 // TestRulesAreSeenBroken takes out one part after the other that the rules rest on; each time a rule is seen broken.
 func TestRulesAreSeenBroken(t *testing.T) {
 	for part, c := range map[string]struct {
