--- a/cmd/hollyfleet/fleet_test.go
+++ b/cmd/hollyfleet/fleet_test.go
@@ -138,6 +138,38 @@
 	}
 }
 
+// TestGossip: processes that find each other, of which some are killed, stopped and started again, keep to the same. (Relays stand only where they
+// join: from then on they talk directly.)
+func TestGossip(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 7, 5, 3, func(p *process) {
+		text, err := os.ReadFile(p.own)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(p.own, append(text, "way = \"gossip\"\n"...), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	})
+	w.agree(1)
+	version := uint64(1)
+	for n := range 3 {
+		w.kill(w.procs[n])
+		w.stop(w.procs[4])
+		until(t, "a version without two", func() bool {
+			a, err := w.procs[3].propose(joining.Proposal{ID: fmt.Sprint("g", n), Out: []string{fmt.Sprint("g", n)}})
+			version = max(version, a.Version)
+			return err == nil && a.Version != 0
+		})
+		w.start(w.procs[n])
+		w.goOn(w.procs[4])
+		w.agree(version)
+	}
+	if worst, wrong := check(w.trace(), terms.Pause); wrong != "" || worst > terms.T() {
+		t.Errorf("longest contradiction %v of %v; %s\n%s", worst, terms.T(), wrong, w.logs())
+	}
+}
+
 // TestLeaderStopped: the keeper that leads is stopped for longer than a lease and goes on as if nothing had been; meanwhile others lead and
 // accept. It finds its lease over before it decides anything.
 func TestLeaderStopped(t *testing.T) {
--- a/joining/proposal.go
+++ b/joining/proposal.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -44,26 +45,13 @@
 	case errors.As(err, &odd):
 		for _, e := range odd.Errors {
 			line, column := e.Position()
-			field := ""
-			for n, part := range e.Key() {
-				if n > 0 {
-					field += "."
-				}
-				field += part
-			}
-			wrong = append(wrong, fields.Mistake{File: file, Line: line, Column: column, Field: field, Why: "no such field; there are by, why, made_for, out, back, " +
+			wrong = append(wrong, fields.Mistake{File: file, Line: line, Column: column, Field: strings.Join(e.Key(), "."), Why: "no such field; there are by, why, made_for, out, back, " +
 				"limits, settings_digest, list_of, list_from, leave, return"})
 		}
 	case errors.As(err, &form):
 		line, column := form.Position()
-		field := ""
-		for n, part := range form.Key() {
-			if n > 0 {
-				field += "."
-			}
-			field += part
-		}
-		wrong = append(wrong, fields.Mistake{File: file, Line: line, Column: column, Field: field, Why: form.Error()})
+		wrong = append(wrong, fields.Mistake{File: file, Line: line, Column: column, Field: strings.Join(form.Key(), "."),
+			Why: strings.TrimPrefix(form.Error(), "toml: ")})
 	default:
 		wrong = append(wrong, fields.Mistake{File: file, Why: err.Error()})
 	}
--- a/members/gossip.go
+++ b/members/gossip.go
@@ -20,6 +20,9 @@
 	heard  heard
 	budget budget
 	queue  *memberlist.TransmitLimitedQueue
+	named  map[string]string // addresses of peers
+
+	done chan struct{}
 
 	mu  sync.Mutex
 	own []byte
@@ -35,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gossip{name: name, ears: ears, budget: budget{rate: float64(rate)}}
+	g := &Gossip{name: name, ears: ears, budget: budget{rate: float64(rate)}, named: map[string]string{}, done: make(chan struct{})}
 	how := memberlist.DefaultLANConfig()
 	how.Name, how.BindAddr, how.BindPort, how.AdvertisePort = name, host, number, number
 	how.LogOutput, how.Logger = nil, log.New(io.Discard, "", 0)
@@ -49,16 +52,21 @@
 	var others []string
 	for _, p := range peers {
 		if p.Name != name {
+			g.named[p.Name] = p.Address
 			others = append(others, p.Address)
 		}
 	}
 	go func() {
-		for range 600 { // Whoever is there later joins us.
-			if g.list.NumMembers() > 1 || len(others) == 0 {
+		// Whoever is there later joins us; and parts that were cut for long enough to forget each other find together again.
+		for every := time.Second; len(others) > 0; every = min(every*2, 30*time.Second) {
+			if g.list.NumMembers() <= len(others) {
+				g.list.Join(others)
+			}
+			select {
+			case <-g.done:
 				return
+			case <-time.After(every):
 			}
-			g.list.Join(others)
-			time.Sleep(time.Second)
 		}
 	}()
 	return g, nil
@@ -69,17 +77,21 @@
 	if !g.budget.take(len(bytes), time.Now()) {
 		return io.ErrShortWrite
 	}
+	framed := append([]byte{isMessage}, bytes...)
 	for _, n := range g.list.Members() {
 		if n.Name != to {
 			continue
 		}
-		framed := append([]byte{isMessage}, bytes...)
 		if len(framed) <= packet {
 			return g.list.SendBestEffort(n, framed)
 		}
 		go g.list.SendReliable(n, framed)
 		return nil
 	}
+	// One that gossip calls dead may be back: it takes seconds to hear of that, and those that are named beforehand can be reached all the same.
+	if at := g.named[to]; at != "" && len(framed) <= packet {
+		return g.list.SendToAddress(memberlist.Address{Addr: at}, framed)
+	}
 	return errNoPeer
 }
 
@@ -97,6 +109,7 @@
 
 // Close leaves the others, so that they know, and ends the exchange.
 func (g *Gossip) Close() {
+	close(g.done)
 	g.list.Leave(200 * time.Millisecond)
 	g.list.Shutdown()
 }
