--- a/cmd/hollyfleet/main.go
+++ b/cmd/hollyfleet/main.go
@@ -26,7 +26,9 @@
 // acts puts what is agreed on before the balancer.
 type acts struct{ *routing.Balancer }
 
-func (a acts) Heeds(what agreed.Acting) { a.Balancer.Heeds(what.Bans, what.Limits) }
+func (a acts) Heeds(what agreed.Acting) {
+	a.Balancer.Heeds(what.Bans, what.Limits, what.Source, what.From)
+}
 
 func (a acts) Drained(names []string) { a.News(names) }
 
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -122,6 +123,8 @@
 	byNews    map[string]bool // by others' later lists
 	decides   func()          // called before each decision; nil: nobody asks
 	mostOpen  int             // retrievals held at most, by what the fleet agreed on
+	listOf    string          // the discovery whose lists count; "": each one's own
+	listFrom  uint64          // and from which index on
 	drains    []Drain         // the last ones of the list
 	open      map[string]bool // ids of retrievals that have no final answer yet
 	slots     []slot
@@ -262,6 +265,10 @@
 		return err
 	}
 	now, all := b.now(), saved || whole
+	if !saved && (index < b.listFrom || b.listOf != "" && b.listOf != b.discovery) {
+		// The fleet reads another list, or a later one: of this one only drains count.
+		rows, all, whole = slices.DeleteFunc(rows, func(r row) bool { return healths[r.status] == choice.Ready }), false, false
+	}
 	is := func(s int, from string, health choice.Health) {
 		h := &b.servers[s]
 		if to := names[health]; to != from && !saved {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -35,9 +35,11 @@
 }
 
 // Heeds takes what the fleet agreed on: hosts that are out, and limits by name. held: how many retrievals are held at most; quota.T: tenant T's
-// retrievals a second, for all balancers. Where the settings have a smaller one, that counts.
-func (b *Balancer) Heeds(out []string, limits map[string]int64) {
+// retrievals a second, for all balancers. Where the settings have a smaller one, that counts. Of a list that is another discovery's
+// than listOf, or of an index under listFrom, only drains are taken.
+func (b *Balancer) Heeds(out []string, limits map[string]int64, listOf string, listFrom uint64) {
 	b.mu.Lock()
+	b.listOf, b.listFrom = listOf, listFrom
 	b.mostOpen = b.mostHeld
 	if most, stated := limits["held"]; stated {
 		b.mostOpen = int(min(int64(b.mostHeld), most))
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -304,7 +304,7 @@
 	b.Decides(func() { looks++ })
 	b.told(t, changes(row("one", "127.0.0.1:9", "Ready", 1)))
 	here := func() string { return fmt.Sprint(b.banned["one"], b.mostOpen) }
-	b.Heeds([]string{"one"}, map[string]int64{"held": 1})
+	b.Heeds([]string{"one"}, map[string]int64{"held": 1}, "", 0)
 	if here() != "true 1" {
 		t.Error("out and bounded:", here())
 	}
@@ -318,11 +318,11 @@
 		t.Errorf("%q over what is agreed on, after %d looks", answer, looks)
 	}
 	b.lay([]string{"one"})
-	if b.Heeds(nil, map[string]int64{"held": 99}); here() != "true 3" {
+	if b.Heeds(nil, map[string]int64{"held": 99}, "", 0); here() != "true 3" {
 		t.Error("by hand, and more than the settings:", here())
 	}
 	b.lay(nil)
-	if b.Heeds(nil, nil); here() != "false 3" {
+	if b.Heeds(nil, nil, "", 0); here() != "false 3" {
 		t.Error("nothing:", here())
 	}
 	b.retrieve(words("c=read,d=50"), false, r, func() {}, nil)
@@ -337,3 +337,24 @@
 		t.Error(index, digest, drains)
 	}
 }
+
+// Of a list that the fleet does not read, drains count and nothing else.
+func TestListThatDoesNotCount(t *testing.T) {
+	for why, c := range map[string]struct {
+		of   string
+		from uint64
+	}{"too old": {"", 10}, "another's": {"127.0.0.1:2", 0}} {
+		b := begin(t, 1<<20)
+		b.told(t, changes(row("one", "127.0.0.1:9", "Ready", 1), row("two", "127.0.0.1:8", "Ready", 1)))
+		b.Heeds(nil, nil, c.of, c.from)
+		b.told(t, strings.Replace(changes(row("one", "127.0.0.1:9", "Terminating", 1), row("new", "127.0.0.1:7", "Ready", 1)), "false", "true", 1))
+		if _, came := b.byName["new"]; came || b.servers[b.byName["one"]].health != choice.Draining || b.servers[b.byName["two"]].health != choice.Ready {
+			t.Errorf("%s: %+v", why, b.servers)
+		}
+		b.Heeds(nil, nil, "", 0)
+		b.told(t, strings.Replace(changes(row("new", "127.0.0.1:7", "Ready", 1)), "false", "true", 1))
+		if _, came := b.byName["new"]; !came || len(b.byName) != 1 {
+			t.Errorf("%s, and counts again: %v", why, b.byName)
+		}
+	}
+}
