What nobody read goes out: a setting, a return, a parameter, a count; bounds out of another's list of constants

fleet.behind was in the table and read by nobody; Holder.Heard's answer, grant's floor and Contended likewise. goneFor and mostGone stood in the list that numbers what a retrieval is told.

--- a/agreed/holder.go
+++ b/agreed/holder.go
@@ -85,9 +85,8 @@
 	h.net.Send(to, &Message{From: h.Name, Ask: &Ask{Seq: h.seq, Life: h.life, Known: latest, Floor: h.floor}})
 }
 
-// Heard takes a grant, or news. It tells whether what to act on has changed.
-func (h *Holder) Heard(now int64, g *Grant) bool {
-	before, floor := len(h.versions), h.floor
+// Heard takes a grant, or news.
+func (h *Holder) Heard(now int64, g *Grant) {
 	whole := h.learn(g)
 	if g.Leader != "" && g.Leader != h.leader {
 		h.leader = g.Leader
@@ -95,17 +94,14 @@
 			h.askAt = min(h.askAt, now) // Another leads: it is asked at once.
 		}
 	}
-	granted := false
 	if a := h.sent[g.Seq%uint64(len(h.sent))]; g.Seq != 0 && a.seq == g.Seq && whole {
 		// The lease runs from the ask, not from the grant: what lies between may have taken long.
 		if until := a.at + int64(h.terms.Lease); until > h.until && now < until {
-			granted = now >= h.until
 			h.until = until
 		}
 		h.silent = 0
 		h.askAt = max(h.askAt, a.at+int64(h.terms.Lease)/3)
 	}
-	return granted || before != len(h.versions) || floor != h.floor
 }
 
 // learn takes versions, and a floor, if nothing is missing between; it tells whether all that the grant speaks of is known.
--- a/agreed/keeper.go
+++ b/agreed/keeper.go
@@ -64,16 +64,15 @@
 	hellos             map[string]heardHello
 	ids                map[uint64]string // names of lives
 
-	asking    []asking
-	asked     uint64 // of them, ever
-	reading   uint64 // up to which a majority is being asked whether this one leads
-	readAt    int64
-	holders   map[holder]*holding
-	open      []open // proposals, if it leads
-	said      []said
-	moving    uint64 // the floor that has been proposed
-	changing  int64  // when a change of members was proposed last
-	Contended int    // proposals withdrawn, for figures
+	asking   []asking
+	asked    uint64 // of them, ever
+	reading  uint64 // up to which a majority is being asked whether this one leads
+	readAt   int64
+	holders  map[holder]*holding
+	open     []open // proposals, if it leads
+	said     []said
+	moving   uint64 // the floor that has been proposed
+	changing int64  // when a change of members was proposed last
 }
 
 type asking struct {
@@ -431,13 +430,13 @@
 			k.holders[who] = h
 		}
 		h.known, h.ends = max(h.known, a.ask.Known), now+int64(k.terms.Outlasts())
-		k.net.Send(a.from, &Message{From: k.Name, Grant: k.grant(a.ask.Seq, a.ask.Known, a.ask.Floor)})
+		k.net.Send(a.from, &Message{From: k.Name, Grant: k.grant(a.ask.Seq, a.ask.Known)})
 	}
 	k.asking = rest
 }
 
 // grant has what a holder lacks.
-func (k *Keeper) grant(seq, known, floor uint64) *Grant {
+func (k *Keeper) grant(seq, known uint64) *Grant {
 	g := &Grant{Seq: seq, Leader: k.Name, Floor: k.state.Floor, History: k.state.ID}
 	for _, v := range k.state.counting() {
 		if v.Number > known || known < k.state.Floor {
@@ -460,7 +459,6 @@
 			continue
 		}
 		if !o.accepted {
-			k.Contended++
 			k.write(entry{Withdraw: o.change.ID})
 			k.answer(o, &Outcome{ID: o.change.ID, Wrong: "no majority within 5s: not in force, and it will not be", Sure: true})
 		} else {
@@ -700,7 +698,7 @@
 	for _, who := range slices.SortedFunc(maps.Keys(k.holders), func(a, b holder) int {
 		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.life, b.life))
 	}) {
-		k.net.Send(who.name, &Message{From: k.Name, Grant: k.grant(0, k.holders[who].known, 0)})
+		k.net.Send(who.name, &Message{From: k.Name, Grant: k.grant(0, k.holders[who].known)})
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,7 +42,6 @@
 	own        agreed.Own
 	odd        bool // its settings are not those in force, and it said so
 	terms      agreed.Terms
-	behind     time.Duration
 	keepers    []string
 	acts       Acts
 	log        zerolog.Logger
@@ -102,7 +101,7 @@
 		return nil, err
 	}
 	peers, _ := joining.Peers(own.Word("fleet.peers"))
-	f := &Fleet{name: name, zone: zone, settings: settings, terms: joining.Of(own), behind: own.Duration("fleet.behind"), keepers: joining.Names(own.Word("fleet.keepers")), acts: acts, log: log,
+	f := &Fleet{name: name, zone: zone, settings: settings, terms: joining.Of(own), keepers: joining.Names(own.Word("fleet.keepers")), acts: acts, log: log,
 		came: make(chan []byte, mostCame), changed: make(chan struct{}, 1), waiting: map[string]chan said{}}
 	var seed [16]byte
 	crand.Read(seed[:])
--- a/joining/joining.go
+++ b/joining/joining.go
@@ -33,8 +33,6 @@
 	{Name: "pause", Kind: fields.Duration, Default: "150ms", Least: "0s", Most: "1m", When: fields.AtStart,
 		Help: "What may lie between the look at a lease and the act."},
 	{Name: "rate", Kind: fields.Count, Default: "1000000", Least: "10000", Most: "1000000000", When: fields.AtStart, Help: "Bytes a second that it sends at most."},
-	{Name: "behind", Kind: fields.Duration, Default: "3s", Least: "100ms", Most: "10m", When: fields.AtStart,
-		Help: "How far its list may be behind another's before it says so."},
 	{Name: "trace", Kind: fields.Text, Default: "", When: fields.AtStart, Help: "A file for a line on each decision, for tests."},
 }}
 
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -45,12 +45,15 @@
 var names = map[choice.Health]string{choice.Ready: "Ready", choice.Draining: "Terminating", choice.Gone: "Gone"}
 
 // what a retrieval is told.
+const (
+	goneFor  = int64(time.Minute) // where only draining binds, one that the list calls gone is kept for so long
+	mostGone = 256                // and so many of them
+)
+
 type what int
 
 const (
-	goneFor       = int64(time.Minute) // where only draining binds, one that the list calls gone is kept for so long
-	mostGone      = 256                // and so many of them
-	send     what = iota
+	send what = iota
 	callOff
 	dismiss
 	giveUp
