--- a/agreed/document_test.go
+++ b/agreed/document_test.go
@@ -189,3 +189,18 @@
 		t.Error("written after a sure no")
 	}
 }
+
+// A list that is behind for a moment is not worth a line; one that stays behind is, once.
+func TestLateIsSaidOnceAndNotAtOnce(t *testing.T) {
+	var l Late
+	for _, step := range []struct {
+		at   int64
+		is   bool
+		says bool
+	}{{0, true, false}, {900 * ms, true, false}, {950 * ms, false, false}, {1000 * ms, true, false}, {1999 * ms, true, false}, {2000 * ms, true, true},
+		{5000 * ms, true, false}, {5001 * ms, false, false}, {6000 * ms, true, false}, {7000 * ms, true, true}} {
+		if says := l.Saw(step.at, step.is, time.Second); says != step.says {
+			t.Errorf("at %v: %t", time.Duration(step.at), says)
+		}
+	}
+}
--- a/agreed/lists.go
+++ b/agreed/lists.go
@@ -68,3 +68,22 @@
 	c.News = slices.Compact(c.News)
 	return c
 }
+
+// Late is how long something has been so, and whether it was said.
+type Late struct {
+	since int64
+	is    bool
+	said  bool
+}
+
+// Saw tells whether it is to be said now: once each time that it has been so for longer than over.
+func (l *Late) Saw(now int64, is bool, over time.Duration) bool {
+	if !is || !l.is {
+		*l = Late{since: now, is: is}
+	}
+	if !is || l.said || now-l.since < int64(over) {
+		return false
+	}
+	l.said = true
+	return true
+}
--- a/cmd/hollylab/agree.go
+++ b/cmd/hollylab/agree.go
@@ -179,3 +179,35 @@
 	}
 	w.agree(ctx, version)
 }
+
+// died: the keeper that leads is killed. What it held dies with it; the others lose nothing, and lead without it. It comes back, with its file.
+func died(ctx context.Context, w *town, over time.Duration) {
+	w.agree(ctx, 1)
+	s, _ := w.actsOn(0)
+	at := 0
+	for at < balancerCount && s.Leads != fmt.Sprint("n", at+1) {
+		at++
+	}
+	if at == balancerCount {
+		w.wrong("nobody leads")
+		return
+	}
+	w.killed = at + 1
+	w.processes[at].Kill()
+	version, began := uint64(0), time.Now()
+	for end := began.Add(agreeFor); version == 0 && time.Now().Before(end) && ctx.Err() == nil; {
+		version = w.propose((at+1)%balancerCount, joining.Proposal{Limits: map[string]int64{"held": 10000}, Why: "demo: die"})
+	}
+	if version == 0 && ctx.Err() == nil {
+		w.wrong("the two that are left accept nothing")
+	}
+	young, err := w.platforms[at].Start()
+	if err != nil {
+		w.wrong("balancer %d does not come back: %v", at+1, err)
+		return
+	}
+	w.mu.Lock()
+	w.processes[at] = young
+	w.mu.Unlock()
+	w.agree(ctx, version)
+}
--- a/cmd/hollylab/town.go
+++ b/cmd/hollylab/town.go
@@ -48,6 +48,7 @@
 	kinds     []int
 	platforms []*standin.Platform
 	accord    *accord // nil: each decides alone
+	killed    int     // the number of a balancer that was killed: what it held is no other's; 0: none was
 
 	mu        sync.Mutex
 	processes []*standin.Process // one that serves for each platform
--- a/cmd/hollylab/trouble.go
+++ b/cmd/hollylab/trouble.go
@@ -97,4 +97,5 @@
 	}},
 	{name: "cut", says: "one of a fleet of balancers is cut off from the others while a ban is agreed on", play: cutApart, agree: true},
 	{name: "pause", says: "the balancer that leads a fleet stands still for longer than a lease", play: stopped, agree: true},
+	{name: "die", says: "the balancer that leads a fleet is killed, and comes back with its file", play: died, agree: true},
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,7 +66,8 @@
 	waiting  map[string]chan said
 	cards    uint64
 	news     []string
-	stale    bool // its list is behind, and it said so
+	late     agreed.Late // its list is behind
+	behind   time.Duration
 	differs  bool
 	contrary int
 }
@@ -102,7 +103,7 @@
 	}
 	peers, _ := joining.Peers(own.Word("fleet.peers"))
 	f := &Fleet{name: name, zone: zone, settings: settings, terms: joining.Of(own), keepers: joining.Names(own.Word("fleet.keepers")), acts: acts, log: log,
-		came: make(chan []byte, mostCame), changed: make(chan struct{}, 1), waiting: map[string]chan said{}}
+		behind: own.Duration("fleet.behind"), came: make(chan []byte, mostCame), changed: make(chan struct{}, 1), waiting: map[string]chan said{}}
 	var seed [16]byte
 	crand.Read(seed[:])
 	// Later lives have higher numbers: by the system's clock, and by chance within a second.
@@ -393,14 +394,15 @@
 	news := what.News
 	changed := !slices.Equal(news, f.news)
 	f.news = news
-	stale, differs := f.stale, f.differs
-	f.stale, f.differs = what.Behind != "", what.Contrary != ""
+	late := f.late.Saw(Now(), what.Behind != "", f.behind)
+	differs := f.differs
+	f.differs = what.Contrary != ""
 	f.mu.Unlock()
 	if changed {
 		f.acts.Drained(news)
 		f.log.Info().Strs("hosts", news).Msg("drains by others' later lists")
 	}
-	if !stale && what.Behind != "" {
+	if late {
 		f.log.Warn().Uint64("index", index).Str("member", what.Behind).Uint64("its", what.Latest).Msg("list behind another's")
 	}
 	if !differs && what.Contrary != "" {
--- a/joining/joining.go
+++ b/joining/joining.go
@@ -32,6 +32,8 @@
 		Help: "By how much a clock's rate may be off, in thousandths. The same everywhere."},
 	{Name: "pause", Kind: fields.Duration, Default: "150ms", Least: "0s", Most: "1m", When: fields.AtStart,
 		Help: "What may lie between the look at a lease and the act."},
+	{Name: "behind", Kind: fields.Duration, Default: "1s", Least: "0s", Most: "1m", When: fields.AtStart,
+		Help: "How long this process's list may be behind another's before it says so. Drains of later lists count at once."},
 	{Name: "rate", Kind: fields.Count, Default: "1000000", Least: "10000", Most: "1000000000", When: fields.AtStart, Help: "Bytes a second that it sends at most."},
 	{Name: "trace", Kind: fields.Text, Default: "", When: fields.AtStart, Help: "A file for a line on each decision, for tests."},
 }}
