subset: which hosts a process keeps idle connections to

Change: package subset, pure: each host chooses its balancers by rendezvous, so that all hosts of one weight have exactly as many and the least moves; by zone where that has balancers enough. fleet.tends (0: to all, by default): idle connections to other hosts end after half a second; a key's three candidates stay the same three for all, and are sent to whenever the key asks.

--- a/cmd/hollyfleet/main.go
+++ b/cmd/hollyfleet/main.go
@@ -10,6 +10,7 @@
 	"hollylever/members"
 	"hollylever/routing"
 	"hollylever/serving"
+	"hollylever/subset"
 )
 
 func main() { serving.Main(join) }
@@ -35,6 +36,14 @@
 
 func (a acts) Drained(names []string) { a.News(names) }
 
+func (a acts) Servers() []subset.Host {
+	var all []subset.Host
+	for _, l := range a.Balancer.Servers() {
+		all = append(all, subset.Host(l))
+	}
+	return all
+}
+
 func (a acts) List() (uint64, uint64, []members.Drain) {
 	index, digest, drains := a.Lists()
 	out := make([]members.Drain, len(drains))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"hollylever/joining"
 	"hollylever/members"
 	"hollylever/store"
+	"hollylever/subset"
 )
 
 // Acts is what is told what to act on: the balancer. Heeds is called under no lock, whenever it changes.
@@ -34,7 +35,8 @@
 	Heeds(agreed.Acting)
 	Drained(names []string) // hosts that other processes' later lists call draining or gone
 	List() (index, digest uint64, drains []members.Drain)
-	Servers() []string
+	Servers() []subset.Host
+	Tends(names map[string]bool, all bool) // to which hosts idle connections are kept
 	Heard(parts map[string]float64) // what others' word takes from hosts' chances
 	Portion(part float64)           // of the fleet's budgets; 0: they are not divided
 	Came() int                      // retrievals since the start
@@ -63,6 +65,7 @@
 	join       func() error
 	keeps      func() error
 	seen       *seen // nil: no signals
+	tends      tending
 
 	mu       sync.Mutex
 	holder   *agreed.Holder
@@ -120,6 +123,7 @@
 	if own.Yes("fleet.signals") {
 		f.seen = newSeen(name, zone, f.life, own.Duration("fleet.signal_delay"))
 	}
+	f.tends = tending{rule: subset.Rule{Hosts: int(own.Count("fleet.tends")), Balancers: subset.Usual.Balancers, Near: own.Yes("fleet.tends_near")}}
 	source := rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 	chance := source.IntN // Only called under the lock.
 	if path := own.Word("fleet.trace"); path != "" {
@@ -543,6 +547,7 @@
 	Keeper   *KeeperStands    `json:"keeper,omitempty"`
 	Versions []agreed.Version `json:"versions_that_count"`
 	Signals  *SignalsStand    `json:"signals,omitempty"`
+	Tends    []string         `json:"tends,omitempty"`
 }
 
 // Stands is a member as this process heard of it.
@@ -580,6 +585,7 @@
 	if f.seen != nil {
 		s.Signals = f.seen.stand()
 	}
+	s.Tends = f.tends.has
 	if f.keeper != nil {
 		s.Keeper = &KeeperStands{Leads: f.keeper.Leads(), Founded: f.keeper.Founded(), Holders: f.keeper.Holders(now)}
 	}
--- a/fleet/seen.go
+++ b/fleet/seen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hollylever/choice"
+	"hollylever/members"
 	"hollylever/signals"
 )
 
@@ -103,28 +104,33 @@
 	return true
 }
 
-// fellows says who may speak and which hosts there are.
+// fellows says who may speak and which hosts there are, and takes up which of these are this process's to tend.
 func (f *Fleet) fellows() {
-	if f.seen == nil {
+	servers, now := f.acts.Servers(), time.Now()
+	var lately []members.Member
+	for _, m := range f.exchange.Members() {
+		if now.Sub(m.Heard) <= silentFor {
+			lately = append(lately, m)
+		}
+	}
+	f.tend(lately, servers)
+	s := f.seen
+	if s == nil {
 		return
 	}
-	servers := f.acts.Servers()
-	s, now := f.seen, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []signals.Member
-	for _, m := range f.exchange.Members() {
-		if now.Sub(m.Heard) <= silentFor {
-			all = append(all, signals.Member{ID: id(m.Name), Zone: s.zone(m.Zone)})
-		}
+	for _, m := range lately {
+		all = append(all, signals.Member{ID: id(m.Name), Zone: s.zone(m.Zone)})
 	}
 	s.board.Members(all)
 	clear(s.ids)
 	clear(s.names)
 	hosts := make([]uint32, len(servers))
-	for n, name := range servers {
-		hosts[n] = id(name)
-		s.ids[name], s.names[hosts[n]] = hosts[n], name
+	for n, h := range servers {
+		hosts[n] = id(h.Name)
+		s.ids[h.Name], s.names[hosts[n]] = hosts[n], h.Name
 	}
 	s.board.Hosts(hosts)
 }
--- /dev/null
+++ b/fleet/tend.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"slices"
+
+	"hollylever/members"
+	"hollylever/subset"
+)
+
+// tending is which hosts are this process's to tend, and what that was made up from.
+type tending struct {
+	rule      subset.Rule
+	balancers []subset.Balancer
+	hosts     []subset.Host
+	has       []string
+}
+
+// tend makes up anew which hosts are this process's, if members or hosts have changed. While nobody speaks all are.
+func (f *Fleet) tend(lately []members.Member, hosts []subset.Host) {
+	if f.tends.rule.Hosts == 0 {
+		return
+	}
+	balancers := []subset.Balancer{{Name: f.name, Zone: f.zone}}
+	for _, m := range lately {
+		if m.Name != f.name {
+			balancers = append(balancers, subset.Balancer{Name: m.Name, Zone: m.Zone})
+		}
+	}
+	if slices.Equal(balancers, f.tends.balancers) && slices.Equal(hosts, f.tends.hosts) {
+		return
+	}
+	has := subset.New(balancers, hosts, f.tends.rule).Has(f.name, hosts)
+	names := map[string]bool{}
+	for _, name := range has {
+		names[name] = true
+	}
+	f.acts.Tends(names, len(balancers) == 1)
+	f.mu.Lock()
+	f.tends.balancers, f.tends.hosts, f.tends.has = balancers, hosts, has
+	f.mu.Unlock()
+}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -48,16 +48,43 @@
 	return b.counts[count{"retrievals", none}]
 }
 
-// Servers are the names of those that the list has.
-func (b *Balancer) Servers() (names []string) {
+// Listed is a server that the list has.
+type Listed struct {
+	Name, Zone string
+	Weight     float64
+}
+
+// Servers are those that the list has.
+func (b *Balancer) Servers() (all []Listed) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	zones := make([]string, len(b.zones))
+	for name, z := range b.zones {
+		zones[z] = name
+	}
 	for s := range b.servers {
 		if h := &b.servers[s]; h.name != "" && h.health != choice.Gone {
-			names = append(names, h.name)
+			l := Listed{Name: h.name, Weight: h.weight}
+			if h.zone >= 0 {
+				l.Zone = zones[h.zone]
+			}
+			all = append(all, l)
+		}
+	}
+	return all
+}
+
+// Tends takes which servers this balancer keeps idle connections to; those to others end after a moment. all: to all.
+func (b *Balancer) Tends(names map[string]bool, all bool) {
+	brief := map[int]bool{}
+	b.mu.Lock()
+	for s := range b.servers {
+		if h := &b.servers[s]; !all && h.name != "" && !names[h.name] {
+			brief[s] = true
 		}
 	}
-	return names
+	b.mu.Unlock()
+	b.pool.Briefly(brief)
 }
 
 // Heard takes what others' word takes from servers' chances.
--- a/serving/fleet.go
+++ b/serving/fleet.go
@@ -33,6 +33,7 @@
 		Limits        map[string]int64 `json:"limits"`
 		Part          float64
 	} `json:"acting"`
+	Tends   []string
 	Signals *struct {
 		Told, Taken, Lost int
 		Hosts             []struct {
@@ -118,6 +119,9 @@
 		if s.Acting.Part > 0 {
 			fmt.Fprintf(c.OutOrStdout(), "part of the fleet's budgets: %.1f%%\n", 100*s.Acting.Part)
 		}
+		if len(s.Tends) > 0 {
+			fmt.Fprintf(c.OutOrStdout(), "keeps idle connections to %d hosts: %s\n", len(s.Tends), printable(strings.Join(s.Tends, " ")))
+		}
 		if s.Signals == nil {
 			return nil
 		}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -18,6 +18,9 @@
 
 const fadeFor = 20 * restFor
 
+// briefFor is how long a connection to a server that others look after stays idle: a key that is asked for again at once finds it.
+const briefFor = 500 * time.Millisecond
+
 // Peer is a server at an address. An address alone is not enough: a new server may have an old one's, whose open
 // connections stay silent or end at it.
 type Peer struct {
@@ -35,6 +38,7 @@
 	keep   time.Duration
 	rest   time.Duration
 	look   time.Duration
+	brief  map[int]bool // servers to which idle connections are kept for a moment only
 	dialer net.Dialer
 }
 
@@ -265,8 +269,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for peer, list := range p.idle {
-		n := 0
-		for n < len(list) && time.Since(list[n].idleAt) >= p.keep {
+		n, keep := 0, p.keep
+		if p.brief[peer.Server] {
+			keep = min(keep, briefFor)
+		}
+		for n < len(list) && time.Since(list[n].idleAt) >= keep {
 			list[n].Close()
 			p.open--
 			n++
@@ -277,6 +284,13 @@
 	}
 }
 
+// Briefly keeps idle connections to these servers for a moment only: others look after them.
+func (p *Pool) Briefly(servers map[int]bool) {
+	p.mu.Lock()
+	p.brief = servers
+	p.mu.Unlock()
+}
+
 // Fade keeps idle connections no longer than for a moment: another process takes over, and what both hold counts together.
 func (p *Pool) Fade() {
 	p.mu.Lock()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -580,3 +580,29 @@
 	}
 	t.Error("the second client is in hand of a listener that has no room")
 }
+
+// Servers that others look after: what is idle there ends after a moment, well before the rest.
+func TestBriefly(t *testing.T) {
+	address, accepted := peer(t)
+	p := NewPool(4, time.Minute, time.Second)
+	for server := range 2 {
+		line := p.Line()
+		if end := line.Connect(Peer{Server: server, Address: address}, time.Now().Add(time.Second)); end != Open {
+			t.Fatal(end)
+		}
+		defer (<-accepted).Close()
+		line.Done(true)
+	}
+	p.mu.Lock()
+	for _, list := range p.idle { // As if that much time had passed.
+		list[0].idleAt = list[0].idleAt.Add(-2 * briefFor)
+	}
+	p.mu.Unlock()
+	if p.Sweep(); p.Count() != 2 {
+		t.Errorf("%d are open", p.Count())
+	}
+	p.Briefly(map[int]bool{1: true})
+	if p.Sweep(); p.Count() != 1 || len(p.idle[Peer{0, address}]) != 1 {
+		t.Errorf("%d are open", p.Count())
+	}
+}
