Who has the turn tries a host at once; tests with processes; curves of subsets

Need: with signals a host that hung and went on was left for 8 to 16 s after it went on.

Cause, by the doors' own figures every 0.4 s: who had the turn did not use it for seconds, as the module's own doubt, its own zone first and the slow mean of the failed trips kept it away; and members of the host's own zone did not count another zone's word that it settles, as long as one of them had failed within 30 s.

Change: a part under 0 is the turn: doubt counts for nothing then, and the host goes first among a key's candidates, for one trip. A word that it settles counts if it is newer than the last failure in this zone.

Tests with processes: a host that hangs, with the holder of the turn stopped as it goes on, and with 50% loss, repeats, 0.2 to 0.4 s of delay; a balancer to which every second host is dead (nobody follows); bytes that are no signals; nine processes, three, nine, five: budgets whole. hollylab curves plots subsets.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -469,7 +469,7 @@
 	// for all then, nor while connects fail: a lost zone is found out server by server.
 	near, unreached := 0, b.unreached.read(b.seen)
 	for j := 0; j < n && !strict && unreached < few*(b.good.read(b.seen)+1); j++ {
-		if c := b.best[j]; b.servers[c.server].zone == b.zone {
+		if c := b.best[j]; b.servers[c.server].zone == b.zone || b.servers[c.server].told < 0 {
 			copy(b.best[near+1:j+1], b.best[near:j])
 			b.best[near] = c
 			near++
@@ -506,7 +506,7 @@
 		// The mean over time too: with few in flight the count of the moment does not show the slow ones.
 		load, each := b.usually(s)
 		load += float64(h.out)
-		if r.width < len(b.ready) && each > jam*b.all.each(b.seen, 0) {
+		if r.width < len(b.ready) && each > jam*b.all.each(b.seen, 0) && h.told >= 0 {
 			continue // Guards against a key that is more than its three can take: as after a busy answer.
 		}
 		if strict || load <= limit && math.Pow(b.chance.part(), 0.2)*each <= slow {
@@ -527,14 +527,14 @@
 	h := &b.servers[s]
 	good, bad := h.good.read(b.seen)+firstGood, h.bad.read(b.seen)+firstBad
 	// Guards against dead servers that the list still shows: one failed connect tells more than one error.
-	if h.cutAt > 0 && part() < math.Exp(float64(h.cutAt-b.now)/float64(memory)) || h.told > 0 && part() < h.told {
+	ago := float64(b.now-h.cutAt) / float64(memory)
+	if h.cutAt > 0 && part() < math.Exp(-ago) || h.told > 0 && part() < h.told {
 		return true
 	}
-	n, all := good+bad, b.good.read(b.seen)+firstGood
-	if bad < 0.6 {
+	if bad < 0.6 || h.told < 0 {
 		return false
 	}
-	normal := part() + part() + part() + part() - 2 // of variance 1/3
+	n, all, normal := good+bad, b.good.read(b.seen)+firstGood, part()+part()+part()+part()-2 // of variance 1/3
 	return good/n+normal*math.Sqrt(3*good*bad/(n+1))/n < doubt*all/(all+b.bad.read(b.seen)+firstBad)
 }
 
@@ -888,7 +888,7 @@
 	}
 }
 
-// Heard: what other balancers' word takes from a server's chance, a part. Weighed before it comes here.
+// Heard: what others' word takes from a server's chance; under 0: it is this one's turn to try it.
 func (b *Balancer) Heard(s int, part float64) { b.servers[s].told = part }
 
 // Reported: a server's load report, its figures in the order of the settings; NaN for those that it lacks.
--- a/cmd/hollyfleet/rig_test.go
+++ b/cmd/hollyfleet/rig_test.go
@@ -235,6 +235,7 @@
 		Floor, Latest uint64
 		Leased        bool
 		Bans          []string `json:"bans"`
+		Part          float64
 	}
 }
 
--- /dev/null
+++ b/cmd/hollyfleet/signals_test.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hollylever/standin"
+	"hollylever/standin/between"
+)
+
+// kept looks at what clients have seen: all is answered in time.
+func (d *district) kept() {
+	d.t.Helper()
+	if f := d.quiet(); f.Late+f.Door+f.Wrong > 0 || f.Settled < f.Asked*9/10 || d.origin.Twice() > 0 {
+		d.t.Errorf("%+v, %d twice", f, d.origin.Twice())
+	}
+}
+
+// TestAHostThatHangsIsLeft: all leave it on others' word, also those whose clients do not come there, one at a time tries it, and all come back; also
+// when who has the turn is stopped as the host goes on, and with signals that are late, lost, repeated.
+func TestAHostThatHangsIsLeft(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 1, 6, 12, "")
+	d.load(60, 500)
+	host := d.hosts[4]
+	for _, faults := range []between.Faults{{}, {Loss: 0.5, Repeats: 0.5, Delay: 200 * time.Millisecond, Spread: 200 * time.Millisecond}} {
+		d.faults(func(int, int) between.Faults { return faults })
+		began := time.Now()
+		goOn := host.Hang()
+		until(t, "all leaving it", func() bool { return d.left(host.Name) == len(d.procs) })
+		if n := d.left(""); n > len(d.procs) {
+			t.Errorf("others are left too: %d", n-len(d.procs))
+		}
+		t.Logf("all had left it after %v", time.Since(began))
+		var turn *process
+		until(t, "a turn", func() bool { _, turn = d.heeding(host.Name); return turn != nil })
+		d.stop(turn)
+		t.Logf("a turn after %v", time.Since(began))
+		goOn()
+		until(t, "all but the stopped one coming back", func() bool { return d.left(host.Name) == 0 })
+		t.Logf("all but one are back after %v", time.Since(began))
+		d.goOn(turn)
+		until(t, "all coming back", func() bool { return d.left(host.Name) == 0 })
+	}
+	d.heal()
+	if f := d.quiet(); f.Wrong > 0 || d.origin.Twice() > 0 || f.Settled < f.Asked*8/10 {
+		t.Errorf("%+v, %d twice", f, d.origin.Twice())
+	}
+}
+
+// TestABrokenCableTakesNoHost: to one balancer all hosts are dead, and to its zone some are. It says so; nobody follows, and the others settle all.
+func TestABrokenCableTakesNoHost(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 2, 6, 12, "")
+	broken := d.procs[4]
+	file, err := os.ReadFile(broken.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, entries := string(file), map[string]string{}
+	for h, host := range d.hosts {
+		if entries[host.Name] = d.entry(h, "Ready", 0); h%2 == 0 { // Every second one: what fails everywhere would be no host's.
+			dead := free(t)
+			entries[host.Name] = strings.Replace(entries[host.Name], host.Address, dead, 1)
+			text = strings.Replace(text, host.Address, dead, 1)
+		}
+	}
+	bad := standin.NewDiscovery()
+	defer bad.Close()
+	bad.Tell(entries)
+	d.kill(broken)
+	if err := os.WriteFile(broken.config, []byte(strings.Replace(text, d.list.Address, bad.Address, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d.start(broken)
+	d.agree(1)
+	d.load(60, 500)
+	until(t, "its word", func() bool {
+		n := 0
+		for _, h := range d.procs[0].signalled().Signals.Hosts {
+			if !h.Heeded {
+				n++
+			}
+		}
+		return n >= 3
+	})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) { // That long nobody follows.
+		if n := d.left(""); n > 0 {
+			t.Fatalf("%d hosts are left on the word of one", n)
+		}
+	}
+	d.kept()
+}
+
+// TestSignalsThatAreNone: bytes that are no signal, or of nobody, change nothing and are counted.
+func TestSignalsThatAreNone(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 3, 3, 6, "")
+	text, err := os.ReadFile(d.procs[0].own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "listen = \"")
+	at, _, _ := strings.Cut(rest, "\"")
+	c, err := net.Dial("udp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	until(t, "counting them", func() bool {
+		for n := range 20 {
+			fmt.Fprintf(c, "\x03%s", strings.Repeat(string(rune(n)), n*20))
+		}
+		return d.procs[0].signalled().Signals.Odd >= 20
+	})
+	d.load(50, 100)
+	until(t, "retrievals all the same", func() bool { return d.clients[0].Figures().Settled > 50 })
+	d.kept()
+}
+
+// TestBudgetsStayWhole: the fleet goes from three to nine to five processes under load, by start, SIGTERM and SIGKILL. The parts that all act on are
+// never over the whole, and come near it each time.
+func TestBudgetsStayWhole(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 9, 9, 3, nil)
+	w.agree(1)
+	up := func(n int) {
+		for i, p := range w.procs {
+			switch {
+			case i < n && p.cmd == nil:
+				w.start(p)
+			case i >= n && p.cmd != nil && i%2 == 0:
+				w.kill(p)
+			case i >= n && p.cmd != nil:
+				p.cmd.Process.Signal(syscall.SIGTERM)
+				p.cmd.Wait()
+				p.cmd = nil
+			}
+		}
+		until(t, fmt.Sprint("the parts of ", n), func() bool {
+			sum, least := 0.0, 1.0
+			for _, p := range w.procs[:n] {
+				s, err := p.status()
+				if err != nil || !s.Acting.Leased {
+					return false
+				}
+				sum, least = sum+s.Acting.Part, min(least, s.Acting.Part)
+			}
+			return sum > 0.98-0.5*float64(9-n)/9 && least >= 0.5/9
+		})
+	}
+	for _, n := range []int{9, 3, 9, 5} {
+		up(n)
+	}
+	if _, wrong := check(w.trace(), terms.Pause); wrong != "" {
+		t.Error(wrong)
+	}
+}
--- a/cmd/hollylab/main.go
+++ b/cmd/hollylab/main.go
@@ -48,7 +48,7 @@
 	root.SetArgs(words)
 	root.SetOut(out)
 	root.SetErr(wrong)
-	root.AddCommand(demoCommand(), loadCommand(), overheadCommand())
+	root.AddCommand(demoCommand(), loadCommand(), overheadCommand(), curvesCommand())
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return 0
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,9 +37,9 @@
 	List() (index, digest uint64, drains []members.Drain)
 	Servers() []subset.Host
 	Tends(names map[string]bool, all bool) // to which hosts idle connections are kept
-	Heard(parts map[string]float64) // what others' word takes from hosts' chances
-	Portion(part float64)           // of the fleet's budgets; 0: they are not divided
-	Came() int                      // retrievals since the start
+	Heard(parts map[string]float64)        // what others' word takes from hosts' chances
+	Portion(part float64)                  // of the fleet's budgets; 0: they are not divided
+	Came() int                             // retrievals since the start
 }
 
 // Fleet is one process's part in the fleet.
--- a/signals/heed.go
+++ b/signals/heed.go
@@ -8,12 +8,11 @@
 
 var errLarge = errors.New("over the bound of a signal")
 
-// evidence is what is said of a host: by how many, from how many zones, how many failures in a row in all; whether somebody of this zone says
-// so, and the newest failure.
+// evidence is what is said of a host: by how many, from how many zones, how many failures in a row in all; the newest failure, and the
+// newest that somebody of this zone told of.
 type evidence struct {
 	witnesses, zones, runs int
-	near                   bool
-	newest                 int64
+	newest, near           int64
 }
 
 // said gathers what this balancer saw and what others said no longer ago than that.
@@ -32,8 +31,10 @@
 			in[zone] = true
 			e.zones++
 		}
-		e.near = e.near || zone == b.me.Zone
 		e.newest = max(e.newest, failed)
+		if zone == b.me.Zone {
+			e.near = max(e.near, failed)
+		}
 	}
 	count(b.me.Zone, h.run, h.failed, h.failed)
 	for _, w := range h.words {
@@ -49,18 +50,17 @@
 		float64(e.runs)*math.Log(1/b.rare()) >= float64(e.witnesses)*math.Log(float64(len(b.all)))+math.Log(unlikely*float64(b.listed+1))
 }
 
-// settles is when somebody whose word counts here saw the host settle last: this one, one of its zone, or anybody while nobody of its zone
-// says that it fails. So a zone that only its own balancers reach goes on for them, and one that others do not reach stays left by these.
-// elsewhere is when somebody of another zone did.
-func (b *Board) settles(h *host, near bool) (last, elsewhere int64) {
+// settles is when somebody whose word counts here saw the host settle last: this one, one of its zone, or anybody since it failed for this zone
+// last. So a zone that only its own balancers reach goes on for them, and one that others do not reach is left by these, but for a try
+// now and then. elsewhere is when somebody of another zone did.
+func (b *Board) settles(h *host, near int64) (last, elsewhere int64) {
 	last = h.good
 	for _, w := range h.words {
-		if w.run > 0 {
-			continue
-		}
-		if w.zone == b.me.Zone || !near {
+		switch {
+		case w.run > 0:
+		case w.zone == b.me.Zone || w.failed > near:
 			last = max(last, w.failed)
-		} else {
+		default:
 			elsewhere = max(elsewhere, w.failed)
 		}
 	}
@@ -112,7 +112,7 @@
 	}
 }
 
-// Part is what others' word takes from a host's chance, here and now: none where this balancer has the turn to try it, or saw it settle since.
+// Part is what others' word takes from a host's chance, here and now: none where this balancer saw it settle since, Try where it has the turn.
 func (b *Board) Part(now int64, id uint32) float64 {
 	h := b.hosts[id]
 	switch {
@@ -122,8 +122,10 @@
 		if now >= h.back {
 			return 0
 		}
-	case now < h.leaves, b.turn(now, id, h):
+	case now < h.leaves:
 		return 0
+	case b.turn(now, id, h):
+		return Try
 	}
 	return mostPart
 }
@@ -185,6 +187,9 @@
 	return float64(before) / float64(len(b.all))
 }
 
+// Try in place of a part: this balancer has the turn to try the host once, and what it doubted itself counts for nothing then.
+const Try = -1.0
+
 // Heeded gives the hosts that are held back here or have been until now, with what is taken from each.
 func (b *Board) Heeded(now int64, of func(id uint32, part float64)) {
 	for id, h := range b.active {
