Reads that miss for all: one order of a key's hosts, so that a key is fetched once

Need: after a flush each balancer finds out for itself that reads miss, and prefers the candidate of its own zone: a key is fetched for up to three hosts.

Change: processes tell what part of their reads missed in the last half second, where that is a quarter or more. Once a third of them, of two zones, say 40%, the module keeps to the ranking's order for all (strict, as while the origin fails), for two seconds and until fewer than a third say a quarter: whose turn it is to fetch a key follows from the key alone. Messages' zones are taken as this process knows them: each numbers zones for itself.

It costs crossings and even load meanwhile: the first of a key's hosts has it all.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -131,7 +131,7 @@
 	fetches               map[uint64]int // aside: key to the retrieval that asks the origin for it
 	zone, origin          int            // its own; aside: its index, -1 if none is listed
 	aside, moving         bool           // moving: the list's sizes fall with load
-	buffers, gone         bool           // for answers are few; servers listed as gone may be sent to
+	buffers, gone, scarce bool           // answers' are few; the gone may be sent to; all say reads miss
 	copies, mayCallOff    bool
 	drift, stampError     int64
 	settles, comeBackMost int64 // how long a key in order rests; 0: nothing may be said
@@ -457,7 +457,7 @@
 	limit := overMean*mean + overBy
 	// Guards a short origin: while many reads miss, a key keeps to the cache that answered it last, then to the
 	// ranking's order, to be fetched once. While the origin fails: the first of the ranking, whatever its load.
-	strict := ordered && b.fails.read(b.seen) > strain*(b.reads.read(b.seen)+1)
+	strict := ordered && (b.scarce || b.fails.read(b.seen) > strain*(b.reads.read(b.seen)+1))
 	if last := b.known[r.key%knownKeys]; ordered && !strict && last.key == r.key {
 		for j := range n {
 			if b.best[j].server == last.server {
--- a/choice/state.go
+++ b/choice/state.go
@@ -226,5 +226,8 @@
 // Portion sets which part of what all balancers may do is this one's, in place of an even one of those that the settings state.
 func (b *Balancer) Portion(part float64) { b.balancers = 1 / min(1, max(part, 1e-6)) }
 
+// Scarce sets whether all balancers agree that reads miss: a key keeps to one order for all then, to be fetched once.
+func (b *Balancer) Scarce(is bool) { b.scarce = is }
+
 // Share sets which part of the balancer's trips this process sends: its part of what cold servers may be sent.
 func (b *Balancer) Share(part float64) { b.part = part }
--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -215,3 +215,43 @@
 		}
 	}
 }
+
+// TestMeasureFlush is not for CI: fetches a key after all caches are emptied. HOLLYFLEET_FLUSH names the numbers of processes and their rates.
+func TestMeasureFlush(t *testing.T) {
+	sizes := os.Getenv("HOLLYFLEET_FLUSH")
+	if sizes == "" {
+		t.Skip("only where it is asked for")
+	}
+	for _, word := range strings.Split(sizes, ",") {
+		var n, rate int
+		fmt.Sscanf(word, "%dx%d", &n, &rate)
+		d := newDistrict(t, 1, n, 24, "")
+		d.load(rate, 3000)
+		time.Sleep(10 * time.Second) // Until the caches know most.
+		d.origin.Forget()
+		time.Sleep(4 * time.Second)
+		calm, _ := d.origin.Fetches()
+		for _, h := range d.hosts {
+			h.Flush()
+		}
+		d.origin.Forget()
+		for _, after := range []time.Duration{time.Second, 3 * time.Second} {
+			time.Sleep(after)
+			fetches, keys := d.origin.Fetches()
+			t.Logf("%d processes, %d retrievals a second each: %v after a flush %d fetches of %d keys, %.2f a key; %d fetches in 4 s before", n, rate, after, fetches, keys,
+				float64(fetches)/float64(keys), calm)
+		}
+		f := d.quiet()
+		for _, p := range d.procs {
+			text, _ := os.ReadFile(p.log)
+			for _, line := range strings.Split(string(text), "\n") {
+				if strings.Contains(line, "reads miss for all") {
+					t.Log(line)
+				}
+			}
+		}
+		t.Logf("%d asked, %d settled, %d dismissed", f.Asked, f.Settled, f.Dismissed)
+		d.town.close()
+		d.asks = make(chan struct{})
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,8 @@
 	Heard(parts map[string]float64)        // what others' word takes from hosts' chances
 	Portion(part float64)                  // of the fleet's budgets; 0: they are not divided
 	Came() int                             // retrievals since the start
+	Missed() (reads, misses int)           // since the start
+	Scarce(is bool)                        // reads miss for all
 }
 
 // Fleet is one process's part in the fleet.
--- a/fleet/seen.go
+++ b/fleet/seen.go
@@ -19,13 +19,14 @@
 	came chan []byte
 	lost atomic.Int64
 
-	mu    sync.Mutex
-	board *signals.Board
-	ids   map[string]uint32
-	names map[uint32]string
-	zones map[string]uint8
-	heeds map[uint32]bool // that the log knows of
-	odd   int             // what was no signal
+	mu     sync.Mutex
+	board  *signals.Board
+	ids    map[string]uint32
+	names  map[uint32]string
+	zones  map[string]uint8
+	heeds  map[uint32]bool // that the log knows of
+	odd    int             // what was no signal
+	scarce bool            // reads miss for all
 }
 
 const (
@@ -144,8 +145,12 @@
 		signals.Stands
 	}
 	var changes []change
+	reads, misses := f.acts.Missed()
 	s.mu.Lock()
 	now := Now()
+	scarce := s.board.Misses(now, reads, misses)
+	turned := scarce != s.scarce
+	s.scarce = scarce
 	s.board.Look(now)
 	s.board.Heeded(now, func(id uint32, part float64) { parts[s.names[id]] = part })
 	var message []byte
@@ -170,6 +175,10 @@
 		s.heeds = heeds
 	}
 	s.mu.Unlock()
+	if turned {
+		f.acts.Scarce(scarce)
+		f.log.Info().Bool("is", scarce).Int("reads", reads).Int("misses", misses).Msg("reads miss for all")
+	}
 	if len(parts) > 0 {
 		f.acts.Heard(parts)
 	}
@@ -193,13 +202,14 @@
 	Late  int              `json:"older_than_known"`
 	Odd   int              `json:"of_nobody_or_none"`
 	Lost  int64            `json:"lost"`
+	Miss  bool             `json:"reads_miss_for_all"`
 	Hosts []signals.Stands `json:"hosts,omitempty"`
 }
 
 func (s *seen) stand() *SignalsStand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := &SignalsStand{Told: s.board.Told, Took: s.board.Took, Late: s.board.Late, Odd: s.board.Odd + s.odd, Lost: s.lost.Load(),
+	st := &SignalsStand{Told: s.board.Told, Took: s.board.Took, Late: s.board.Late, Odd: s.board.Odd + s.odd, Lost: s.lost.Load(), Miss: s.scarce,
 		Hosts: s.board.Status(Now())}
 	for n := range st.Hosts {
 		st.Hosts[n].Name = s.names[st.Hosts[n].Host]
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -127,6 +127,8 @@
 	decides   func()          // called before each decision; nil: nobody asks
 	fellows   Fellows         // nil: it decides alone
 	expected  []int64         // by workload
+	reads     int             // settled, and of these not from a cache
+	misses    int
 	mostOpen  int             // retrievals held at most, by what the fleet agreed on
 	listOf    string          // the discovery whose lists count; "": each one's own
 	listFrom  uint64          // and from which index on
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -41,6 +41,20 @@
 	b.mu.Unlock()
 }
 
+// Missed is how many reads were settled since the start, and how many of them by a fetch, or by waiting for one.
+func (b *Balancer) Missed() (reads, misses int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reads, b.misses
+}
+
+// Scarce takes that reads miss for all balancers.
+func (b *Balancer) Scarce(is bool) {
+	b.mu.Lock()
+	b.module.Scarce(is)
+	b.mu.Unlock()
+}
+
 // Came is how many retrievals have come since the start.
 func (b *Balancer) Came() int {
 	b.mu.Lock()
--- a/routing/life.go
+++ b/routing/life.go
@@ -163,6 +163,11 @@
 				if n.load != nil {
 					b.module.Reported(now, n.server, n.load)
 				}
+				if outcome == choice.OK && !write {
+					if b.reads++; n.note > 1 {
+						b.misses++
+					}
+				}
 				if b.fellows != nil {
 					b.fellows.Saw(b.servers[n.server].name, outcome, took, b.expected[w])
 				}
--- a/serving/lines.go
+++ b/serving/lines.go
@@ -38,6 +38,7 @@
 	{"another list under the same index", []string{"index", "member"}},
 	{"server fails for several: left but for turns", []string{"server", "witnesses", "zones", "failures", "own"}},
 	{"server settles again, or nobody says otherwise any more", []string{"server"}},
+	{"reads miss for all", []string{"is", "reads", "misses"}},
 	{"bans not taken", []string{"error"}},
 	{"recalled", []string{"servers", "keys", "ago_ms"}},
 	{"not recalled", []string{"error"}},
--- a/signals/heed.go
+++ b/signals/heed.go
@@ -176,6 +176,50 @@
 	return now >= from && (h.tried < from-int64(rank)*step || now-h.tried > mostWait)
 }
 
+// Misses takes how many reads of this balancer came and missed since the start, and tells whether reads miss for all: a third of the members say so, two at
+// least, of two zones where there are more. One alone has lost its own, as after a restart. It lasts two seconds, and until fewer say so.
+func (b *Board) Misses(now int64, reads, misses int) bool {
+	fades := math.Exp(-float64(now-b.countedAt) / float64(missOver))
+	if b.countedAt == 0 {
+		fades = 0
+	}
+	b.reads = b.reads*fades + float64(max(0, reads-b.readsThen))
+	b.misses = b.misses*fades + float64(max(0, misses-b.missesThen))
+	b.countedAt, b.readsThen, b.missesThen = now, reads, misses
+	part := b.misses / max(missReads, b.reads) // With few reads the part is small: they tell little.
+	b.urgent = b.urgent || b.miss < missMany && part >= missMany
+	b.miss = part
+	many, some := 0, 0
+	var in [256]bool
+	zones := 0
+	count := func(part float64, zone uint8) {
+		if part >= missLeast {
+			some++
+		}
+		if part < missMany {
+			return
+		}
+		if many++; !in[zone] {
+			in[zone] = true
+			zones++
+		}
+	}
+	count(part, b.me.Zone)
+	for _, m := range b.spoke {
+		if now-m.missAt < 3*repeatAfter {
+			count(m.miss, m.zone)
+		}
+	}
+	enough := max(2, (len(b.all)+2)/3)
+	switch {
+	case !b.scarce && many >= enough && zones >= min(2, b.zones):
+		b.scarce, b.since = true, now
+	case b.scarce && now-b.since >= missFor && some < enough:
+		b.scarce = false
+	}
+	return b.scarce
+}
+
 // place is where this balancer stands among all, for a host: evenly from 0 to 1.
 func (b *Board) place(id uint32) float64 {
 	own, before := mix(^id, b.me.ID), 0
--- a/signals/signals.go
+++ b/signals/signals.go
@@ -36,12 +36,17 @@
 	mostHeeded   = 0.4        // of the hosts: more, and what fails is behind all of them
 	leastWait    = 1000 * ms  // before a host that all have left is tried again
 	mostWait     = 8000 * ms
-	leastStep    = 500 * ms // after which one with the turn that does not use it is passed over
-	mostCounts   = 4        // of one witness's failures in a row
-	mostRare     = 0.001    // no balancer knows better than that how rare failures are
-	unlikely     = 1000.0   // so many times as many hosts would have to be watched until chance alone takes one from all
-	worthTelling = 0.01     // where failures are rarer than that, one alone is told
-	tripsKept    = 2000.0   // over which the rate of failures is known
+	leastStep    = 500 * ms  // after which one with the turn that does not use it is passed over
+	mostCounts   = 4         // of one witness's failures in a row
+	mostRare     = 0.001     // no balancer knows better than that how rare failures are
+	unlikely     = 1000.0    // so many times as many hosts would have to be watched until chance alone takes one from all
+	worthTelling = 0.01      // where failures are rarer than that, one alone is told
+	missLeast    = 0.25      // of the reads: so many misses are told
+	missMany     = 0.4       // and of so many at a third of the members, reads are said to miss for all
+	missOver     = 500 * ms  // the time that is looked at
+	missReads    = 10.0      // and the reads that are needed for the whole part
+	missFor      = 2000 * ms // at least
+	tripsKept    = 2000.0    // over which the rate of failures is known
 )
 
 // Sign is what the end of a trip tells of its host.
@@ -88,6 +93,7 @@
 	Seq   uint32
 	Zone  uint8
 	Words []Word
+	Miss  uint8 // of a hundred reads, so many missed lately; told where that is many
 }
 
 var strict = func() cbor.DecMode {
@@ -155,28 +161,37 @@
 }
 
 type member struct {
-	life uint64
-	seq  uint32
+	life   uint64
+	seq    uint32
+	zone   uint8
+	miss   float64
+	missAt int64
 }
 
 // Board is what one balancer saw and heard.
 type Board struct {
-	me      Member
-	life    uint64
-	seq     uint32
-	all     []Member // with this one
-	zones   int      // that they are in
-	hosts   map[uint32]*host
-	active  map[uint32]*host // of these, those that somebody says something of
-	listed  int
-	index   map[uint32]int // members, in all
-	spoke   map[uint32]member
-	told    int64   // when a message went out
-	urgent  bool    // something changed since
-	delay   int64   // of what was heard, lately
-	failed  float64 // of the last trips, but at hosts that are heeded
-	trips   float64
-	heeding int
+	me                    Member
+	life                  uint64
+	seq                   uint32
+	all                   []Member // with this one
+	zones                 int      // that they are in
+	hosts                 map[uint32]*host
+	active                map[uint32]*host // of these, those that somebody says something of
+	listed                int
+	index                 map[uint32]int // members, in all
+	spoke                 map[uint32]member
+	told                  int64   // when a message went out
+	urgent                bool    // something changed since
+	delay                 int64   // of what was heard, lately
+	failed                float64 // of the last trips, but at hosts that are heeded
+	trips                 float64
+	miss                  float64 // of this balancer's reads, lately
+	reads, misses         float64
+	readsThen, missesThen int
+	countedAt             int64
+	scarce                bool // and of all
+	since                 int64
+	heeding               int
 
 	Told, Took, Late, Odd int // messages: told, taken, older than one taken before, from nobody known
 }
@@ -298,12 +313,12 @@
 		return
 	}
 	b.Took++
-	b.spoke[m.From] = member{m.Life, m.Seq}
 	if b.all[from].Zone == NoZone && m.Zone != NoZone {
 		b.all[from].Zone = m.Zone
 		b.inZones()
 	}
-	zone := b.all[from].Zone // As this one knows it, where it does.
+	zone := b.all[from].Zone // As this one knows it, where it does: between processes each has numbers of its own for zones.
+	b.spoke[m.From] = member{m.Life, m.Seq, zone, float64(min(m.Miss, 100)) / 100, now}
 	for _, w := range m.Words {
 		h := b.hosts[w.Host]
 		if h == nil {
@@ -350,11 +365,13 @@
 		return nil
 	}
 	m := &Message{From: b.me.ID, Life: b.life, Zone: b.me.Zone}
-	if float64(b.failing(now)) > mostHeeded*float64(b.listed) {
-		b.urgent = false
-		return nil // What fails here is behind all hosts, or this balancer's own: nothing is known of any.
+	if b.miss >= missLeast {
+		m.Miss = uint8(min(100, b.miss*100))
 	}
 	for id, h := range b.active {
+		if float64(b.failing(now)) > mostHeeded*float64(b.listed) {
+			break // What fails here is behind all hosts, or this balancer's own: nothing is known of any.
+		}
 		// Where it is heeded already, only what is newer than that needs to be known.
 		if now-h.failed < Lasts && (h.run >= b.worth() && (h.since == 0 || h.back != 0 || now-h.since < freshFor) || h.run > 0 && h.since != 0 && h.failed > h.since) {
 			m.Words = append(m.Words, Word{Host: id, Run: uint8(h.run), Age: age(now - h.failed)})
@@ -363,7 +380,7 @@
 		}
 	}
 	b.urgent = false
-	if len(m.Words) == 0 {
+	if len(m.Words) == 0 && m.Miss == 0 {
 		return nil
 	}
 	slices.SortFunc(m.Words, func(x, y Word) int { // The freshest first; ties by host, so that a run can be repeated.
--- a/signals/signals_test.go
+++ b/signals/signals_test.go
@@ -396,6 +396,42 @@
 	}
 }
 
+// Reads that miss for a third of the members of two zones are said to miss for all, for as long as enough say so; one alone, or one zone, is not heeded.
+func TestReadsThatMissForAll(t *testing.T) {
+	for _, c := range []struct {
+		from []uint32
+		is   bool
+	}{{[]uint32{2}, false}, {[]uint32{4, 7, 10}, false}, {[]uint32{2, 3, 4, 5}, true}, {[]uint32{2, 3}, false}} {
+		b := New(Member{1, 0}, 1)
+		var all []Member
+		for id := range uint32(12) {
+			all = append(all, Member{id + 1, uint8(id % 3)})
+		}
+		b.Members(all)
+		now := int64(1e12)
+		for seq := range uint32(2) {
+			for _, from := range c.from {
+				b.Hear(now, &Message{From: from, Life: 1, Seq: seq + 1, Zone: uint8((from - 1) % 3), Miss: 60})
+			}
+		}
+		own := 10
+		if len(c.from) == 3 && !c.is {
+			own = 90 // Of the same zone as these.
+		}
+		if is := b.Misses(now, 100, own); is != c.is {
+			t.Errorf("%v: %t", c.from, is)
+		}
+		if b.Misses(now+missFor+1, 300, own+20) {
+			t.Errorf("%v: it does not end", c.from)
+		}
+	}
+	b := New(Member{1, 0}, 1)
+	b.Misses(1e12, 100, 50)
+	if m := b.Tell(1e12); m == nil || m.Miss != 50 || len(m.Pack()) > 40 {
+		t.Errorf("%+v", m)
+	}
+}
+
 // A life that is over does not speak for the one after it.
 func TestLatePastLives(t *testing.T) {
 	b := New(Member{1, 0}, 1)
