--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -36,6 +36,11 @@
 
 // newDistrict starts n processes before so many hosts, in three zones; own is more for their table of the fleet.
 func newDistrict(t testing.TB, seed uint64, n, hosts int, own string) *district {
+	return newStated(t, seed, n, n, hosts, own)
+}
+
+// newStated has the settings state another number of balancers than there are.
+func newStated(t testing.TB, seed uint64, n, stated, hosts int, own string) *district {
 	d := &district{origin: standin.NewOrigin(5*time.Millisecond, 64), list: standin.NewDiscovery(), zones: 3}
 	entries := map[string]string{}
 	for h := range hosts {
@@ -58,7 +63,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		text := strings.Replace(string(config), standin.Settings, fmt.Sprintf(districtSettings, n, at%d.zones), 1)
+		text := strings.Replace(string(config), standin.Settings, fmt.Sprintf(districtSettings, stated, at%d.zones), 1)
 		text = strings.Replace(text, `"discovery":"127.0.0.1:1"`, fmt.Sprintf(`"discovery":%q`, d.list.Address), 1)
 		text = strings.Replace(text, `"known":{"index":1,"snapshot":true,"endpoints":[]}`, `"known":`+standin.List(1, true, all...), 1)
 		table, err := os.ReadFile(p.own)
@@ -255,3 +260,116 @@
 		d.asks = make(chan struct{})
 	}
 }
+
+// TestMeasureCold is not for CI: a third of the hosts comes back cold at once, before processes whose settings state a quarter of their number.
+func TestMeasureCold(t *testing.T) {
+	sizes := os.Getenv("HOLLYFLEET_COLD")
+	if sizes == "" {
+		t.Skip("only where it is asked for")
+	}
+	for _, word := range strings.Split(sizes, ",") {
+		var n, rate int
+		fmt.Sscanf(word, "%dx%d", &n, &rate)
+		for _, most := range []int{0, n} {
+			d := newStated(t, 1, n, max(1, n/4), 24, "")
+			if most == 0 { // quietTown's own has it.
+				for _, p := range d.procs {
+					text, _ := os.ReadFile(p.own)
+					os.WriteFile(p.own, []byte(strings.Replace(string(text), fmt.Sprintf("most = %d\n", n), "most = 0\n", 1)), 0o600)
+					d.kill(p)
+					d.start(p)
+				}
+				d.agree(1)
+			}
+			d.load(rate, 3000)
+			time.Sleep(8 * time.Second)
+			before, began := d.asked(), d.spent()
+			time.Sleep(5 * time.Second)
+			busiest, sum, after := 0, 0, d.asked()
+			for h := range after {
+				busiest, sum = max(busiest, after[h]-before[h]), sum+after[h]-before[h]
+			}
+			t.Logf("%d processes, most %d: the busiest of 24 equal hosts has %.2f of the mean; CPU %.1f ms a process and second", n, most, float64(busiest)*24/float64(sum),
+				(d.spent()-began)/5/float64(n)*1000)
+			entries := map[string]string{}
+			for h := 0; h < 24; h += 3 {
+				if err := d.hosts[h].Restart(); err != nil {
+					t.Fatal(err)
+				}
+				entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
+			}
+			d.list.Tell(entries)
+			for range 4 {
+				time.Sleep(2 * time.Second)
+				pushed, asked := 0, 0
+				for h := 0; h < 24; h += 3 {
+					pushed += d.hosts[h].Figures().Pushed
+					asked += d.hosts[h].Figures().Asked - after[h]
+				}
+				t.Logf("cold hosts: %d asked of 8 of them, %d over what they can", asked, pushed)
+			}
+			f := d.quiet()
+			t.Logf("%d asked, %d settled, %d dismissed, %d given up, %d late", f.Asked, f.Settled, f.Dismissed, f.GivenUp, f.Late+f.Door)
+			d.town.close()
+			d.asks = make(chan struct{})
+		}
+	}
+}
+
+// TestMeasureZone is not for CI: a zone hangs for 8 s and comes back cold, while the list calls it ready throughout; its part of the trips over time.
+func TestMeasureZone(t *testing.T) {
+	sizes := os.Getenv("HOLLYFLEET_ZONE")
+	if sizes == "" {
+		t.Skip("only where it is asked for")
+	}
+	for _, word := range strings.Split(sizes, ",") {
+		var n, rate, signals int
+		fmt.Sscanf(word, "%dx%dx%d", &n, &rate, &signals)
+		d := newDistrict(t, 1, n, 24, fmt.Sprintf("signals = %t\n", signals == 1))
+		d.load(rate, 3000)
+		time.Sleep(10 * time.Second)
+		share := func(over time.Duration) (zone, trips int) {
+			before := d.asked()
+			time.Sleep(over)
+			for h, asked := range d.asked() {
+				if trips += asked - before[h]; h%3 == 0 {
+					zone += asked - before[h]
+				}
+			}
+			return zone, trips
+		}
+		zone, trips := share(2 * time.Second)
+		t.Logf("%s: the zone has %.1f%% of the trips before", word, 100*float64(zone)/float64(trips))
+		var goOn []func()
+		for h := 0; h < 24; h += 3 {
+			goOn = append(goOn, d.hosts[h].Hang())
+		}
+		for range 4 {
+			zone, trips = share(2 * time.Second)
+			t.Logf("%s: hanging, %d of %d trips in 2 s go there", word, zone, trips)
+		}
+		entries := map[string]string{}
+		for h := 0; h < 24; h += 3 {
+			goOn[h/3]()
+			if err := d.hosts[h].Restart(); err != nil {
+				t.Fatal(err)
+			}
+			entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
+		}
+		d.list.Tell(entries)
+		back := time.Now()
+		for time.Since(back) < 40*time.Second {
+			zone, trips = share(4 * time.Second)
+			pushed := 0
+			for h := 0; h < 24; h += 3 {
+				pushed += d.hosts[h].Figures().Pushed
+			}
+			fetches, _ := d.origin.Fetches()
+			t.Logf("%s: %2.0f s after its return %.1f%%; %d over what they can; %d fetches in all; left %d", word, time.Since(back).Seconds(), 100*float64(zone)/float64(trips), pushed, fetches, d.left(""))
+		}
+		f := d.quiet()
+		t.Logf("%s: %d asked, %d settled, %d dismissed, %d given up, %d late", word, f.Asked, f.Settled, f.Dismissed, f.GivenUp, f.Late+f.Door)
+		d.town.close()
+		d.asks = make(chan struct{})
+	}
+}
--- a/signals/signals_test.go
+++ b/signals/signals_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 )
 
@@ -464,3 +465,29 @@
 		b.Status(1e12)
 	})
 }
+
+// TestSizes is not for CI: what signals spare and cost at sizes that processes do not reach. HOLLYLEVER_SIZES names the numbers of balancers.
+func TestSizes(t *testing.T) {
+	sizes := os.Getenv("HOLLYLEVER_SIZES")
+	if sizes == "" {
+		t.Skip("only where it is asked for")
+	}
+	for _, word := range strings.Split(sizes, ",") {
+		n, err := strconv.Atoi(word)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var paid, bytes [2]int
+		for on := range 2 {
+			w := newTown(t, 1, n, 2*n, 3)
+			w.silent = on == 0
+			w.run(2000*ms, 0.5)
+			w.fails[3] = 1
+			w.bytes = 0
+			w.run(20000*ms, 0.5)
+			paid[on], bytes[on] = w.bad, w.bytes
+		}
+		t.Logf("%d balancers, %d hosts, 50 trips a second each, one host fails for 20 s: %d failures alone, %d with signals; %.0f bytes a balancer and second sent", n, 2*n,
+			paid[0], paid[1], float64(bytes[1])/20/float64(n))
+	}
+}
