Zones: left by agreement when their hosts fail, or by hand; come back to in steps

Change: package zones (pure): a Watch for who leads, a Path for each process. The fleet's signals say which hosts fail; 60% of a zone's for 0.3 s, and who leads proposes fails:z, apart from what operators left.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -91,7 +91,7 @@
 	good, bad, busy  sum
 	credit, room     float64 // room, cold: what it may still be sent
 	roomAt, cutAt    int64   // cutAt: when a connect failed, if nothing was answered since
-	told             float64 // what others' word takes from its chance
+	told, left       float64 // others' word takes that from its chance; the part of the keys that stays away
 	rate, strain     float64 // by its last load report, for all balancers; under 0: none came
 }
 
@@ -434,7 +434,7 @@
 		mix := (key ^ b.servers[s].hash) * 0x9e3779b97f4a7c15
 		mix = (mix ^ mix>>32) * 0xd6e8feb86659fd93
 		mix ^= mix >> 32
-		score := math.Log((float64(mix>>11)+0.5)/(1<<53)) / b.servers[s].size // The larger, the more keys it has.
+		score := math.Log((float64(mix>>11)+0.5)/(1<<53))/b.servers[s].size - b.away(key, s) // Larger: more keys.
 		if n < width {
 			n++
 		} else if score <= b.best[n-1].score {
--- a/choice/state.go
+++ b/choice/state.go
@@ -229,5 +229,36 @@
 // Scarce sets whether all balancers agree that reads miss: a key keeps to one order for all then, to be fetched once.
 func (b *Balancer) Scarce(is bool) { b.scarce = is }
 
+// Leave sets which part of the keys does not go to a zone's servers now. Keys that come back are free of where they were read last: else
+// they would stay there for as long as many reads miss.
+func (b *Balancer) Leave(zone int, part float64) {
+	was := 0.0
+	for s := range b.servers {
+		if h := &b.servers[s]; h.zone == zone && h.hash != 0 {
+			was = max(was, h.left)
+			h.left = part
+		}
+	}
+	if part >= was {
+		return
+	}
+	for n := range b.known {
+		if p := partOf(b.known[n].key); p >= part && p < was {
+			b.known[n] = read{}
+		}
+	}
+}
+
+// partOf is where a key stands among all, 0 to 1: the same for all balancers.
+func partOf(key uint64) float64 { return float64(key*0x9e3779b97f4a7c15>>11) / (1 << 53) }
+
+// away is what sets a server last in a key's ranking, while the key does not go to its zone. One that this balancer has the turn to try is ranked as ever.
+func (b *Balancer) away(key uint64, s int) float64 {
+	if h := &b.servers[s]; h.left > 0 && h.told >= 0 && partOf(key) < h.left {
+		return math.Inf(1)
+	}
+	return 0
+}
+
 // Share sets which part of the balancer's trips this process sends: its part of what cold servers may be sent.
 func (b *Balancer) Share(part float64) { b.part = part }
--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -134,6 +134,13 @@
 
 // signalled is what a process's door shows of signals.
 type signalled struct {
+	Zones []struct {
+		Zone           string
+		Hosts, Failing int
+		ByHand         bool    `json:"left_by_hand"`
+		Fails          bool    `json:"left_as_it_fails"`
+		Part           float64 `json:"part_away"`
+	}
 	Signals struct {
 		Odd   int `json:"of_nobody_or_none"`
 		Hosts []struct {
@@ -323,9 +330,9 @@
 		t.Skip("only where it is asked for")
 	}
 	for _, word := range strings.Split(sizes, ",") {
-		var n, rate, signals int
-		fmt.Sscanf(word, "%dx%dx%d", &n, &rate, &signals)
-		d := newDistrict(t, 1, n, 24, fmt.Sprintf("signals = %t\n", signals == 1))
+		var n, rate, parts int // 0: nothing, 1: signals, 2: zones too
+		fmt.Sscanf(word, "%dx%dx%d", &n, &rate, &parts)
+		d := newDistrict(t, 1, n, 24, fmt.Sprintf("signals = %t\nzones = %t\n", parts > 0, parts > 1))
 		d.load(rate, 3000)
 		time.Sleep(10 * time.Second)
 		share := func(over time.Duration) (zone, trips int) {
--- /dev/null
+++ b/cmd/hollyfleet/zones_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hollylever/joining"
+)
+
+// parts is the least and the most of the keys that stay away from a zone, over all processes, and how many versions speak of it.
+func (d *district) parts(zone string) (least, most float64, fails, byHand int) {
+	least = 1
+	for _, p := range d.procs {
+		if p.cmd == nil || p.stopped {
+			continue
+		}
+		for _, z := range p.signalled().Zones {
+			if z.Zone != zone {
+				continue
+			}
+			least, most = min(least, z.Part), max(most, z.Part)
+			if z.Fails {
+				fails++
+			}
+			if z.ByHand {
+				byHand++
+			}
+		}
+	}
+	return least, most, fails, byHand
+}
+
+// zoneOf gives the hosts of a zone.
+func (d *district) zoneOf(zone int) (hosts []int) {
+	for h := range d.hosts {
+		if h%d.zones == zone {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// TestAZoneThatFailsIsLeft: its hosts hang while the list calls them ready. The fleet leaves it, all processes within a second of each other and by one
+// version; when they are back, cold, it comes back in steps, and no host is pushed over. A relapse on the way is one more version.
+func TestAZoneThatFailsIsLeft(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 4, 6, 12, "")
+	d.load(60, 500)
+	until(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	zone := d.zoneOf(1)
+	for round := range 2 {
+		var goOn []func()
+		for _, h := range zone {
+			goOn = append(goOn, d.hosts[h].Hang())
+		}
+		until(t, "leaving", func() bool { _, most, _, _ := d.parts("z1"); return most == 1 })
+		began := time.Now()
+		until(t, "all leaving", func() bool { least, _, fails, _ := d.parts("z1"); return least == 1 && fails == len(d.procs) })
+		t.Logf("round %d: the last left %v after the first was seen to", round, time.Since(began))
+		entries := map[string]string{}
+		for n, h := range zone {
+			goOn[n]()
+			if err := d.hosts[h].Restart(); err != nil {
+				t.Fatal(err)
+			}
+			entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
+		}
+		d.list.Tell(entries)
+		if round == 0 { // A relapse half-way back.
+			until(t, "coming back", func() bool { _, most, fails, _ := d.parts("z1"); return fails == 0 && most < 0.8 })
+			if least, _, _, _ := d.parts("z1"); least == 0 {
+				t.Error("it is come back to at once")
+			}
+		}
+	}
+	until(t, "being back", func() bool { _, most, fails, _ := d.parts("z1"); return most == 0 && fails == 0 })
+	for _, h := range zone {
+		if f := d.hosts[h].Figures(); f.Pushed > 0 {
+			t.Errorf("%s was pushed over: %d", d.hosts[h].Name, f.Pushed)
+		}
+	}
+	if ids := d.procs[0].history(t); len(ids) != 4 {
+		t.Errorf("%d versions, not one for each way: %v", len(ids), ids)
+	}
+	if f := d.quiet(); f.Wrong > 0 || d.origin.Twice() > 0 || f.Settled < f.Asked*8/10 {
+		t.Errorf("%+v, %d twice", f, d.origin.Twice())
+	}
+}
+
+// TestOneHostIsNoZone: one host of a zone fails, and one process's own network: nobody leaves the zone.
+func TestOneHostIsNoZone(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 5, 6, 12, "")
+	d.load(60, 500)
+	until(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	goOn := d.hosts[1].Hang()
+	until(t, "leaving the host", func() bool { return d.left(d.hosts[1].Name) == len(d.procs) })
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) { // That long nobody leaves more.
+		if _, most, fails, _ := d.parts("z1"); most > 0 || fails > 0 {
+			t.Fatal("its zone is left")
+		}
+	}
+	goOn()
+	d.quiet()
+}
+
+// TestAZoneLeftByHand: an operator has the fleet leave a zone whose hosts are well. Nothing goes there once all are out; the fleet does not come back by
+// itself, also when who leads is killed; told to return it does.
+func TestAZoneLeftByHand(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 6, 5, 12, "")
+	d.load(60, 500)
+	until(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	if a, err := d.procs[4].propose(joining.Proposal{ID: "leave", Leave: []string{"z2"}, Why: "a test"}); err != nil || a.Version != 2 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	until(t, "being half-way out", func() bool { least, _, _, _ := d.parts("z2"); return least > 0.3 })
+	s, _ := d.procs[4].status()
+	for _, p := range d.procs[:3] {
+		if p.name == s.Leads {
+			d.kill(p)
+			defer d.start(p)
+		}
+	}
+	until(t, "being out", func() bool { least, _, _, hand := d.parts("z2"); return least == 1 && hand == 4 })
+	time.Sleep(time.Second) // What is under way ends.
+	count := func() (n int) {
+		for _, h := range d.zoneOf(2) {
+			n += d.hosts[h].Figures().Asked
+		}
+		return n
+	}
+	before := count()
+	time.Sleep(4 * time.Second) // That long nothing goes there, though the hosts are well.
+	if went := count() - before; went > 0 {
+		t.Errorf("%d trips went there", went)
+	}
+	until(t, "accepting the return", func() bool {
+		a, err := d.procs[4].propose(joining.Proposal{ID: fmt.Sprint("return", time.Now().UnixNano()), Return: []string{"z2"}})
+		return err == nil && a.Version == 3
+	})
+	until(t, "being back", func() bool { _, most, _, _ := d.parts("z2"); return most == 0 })
+	before = count()
+	until(t, "trips there", func() bool { return count() > before+20 })
+	d.quiet()
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,7 @@
 	"hollylever/members"
 	"hollylever/store"
 	"hollylever/subset"
+	"hollylever/zones"
 )
 
 // Acts is what is told what to act on: the balancer. Heeds is called under no lock, whenever it changes.
@@ -40,8 +41,10 @@
 	Heard(parts map[string]float64)        // what others' word takes from hosts' chances
 	Portion(part float64)                  // of the fleet's budgets; 0: they are not divided
 	Came() int                             // retrievals since the start
-	Missed() (reads, misses int)           // since the start
-	Scarce(is bool)                        // reads miss for all
+	Leaves(parts map[string]float64)       // which part of the keys does not go to each zone
+	WarmUp() time.Duration
+	Missed() (reads, misses int) // since the start
+	Scarce(is bool)              // reads miss for all
 }
 
 // Fleet is one process's part in the fleet.
@@ -68,6 +71,7 @@
 	keeps      func() error
 	seen       *seen // nil: no signals
 	tends      tending
+	zones      leaving
 
 	mu       sync.Mutex
 	holder   *agreed.Holder
@@ -125,6 +129,7 @@
 	if own.Yes("fleet.signals") {
 		f.seen = newSeen(name, zone, f.life, own.Duration("fleet.signal_delay"))
 	}
+	f.zones = leaving{itself: own.Yes("fleet.zones"), terms: zones.Terms{Leaves: int64(leavesOver), Returns: int64(acts.WarmUp() * 3 / 2)}, paths: map[string]*zones.Path{}}
 	f.tends = tending{rule: subset.Rule{Hosts: int(own.Count("fleet.tends")), Balancers: subset.Usual.Balancers, Near: own.Yes("fleet.tends_near")}}
 	source := rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 	chance := source.IntN // Only called under the lock.
@@ -275,6 +280,7 @@
 			}
 		case <-looks:
 			f.signals()
+			f.leaves(ctx)
 		case <-timer.C:
 		case <-f.changed:
 			f.gossip()
@@ -550,6 +556,7 @@
 	Versions []agreed.Version `json:"versions_that_count"`
 	Signals  *SignalsStand    `json:"signals,omitempty"`
 	Tends    []string         `json:"tends,omitempty"`
+	Zones    []ZoneStands     `json:"zones,omitempty"`
 }
 
 // Stands is a member as this process heard of it.
@@ -587,7 +594,7 @@
 	if f.seen != nil {
 		s.Signals = f.seen.stand()
 	}
-	s.Tends = f.tends.has
+	s.Tends, s.Zones = f.tends.has, f.zones.stands
 	if f.keeper != nil {
 		s.Keeper = &KeeperStands{Leads: f.keeper.Leads(), Founded: f.keeper.Founded(), Holders: f.keeper.Holders(now)}
 	}
--- /dev/null
+++ b/fleet/leave.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	crand "crypto/rand"
+	"fmt"
+	"slices"
+	"time"
+
+	"hollylever/agreed"
+	"hollylever/zones"
+)
+
+const (
+	leavesOver = 10 * time.Second // out of a zone that an operator left
+	byItself   = "fleet"
+)
+
+// leaving is what this process has on zones: what it would propose if it leads, and how far it has come out of each or back.
+type leaving struct {
+	itself  bool
+	terms   zones.Terms
+	watch   zones.Watch
+	paths   map[string]*zones.Path
+	told    map[string]float64 // parts, as the balancer has them
+	toldAt  int64
+	asking  bool // a proposal is out; under the fleet's lock
+	led     bool
+	stands  []ZoneStands // under the fleet's lock
+	anyLeft []string     // as the log knows
+}
+
+// ZoneStands is how a zone stands, for people.
+type ZoneStands struct {
+	Zone    string  `json:"zone"`
+	Hosts   int     `json:"hosts"`
+	Failing int     `json:"failing"`
+	Own     bool    `json:"own"`
+	ByHand  bool    `json:"left_by_hand"`
+	Fails   bool    `json:"left_as_it_fails"`
+	Part    float64 `json:"part_away"`
+}
+
+// views gives each zone's hosts and how many of them several processes call failing, by name; and whether reads miss for all.
+func (s *seen) views(now int64) (all []zones.View, scarce bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	failing := map[string]bool{}
+	for _, h := range s.board.Status(now) {
+		if h.Heeded && h.Witnesses > 0 {
+			failing[s.names[h.Host]] = true
+		}
+	}
+	for _, h := range s.hosts {
+		if h.Zone == "" {
+			continue
+		}
+		at := slices.IndexFunc(all, func(v zones.View) bool { return v.Zone == h.Zone })
+		if at < 0 {
+			at, all = len(all), append(all, zones.View{Zone: h.Zone})
+		}
+		if all[at].Hosts++; failing[h.Name] {
+			all[at].Failing++
+		}
+	}
+	slices.SortFunc(all, func(a, b zones.View) int { return cmp.Compare(a.Zone, b.Zone) })
+	return all, s.scarce
+}
+
+// leaves moves on on the ways out of zones and back, and proposes what is to be left if this process leads.
+func (f *Fleet) leaves(ctx context.Context) {
+	now := Now()
+	views, scarce := f.seen.views(now)
+	if len(views) < 2 {
+		return // One zone is never left.
+	}
+	f.mu.Lock()
+	left, leads, asking := f.acting.Left, f.keeper != nil && f.keeper.Leads() && f.acting.Leased, f.zones.asking
+	f.mu.Unlock()
+	l := &f.zones
+	if leads != l.led {
+		l.led, l.watch = leads, zones.Watch{} // What another saw while it led is not known here.
+	}
+	if leads && l.itself && !asking {
+		say, stays := l.watch.Look(now, views, left)
+		for _, v := range stays {
+			f.log.Warn().Str("zone", v.Zone).Int("hosts", v.Hosts).Int("failing", v.Failing).Msg("a zone fails and is not left: too little would remain")
+		}
+		for _, s := range say {
+			f.say(ctx, s)
+		}
+	}
+	parts, stands := map[string]float64{}, []ZoneStands{}
+	for _, v := range views {
+		path := l.paths[v.Zone]
+		if path == nil {
+			path = &zones.Path{}
+			l.paths[v.Zone] = path
+		}
+		own := v.Zone == f.zone && v.Failing*2 < v.Hosts
+		parts[v.Zone] = path.Look(now, v.Zone, left, own, scarce, l.terms)
+		stands = append(stands, ZoneStands{v.Zone, v.Hosts, v.Failing, v.Zone == f.zone, slices.Contains(left, v.Zone), slices.Contains(left, zones.Fails+v.Zone), parts[v.Zone]})
+	}
+	f.mu.Lock()
+	l.stands = stands
+	f.mu.Unlock()
+	again := false // Each second too: the list may have new hosts.
+	for _, s := range stands {
+		again = again || s.Part != l.told[s.Zone] || s.Part > 0 && now-l.toldAt > int64(time.Second)
+		if s.Part == 0 && l.told[s.Zone] > 0 {
+			f.log.Info().Str("zone", s.Zone).Msg("zone in use again for all keys")
+		}
+	}
+	if again {
+		f.acts.Leaves(parts)
+		l.told, l.toldAt = parts, now
+	}
+	if !slices.Equal(left, l.anyLeft) {
+		l.anyLeft = left
+		f.log.Info().Strs("zones", left).Msg("zones left")
+	}
+}
+
+// say proposes what the watch says, in the background: the majority decides.
+func (f *Fleet) say(ctx context.Context, s zones.Say) {
+	c := agreed.Change{ID: crand.Text(), By: byItself, Why: fmt.Sprintf("%s: %d of %d", s.Why, s.Failing, s.Hosts)}
+	if c.Leave = []string{zones.Fails + s.Zone}; !s.Leaves {
+		c.Leave, c.Return = nil, c.Leave
+	}
+	f.mu.Lock()
+	f.zones.asking = true
+	f.mu.Unlock()
+	go func() {
+		o := f.Propose(ctx, c)
+		f.mu.Lock()
+		f.zones.asking = false
+		f.mu.Unlock()
+		f.log.Info().Str("zone", s.Zone).Bool("leaves", s.Leaves).Int("hosts", s.Hosts).Int("failing", s.Failing).Uint64("version", o.Number).Msg("proposed of a zone")
+	}()
+}
--- a/fleet/seen.go
+++ b/fleet/seen.go
@@ -11,6 +11,7 @@
 	"hollylever/choice"
 	"hollylever/members"
 	"hollylever/signals"
+	"hollylever/subset"
 )
 
 // seen is what this process and others saw of hosts: the board, and names for its numbers. Its lock is held for moments only, and the
@@ -23,6 +24,7 @@
 	board  *signals.Board
 	ids    map[string]uint32
 	names  map[uint32]string
+	hosts  []subset.Host
 	zones  map[string]uint8
 	heeds  map[uint32]bool // that the log knows of
 	odd    int             // what was no signal
@@ -128,6 +130,7 @@
 	s.board.Members(all)
 	clear(s.ids)
 	clear(s.names)
+	s.hosts = servers
 	hosts := make([]uint32, len(servers))
 	for n, h := range servers {
 		hosts[n] = id(h.Name)
--- a/joining/joining.go
+++ b/joining/joining.go
@@ -39,6 +39,7 @@
 	{Name: "tends", Kind: fields.Count, Default: "0", Least: "0", Most: "100000", When: fields.AtStart,
 		Help: "How many hosts a process keeps idle connections to, in the mean; 0: to all. The same everywhere."},
 	{Name: "tends_near", Kind: fields.Yes, Default: "false", When: fields.AtStart, Help: "Of its own zone, where that has hosts enough. The same everywhere."},
+	{Name: "zones", Kind: fields.Yes, Default: "true", When: fields.AtStart, Help: "Whether the fleet leaves zones that fail, and comes back, by itself."},
 	{Name: "signals", Kind: fields.Yes, Default: "true", When: fields.AtStart, Help: "Whether processes tell each other of hosts that fail, and heed it."},
 	{Name: "signal_delay", Kind: fields.Duration, Default: "50ms", Least: "1ms", Most: "4s", When: fields.AtStart,
 		Help: "How late signals may come: leaving a host and coming back are spread over four times that."},
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"slices"
 	"strconv"
+	"time"
 
 	"hollylever/choice"
 )
@@ -55,6 +56,22 @@
 	b.mu.Unlock()
 }
 
+// Leaves takes which part of the keys does not go to each zone's servers now.
+func (b *Balancer) Leaves(parts map[string]float64) {
+	b.mu.Lock()
+	for zone, part := range parts {
+		if z, stated := b.zones[zone]; stated {
+			b.module.Leave(z, part)
+		}
+	}
+	b.mu.Unlock()
+}
+
+// WarmUp is how long a server takes until it is warm.
+func (b *Balancer) WarmUp() time.Duration {
+	return time.Duration(number(b.settings, "invariants.warmUp") * 1e6)
+}
+
 // Came is how many retrievals have come since the start.
 func (b *Balancer) Came() int {
 	b.mu.Lock()
--- a/serving/cli.go
+++ b/serving/cli.go
@@ -43,7 +43,7 @@
 	root.SetOut(out)
 	root.SetErr(wrong)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return coded{err, exitUse} })
-	root.AddCommand(serveCommand(), checkCommand(), hostsCommand(), readyCommand(), figuresCommand(), fleetCommand(), configCommand(), versionCommand())
+	root.AddCommand(serveCommand(), checkCommand(), hostsCommand(), readyCommand(), figuresCommand(), fleetCommand(), zonesCommand(), configCommand(), versionCommand())
 	for _, c := range append(root.Commands(), root) {
 		noWord(c)
 	}
--- a/serving/fleet.go
+++ b/serving/fleet.go
@@ -33,7 +33,15 @@
 		Limits        map[string]int64 `json:"limits"`
 		Part          float64
 	} `json:"acting"`
-	Tends   []string
+	Tends []string
+	Zones []struct {
+		Zone           string
+		Hosts, Failing int
+		Own            bool
+		ByHand         bool    `json:"left_by_hand"`
+		Fails          bool    `json:"left_as_it_fails"`
+		Part           float64 `json:"part_away"`
+	}
 	Signals *struct {
 		Told, Taken, Lost int
 		Hosts             []struct {
--- /dev/null
+++ b/zones/zones.go
@@ -0,0 +1,173 @@
+// Package zones decides when a fleet leaves a zone whose hosts fail and when it comes back, and how far each process has come on the way. It
+// is pure: the clock and what was seen are handed in. A Watch is what the process that leads has: it says what to propose, and a
+// majority of the keepers decides (agreed's field zones left). A Path is what every process has for each zone: which part of the keys does
+// not go there now.
+//
+// What it promises: nobody leaves on the word of one balancer, one zone, or on one host; the last zone is never left, nor one without which too little
+// is left; no more than one change of a zone in each hold, which doubles with each return that does not last; and a way back is taken in
+// steps, each key once, for all processes the same keys first.
+package zones
+
+import (
+	"slices"
+	"strings"
+)
+
+const (
+	ms       = int64(1e6)
+	failing  = 0.6       // of a zone's hosts that several processes call failing: the zone fails
+	settled  = 0.2       // and at most so many: it does not any more
+	fewest   = 2         // hosts that fail, so that one alone is no zone
+	sure     = 300 * ms  // for so long
+	calm     = 3000 * ms // and for so long before it is come back to, doubled with each relapse
+	mostCalm = 64 * calm
+	forgets  = 300_000 * ms // a return that lasted so long did last
+	remains  = 1.0 / 3      // of all hosts have to be left
+	Steps    = 32           // on the way out and back
+	mostLag  = 4            // while reads miss for all, a step takes so many times as long
+)
+
+// Fails marks a zone that the fleet left by itself, beside those that operators left: "fails:z". Both may stand together; each is taken back alone.
+const Fails = "fails:"
+
+// View is a zone as the fleet's signals show it: how many hosts it has, and how many of them several processes call failing.
+type View struct {
+	Zone           string
+	Hosts, Failing int
+}
+
+// Say is what a Watch would have proposed: to leave a zone or to come back, and why.
+type Say struct {
+	Zone   string
+	Leaves bool
+	Why    string
+	View
+}
+
+type watched struct {
+	since    int64 // that it has failed, or been well, without a break; 0: not
+	returned int64
+	relapses int
+	said     int64
+	stays    bool // it fails and is not left, and that was said
+}
+
+// Watch looks at all zones. A new one, as after another has come to lead, knows of no relapses.
+type Watch struct{ zones map[string]*watched }
+
+const again = 1000 * ms // between two proposals of the same
+
+// Look gives what to propose now, given which zones are left (by themselves, or by operators). stays: a zone fails and is not left, as too
+// little would remain; it is told once.
+func (w *Watch) Look(now int64, views []View, left []string) (say []Say, stays []View) {
+	if w.zones == nil {
+		w.zones = map[string]*watched{}
+	}
+	all, used, usedZones := 0, 0, 0
+	for _, v := range views {
+		all += v.Hosts
+		if !slices.Contains(left, v.Zone) && !slices.Contains(left, Fails+v.Zone) {
+			used += v.Hosts
+			usedZones++
+		}
+	}
+	for _, v := range views {
+		z := w.zones[v.Zone]
+		if z == nil {
+			z = &watched{}
+			w.zones[v.Zone] = z
+		}
+		gone := slices.Contains(left, Fails+v.Zone)
+		bad := v.Hosts > 0 && float64(v.Failing) >= failing*float64(v.Hosts) && v.Failing >= min(fewest, v.Hosts)
+		well := float64(v.Failing) <= settled*float64(v.Hosts)
+		if gone && !well || !gone && !bad {
+			z.since, z.stays = 0, false
+			continue
+		}
+		if z.since == 0 {
+			z.since = now
+		}
+		hold := sure
+		if gone {
+			hold = min(mostCalm, calm<<min(z.relapses, 6))
+		} else if z.returned != 0 && now-z.returned < forgets {
+			hold = max(sure, min(mostCalm, calm<<min(z.relapses, 6))-(now-z.returned))
+		}
+		if now-z.since < hold || now-z.said < again {
+			continue
+		}
+		if gone {
+			z.said, z.returned, z.since = now, now, 0
+			say = append(say, Say{v.Zone, false, "its hosts settle again", v})
+			continue
+		}
+		inUse := !slices.Contains(left, v.Zone)
+		if inUse && (usedZones <= 1 || float64(used-v.Hosts) < remains*float64(all)) {
+			if !z.stays {
+				z.stays = true
+				stays = append(stays, v)
+			}
+			continue
+		}
+		if z.returned != 0 && now-z.returned < forgets {
+			z.relapses++
+		} else {
+			z.relapses = 0
+		}
+		z.said, z.since = now, 0
+		say = append(say, Say{v.Zone, true, "its hosts fail for several", v})
+		if inUse { // The next one is judged by what remains then.
+			used, usedZones = used-v.Hosts, usedZones-1
+		}
+	}
+	return say, stays
+}
+
+// Path is how far a process has come out of a zone, or back: the part of the keys that does not go there.
+type Path struct {
+	part float64
+	at   int64
+}
+
+// Terms are how long the ways take.
+type Terms struct {
+	Leaves  int64 // out of a zone that an operator left; one that fails is left at once, as it gives nothing to who stays
+	Returns int64 // back: as long as its hosts take to be warm, and half of that more
+}
+
+// Look moves on. left: which zones are; own: this process's zone, of which it sees itself that it does not fail: it stays there, as a zone that
+// only its own balancers reach goes on for them, but not where an operator left it. slow: reads miss for all, and each step takes longer.
+func (p *Path) Look(now int64, zone string, left []string, own, slow bool, t Terms) float64 {
+	fails, byHand := slices.Contains(left, Fails+zone) && !own, slices.Contains(left, zone)
+	passed := float64(max(0, now-p.at))
+	if p.at == 0 {
+		passed = 0
+	}
+	if p.at = now; slow {
+		passed /= mostLag
+	}
+	switch {
+	case fails:
+		p.part = 1
+	case byHand:
+		p.part = min(1, p.part+passed/float64(max(1, t.Leaves)))
+	default:
+		p.part = max(0, p.part-passed/float64(max(1, t.Returns)))
+	}
+	return p.Part()
+}
+
+// Part is the part in whole steps, so that processes whose clocks differ little send the same keys.
+func (p *Path) Part() float64 {
+	steps := int(p.part*Steps + 0.999999)
+	return float64(steps) / Steps
+}
+
+// Names gives the zones of a list that is agreed on, without marks.
+func Names(left []string) (zones []string) {
+	for _, name := range left {
+		zones = append(zones, strings.TrimPrefix(name, Fails))
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
