--- a/cmd/hollyfleet/rig_test.go
+++ b/cmd/hollyfleet/rig_test.go
@@ -230,6 +230,7 @@
 func (w *town) heal() { w.faults(func(int, int) between.Faults { return between.Faults{} }) }
 
 type status struct {
+	News   []string `json:"drains_by_others"`
 	Leads  string
 	Acting struct {
 		Floor, Latest uint64
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// Count sets the index of the last list that was told: it may go back, as that of a discovery that begins anew.
+func (d *Discovery) Count(index int) {
+	d.mu.Lock()
+	d.index = index
+	d.mu.Unlock()
+}
+
 // Whole is the list as it stands.
 func (d *Discovery) Whole() string {
 	d.mu.Lock()
--- a/subset/subset_test.go
+++ b/subset/subset_test.go
@@ -157,39 +157,16 @@
 			before, each = now, is // All hosts have one more or less: that much has to move.
 			continue
 		}
-		gained, lost := 0, 0
-		for pair := range now {
-			if !before[pair] {
-				gained++
-			}
-		}
-		for pair := range before {
-			if !now[pair] {
-				lost++
-			}
-		}
+		gained, lost := lacks(now, before), lacks(before, now)
 		// The least: what the one that came has now, or the one that went had, once.
 		hostsNow, balancersNow := uses(now)
 		hostsBefore, balancersBefore := uses(before)
 		least := 0
-		for name, n := range hostsNow {
-			if hostsBefore[name] == 0 {
-				least += n
-			}
-		}
-		for name, n := range hostsBefore {
-			if hostsNow[name] == 0 {
-				least += n
-			}
-		}
-		for name, n := range balancersNow {
-			if balancersBefore[name] == 0 {
-				least += n
-			}
-		}
-		for name, n := range balancersBefore {
-			if balancersNow[name] == 0 {
-				least += n
+		for _, pair := range [][2]map[string]int{{hostsNow, hostsBefore}, {hostsBefore, hostsNow}, {balancersNow, balancersBefore}, {balancersBefore, balancersNow}} {
+			for name, n := range pair[0] {
+				if pair[1][name] == 0 {
+					least += n
+				}
 			}
 		}
 		if moved := max(gained, lost); float64(moved) > 1.2*float64(least) {
@@ -198,3 +175,13 @@
 		before = now
 	}
 }
+
+// lacks counts the pairs of one that the other does not have.
+func lacks(one, other map[[2]string]bool) (n int) {
+	for pair := range one {
+		if !other[pair] {
+			n++
+		}
+	}
+	return n
+}
