--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -91,7 +91,7 @@
 }
 
 func (d *district) entry(h int, status string, since int64) string {
-	return strings.Replace(standin.EntryOf(d.hosts[h].Name, d.hosts[h].Address, "std", status, 1, since), `"zone":"z"`, fmt.Sprintf(`"zone":"z%d"`, h%d.zones), 1)
+	return standin.EntryIn(fmt.Sprint("z", h%d.zones), d.hosts[h].Name, d.hosts[h].Address, "std", status, 1, since)
 }
 
 // load has clients ask: so many retrievals a second of each process.
--- a/cmd/hollylab/agree.go
+++ b/cmd/hollylab/agree.go
@@ -91,6 +91,7 @@
 		Floor, Latest uint64
 		Leased        bool
 		Bans          []string `json:"bans"`
+		Left          []string `json:"zones_left"`
 	} `json:"acting"`
 }
 
--- a/cmd/hollylab/curves.go
+++ b/cmd/hollylab/curves.go
@@ -43,10 +43,10 @@
 				spared = append(spared, "everybody", all)
 			}
 		}
-		if err := picture(filepath.Join(out, "subset-fairness"), "The most that one host is in use by, over the mean", "balancers", "most over mean", fair, false); err != nil {
+		if err := picture(filepath.Join(out, "subset-fairness"), "The most that one host is in use by, over the mean", "balancers", "most over mean", fair, logX); err != nil {
 			return coded{err, exitMistake}
 		}
-		if err := picture(filepath.Join(out, "subset-connections"), "Balancers that keep connections to a host", "balancers", "a host", spared, true); err != nil {
+		if err := picture(filepath.Join(out, "subset-connections"), "Balancers that keep connections to a host", "balancers", "a host", spared, logX|logY); err != nil {
 			return coded{err, exitMistake}
 		}
 		return nil
@@ -54,12 +54,17 @@
 	return c
 }
 
-// picture writes lines over a logarithmic axis, as SVG and PNG.
-func picture(path, title, x, y string, lines []any, logY bool) error {
+// How a picture's axes are.
+const plain, logX, logY = 0, 1, 2
+
+// picture writes lines, as SVG and PNG.
+func picture(path, title, x, y string, lines []any, axes int) error {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
-	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-	if p.Legend.Top = true; logY {
+	if axes&logX != 0 {
+		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	}
+	if p.Legend.Top = true; axes&logY != 0 {
 		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 		p.Legend.Left = true
 	} else {
@@ -68,7 +73,7 @@
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return err
 	}
-	if !logY {
+	if axes&logY == 0 {
 		p.Y.Max *= 1.5 // Room for the legend.
 	}
 	for _, form := range []string{".svg", ".png"} {
--- a/cmd/hollylab/demo.go
+++ b/cmd/hollylab/demo.go
@@ -28,6 +28,7 @@
 	view    func(time.Duration, *town, []*standin.Clients)
 	every   time.Duration
 	town    func(*town) // tests: what is to be done to it at the start
+	picture string      // without its ending; "": none
 }
 
 func demoCommand() *cobra.Command {
@@ -39,6 +40,7 @@
 	c.Flags().IntVar(&p.rate, "rate", 600, "retrievals a second, over all balancers")
 	c.Flags().IntVar(&p.keys, "keys", 3000, "keys, popular by a Zipf law")
 	c.Flags().Uint64Var(&p.seed, "seed", 1, "of what is asked")
+	c.Flags().StringVar(&p.picture, "picture", "", "a file without its ending, for a picture of trips by zone and fetches over time (SVG and PNG)")
 	c.Flags().StringVar(&trouble, "trouble", "crash", "what goes wrong a third of the way: "+strings.Join(names(), ", "))
 	c.RegisterFlagCompletionFunc("trouble", func(*cobra.Command, []string, string) ([]string, cobra.ShellCompDirective) {
 		return names(), cobra.ShellCompDirectiveNoFileComp
@@ -101,7 +103,7 @@
 
 // play runs a demo from its start to its end; however that comes, nothing of it is left.
 func play(ctx context.Context, p plan) (*verdict, error) {
-	w, err := newTown(p.program, p.trouble.agree)
+	w, err := newTown(p.program, p.trouble.agree, p.trouble.zones)
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +124,10 @@
 			p.trouble.play(asking, w, p.over/3)
 		}
 	})
-	began := time.Now()
+	began, film := time.Now(), &film{}
+	if p.picture != "" {
+		go film.run(asking, w)
+	}
 	for tick := time.NewTicker(p.every); asking.Err() == nil; {
 		select {
 		case <-asking.Done():
@@ -135,6 +140,11 @@
 		c.Wait()
 	}
 	v := judge(w, all)
+	if p.picture != "" {
+		if err := film.picture(p.picture, w); err != nil {
+			return v, err
+		}
+	}
 	for n, s := range w.processes { // Planned stops are part of it: all that was taken is answered, and nothing crashes.
 		if s.Stop(5 * time.Second) {
 			v.wrong = append(v.wrong, fmt.Sprintf("balancer %d does not stop", n+1))
--- a/cmd/hollylab/town.go
+++ b/cmd/hollylab/town.go
@@ -48,6 +48,7 @@
 	kinds     []int
 	platforms []*standin.Platform
 	accord    *accord // nil: each decides alone
+	zones     int     // that hosts and balancers are in, by turns
 	killed    int     // the number of a balancer that was killed: what it held is no other's; 0: none was
 
 	mu        sync.Mutex
@@ -56,8 +57,8 @@
 	troubles  []string // what went wrong beside the rules
 }
 
-func newTown(program string, agree bool) (w *town, err error) {
-	w = &town{origin: standin.NewOrigin(fetchTakes, fetchAtOnce), discovery: standin.NewDiscovery()}
+func newTown(program string, agree bool, zones int) (w *town, err error) {
+	w = &town{zones: max(1, zones), origin: standin.NewOrigin(fetchTakes, fetchAtOnce), discovery: standin.NewDiscovery()}
 	defer func() {
 		if err != nil {
 			w.close()
@@ -93,7 +94,8 @@
 		if agree {
 			variables = []string{"LB_EXTRA=" + w.accord.owns[n]}
 		}
-		p, err := standin.NewPlatform(folder, standin.Setup{Variables: variables, Name: fmt.Sprint("n", n+1), Settings: townSettings, Known: w.discovery.Whole(),
+		settings := strings.Replace(townSettings, `"zones":["z"]`, fmt.Sprintf(`"zones":["z0","z1","z2"],"zone":%q`, w.zone(n)), 1)
+		p, err := standin.NewPlatform(folder, standin.Setup{Variables: variables, Name: fmt.Sprint("n", n+1), Settings: settings, Known: w.discovery.Whole(),
 			Discovery: w.discovery.Address, Limits: standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 512}, Core: -1, Program: program})
 		if err != nil {
 			return w, err
@@ -115,9 +117,12 @@
 		since = started.UnixMilli()
 	}
 	k := kinds[w.kinds[n]]
-	return standin.EntryOf(h.Name, h.Address, k.name, status, k.weight, since)
+	return standin.EntryIn(w.zone(n), h.Name, h.Address, k.name, status, k.weight, since)
 }
 
+// zone is where a host or a balancer is.
+func (w *town) zone(n int) string { return fmt.Sprint("z", n%w.zones) }
+
 func (w *town) tell(n int, status string) {
 	w.discovery.Tell(map[string]string{w.hosts[n].Name: w.entry(n, status)})
 }
--- a/cmd/hollylab/trouble.go
+++ b/cmd/hollylab/trouble.go
@@ -10,6 +10,7 @@
 	name, says string
 	play       func(ctx context.Context, w *town, over time.Duration)
 	agree      bool // the balancers are a fleet that agrees
+	zones      int  // that hosts and balancers are in; 0: one
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
@@ -98,4 +99,5 @@
 	{name: "cut", says: "one of a fleet of balancers is cut off from the others while a ban is agreed on", play: cutApart, agree: true},
 	{name: "pause", says: "the balancer that leads a fleet stands still for longer than a lease", play: stopped, agree: true},
 	{name: "die", says: "the balancer that leads a fleet is killed, and comes back with its file", play: died, agree: true},
+	{name: "zone", says: "one of three zones hangs, and comes back cold; the fleet leaves it and returns", play: zoneFails, agree: true, zones: 3},
 }
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -22,8 +22,13 @@
 
 // EntryOf is a host of a kind and a weight.
 func EntryOf(name, address, kind, status string, weight float64, sinceMS int64) string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"z","type":%q,"group":0,"status":%q,"weight":%g,"since_ms":%d}`,
-		name, address, kind, status, weight, sinceMS)
+	return EntryIn("z", name, address, kind, status, weight, sinceMS)
+}
+
+// EntryIn is one in a zone.
+func EntryIn(zone, name, address, kind, status string, weight float64, sinceMS int64) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":0,"status":%q,"weight":%g,"since_ms":%d}`,
+		name, address, zone, kind, status, weight, sinceMS)
 }
 
 // List is a list, or a change of one.
