Tests: a zone that only its own balancers reach, a second zone that fails during the return

Its own balancers go on there, the others leave it; who leads is stopped as the second zone fails, and the first goes on coming back. T holds throughout.

--- a/cmd/hollyfleet/signals_test.go
+++ b/cmd/hollyfleet/signals_test.go
@@ -58,26 +58,7 @@
 	t.Parallel()
 	d := newDistrict(t, 2, 6, 12, "")
 	broken := d.procs[4]
-	file, err := os.ReadFile(broken.config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text, entries := string(file), map[string]string{}
-	for h, host := range d.hosts {
-		if entries[host.Name] = d.entry(h, "Ready", 0); h%2 == 0 { // Every second one: what fails everywhere would be no host's.
-			dead := free(t)
-			entries[host.Name] = strings.Replace(entries[host.Name], host.Address, dead, 1)
-			text = strings.Replace(text, host.Address, dead, 1)
-		}
-	}
-	bad := standin.NewDiscovery()
-	defer bad.Close()
-	bad.Tell(entries)
-	d.kill(broken)
-	if err := os.WriteFile(broken.config, []byte(strings.Replace(text, d.list.Address, bad.Address, 1)), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	d.start(broken)
+	defer d.unreached(broken, func(h int) bool { return h%2 == 0 }).Close() // Every second one: what fails everywhere would be no host's.
 	d.agree(1)
 	d.load(60, 500)
 	until(t, "its word", func() bool {
@@ -97,6 +78,30 @@
 	d.kept()
 }
 
+// unreached starts a process anew with a list of its own, in which some hosts are where nobody answers.
+func (d *district) unreached(p *process, which func(h int) bool) *standin.Discovery {
+	file, err := os.ReadFile(p.config)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	text, entries := string(file), map[string]string{}
+	for h, host := range d.hosts {
+		if entries[host.Name] = d.entry(h, "Ready", 0); which(h) {
+			dead := free(d.t)
+			entries[host.Name] = strings.Replace(entries[host.Name], host.Address, dead, 1)
+			text = strings.Replace(text, host.Address, dead, 1)
+		}
+	}
+	list := standin.NewDiscovery()
+	list.Tell(entries)
+	d.kill(p)
+	if err := os.WriteFile(p.config, []byte(strings.Replace(text, d.list.Address, list.Address, 1)), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	d.start(p)
+	return list
+}
+
 // TestSignalsThatAreNone: bytes that are no signal, or of nobody, change nothing and are counted.
 func TestSignalsThatAreNone(t *testing.T) {
 	t.Parallel()
--- a/cmd/hollyfleet/zones_test.go
+++ b/cmd/hollyfleet/zones_test.go
@@ -145,3 +145,99 @@
 	until(t, "trips there", func() bool { return count() > before+20 })
 	d.quiet()
 }
+
+// TestAZoneThatOnlyItsOwnReach: the hosts of a zone answer its own balancers and nobody else. Those go on there, the others leave it or its hosts, and all is
+// settled.
+func TestAZoneThatOnlyItsOwnReach(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 7, 6, 12, "")
+	for n, p := range d.procs {
+		if n%d.zones != 1 {
+			defer d.unreached(p, func(h int) bool { return h%d.zones == 1 }).Close()
+		}
+	}
+	d.agree(1)
+	d.load(60, 500)
+	until(t, "the others leaving its hosts", func() bool {
+		for n, p := range d.procs {
+			left := 0
+			for _, h := range p.signalled().Signals.Hosts {
+				if h.Heeded {
+					left++
+				}
+			}
+			if n%d.zones != 1 && left < 3 {
+				return false
+			}
+		}
+		return true
+	})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) { // That long its own go on.
+		for n, p := range d.procs {
+			for _, z := range p.signalled().Zones {
+				if n%d.zones == 1 && z.Zone == "z1" && z.Part > 0 {
+					t.Fatalf("%s leaves its own zone: %+v", p.name, z)
+				}
+			}
+		}
+	}
+	before := 0
+	for _, h := range d.zoneOf(1) {
+		before += d.hosts[h].Figures().Asked
+	}
+	until(t, "its own using it", func() bool {
+		now := 0
+		for _, h := range d.zoneOf(1) {
+			now += d.hosts[h].Figures().Asked
+		}
+		return now > before+50
+	})
+	d.kept()
+}
+
+// TestASecondZoneFailsDuringTheReturn: and who leads is stopped as it does. The first goes on coming back, the second is left and come back to.
+func TestASecondZoneFailsDuringTheReturn(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 8, 6, 12, "")
+	d.load(60, 500)
+	until(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	hang := func(zone int) (goOn func()) {
+		var all []func()
+		for _, h := range d.zoneOf(zone) {
+			all = append(all, d.hosts[h].Hang())
+		}
+		return func() {
+			for _, f := range all {
+				f()
+			}
+		}
+	}
+	back := hang(1)
+	until(t, "all leaving z1", func() bool { least, _, _, _ := d.parts("z1"); return least == 1 })
+	back()
+	until(t, "z1 coming back", func() bool { _, most, fails, _ := d.parts("z1"); return fails == 0 && most < 0.9 })
+	s, _ := d.procs[5].status()
+	var led *process
+	for _, p := range d.procs[:3] {
+		if p.name == s.Leads {
+			led = p
+		}
+	}
+	backToo := hang(2)
+	if led != nil {
+		d.stop(led)
+	}
+	until(t, "all leaving z2", func() bool { least, _, _, _ := d.parts("z2"); return least == 1 })
+	if led != nil {
+		d.goOn(led)
+	}
+	until(t, "z1 being back", func() bool { _, most, _, _ := d.parts("z1"); return most == 0 })
+	backToo()
+	until(t, "z2 being back", func() bool { least, most, fails, _ := d.parts("z2"); return least == 0 && most == 0 && fails == 0 })
+	if worst, wrong := check(d.trace(), terms.Pause); wrong != "" || worst > terms.T() {
+		t.Errorf("longest contradiction %v of %v; %s", worst, terms.T(), wrong)
+	}
+	if f := d.quiet(); f.Wrong > 0 || d.origin.Twice() > 0 || f.Settled < f.Asked*8/10 {
+		t.Errorf("%+v, %d twice", f, d.origin.Twice())
+	}
+}
