--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -354,10 +354,26 @@
 		for h := 0; h < 24; h += 3 {
 			goOn = append(goOn, d.hosts[h].Hang())
 		}
+		hung, out := time.Now(), make(chan string, 1)
+		go func() {
+			first := time.Duration(0)
+			for time.Since(hung) < 6*time.Second {
+				least, most, _, _ := d.parts("z0")
+				if most == 1 && first == 0 {
+					first = time.Since(hung)
+				}
+				if least == 1 {
+					out <- fmt.Sprintf("the first had left after %v, all after %v", first.Round(10*time.Millisecond), time.Since(hung).Round(10*time.Millisecond))
+					return
+				}
+			}
+			out <- "not left as a zone"
+		}()
 		for range 4 {
 			zone, trips = share(2 * time.Second)
 			t.Logf("%s: hanging, %d of %d trips in 2 s go there", word, zone, trips)
 		}
+		t.Log(<-out)
 		entries := map[string]string{}
 		for h := 0; h < 24; h += 3 {
 			goOn[h/3]()
