--- a/choice/choice.go
+++ b/choice/choice.go
@@ -497,7 +497,7 @@
 			tried && len(b.ready) > len(r.trips) {
 			continue
 		}
-		if b.doubted(s, b.chance.part) {
+		if h.told < 0 && b.workloads[r.workload].effect == OneShot || b.doubted(s, b.chance.part) {
 			if last < 0 || h.out < b.servers[last].out {
 				last = s
 			}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -40,6 +40,23 @@
 	}
 }
 
+// What must not run twice is never the try.
+func TestNoOneShotIsTheTry(t *testing.T) {
+	w := plain(t, 9, 6, nil)
+	w.goes(60, 1)
+	w.b.Heard(2, -1)
+	for k := range uint64(200) {
+		i := w.ask(OneShot, k+1, 1500*ms)
+		if w.asked[i].trips[0].server == 2 {
+			t.Fatalf("one-shot %d goes there", i)
+		}
+		w.answer(i, 0, OK)
+	}
+	if sends, _ := w.goes(60, 1); sends[2] == 0 {
+		t.Error("nothing tries it")
+	}
+}
+
 // While reads miss for all, a key goes to the first of its ranking alone: two balancers with other chances agree on it.
 func TestReadsThatMissForAllKeepOneOrder(t *testing.T) {
 	var at [2]map[uint64]int
