Test: reads that miss for all, by processes whose caches are emptied again and again

Need: the zones that messages carry were each sender's own numbers, and no test with processes saw it: reads never missed for all. This one does.

--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -142,7 +142,8 @@
 		Part           float64 `json:"part_away"`
 	}
 	Signals struct {
-		Odd   int `json:"of_nobody_or_none"`
+		Odd   int  `json:"of_nobody_or_none"`
+		Miss  bool `json:"reads_miss_for_all"`
 		Hosts []struct {
 			Host         string
 			Heeded, Turn bool
--- a/cmd/hollyfleet/signals_test.go
+++ b/cmd/hollyfleet/signals_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -166,3 +167,23 @@
 		t.Error(wrong)
 	}
 }
+
+// TestReadsThatMissForAll: while caches are emptied again and again all processes say so and keep one order; it ends once the caches know most.
+func TestReadsThatMissForAll(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 11, 6, 12, "")
+	d.load(100, 500)
+	all := func(is bool) bool {
+		return !slices.ContainsFunc(d.procs, func(p *process) bool { return p.signalled().Signals.Miss != is })
+	}
+	for range 2 {
+		until(t, "all saying so", func() bool {
+			for _, h := range d.hosts {
+				h.Flush()
+			}
+			return all(true)
+		})
+		until(t, "the end of it", func() bool { return all(false) })
+	}
+	d.kept()
+}
