--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -160,6 +160,14 @@
 	return s
 }
 
+// dismissed is how many retrievals were until now.
+func (d *district) dismissed() (n int) {
+	for _, c := range d.clients {
+		n += c.Figures().Dismissed
+	}
+	return n
+}
+
 // heeding is how many processes have left a host on others' word, "" any host; turn: one of those that may try it, nil if there is none.
 func (d *district) heeding(host string) (n int, turn *process) {
 	for _, p := range d.procs {
@@ -372,7 +380,7 @@
 		}()
 		for range 4 {
 			zone, trips = share(2 * time.Second)
-			t.Logf("%s: hanging, %d of %d trips in 2 s go there", word, zone, trips)
+			t.Logf("%s: hanging, %d of %d trips in 2 s go there; %d dismissed", word, zone, trips, d.dismissed())
 		}
 		t.Log(<-out)
 		entries := map[string]string{}
@@ -392,7 +400,7 @@
 				pushed += d.hosts[h].Figures().Pushed
 			}
 			fetches, _ := d.origin.Fetches()
-			t.Logf("%s: %2.0f s after its return %.1f%%; %d over what they can; %d fetches in all; left %d", word, time.Since(back).Seconds(), 100*float64(zone)/float64(trips), pushed, fetches, d.left(""))
+			t.Logf("%s: %2.0f s after its return %.1f%%; %d over what they can; %d fetches in all; left %d; %d dismissed", word, time.Since(back).Seconds(), 100*float64(zone)/float64(trips), pushed, fetches, d.left(""), d.dismissed())
 		}
 		f := d.quiet()
 		t.Logf("%s: %d asked, %d settled, %d dismissed, %d given up, %d late", word, f.Asked, f.Settled, f.Dismissed, f.GivenUp, f.Late+f.Door)
