A process that starts does not go to a zone that is left already; budgets by twelve processes

Need: a path out of a zone left by hand takes 10 s, also for one that has just started: it sent keys where nobody else did.

Change: what is left when a process first looks, once it knows what is agreed on, is left for it. Budgets: twelve, three, twelve, five processes, one with three times the others' traffic.

--- a/cmd/hollyfleet/signals_test.go
+++ b/cmd/hollyfleet/signals_test.go
@@ -129,12 +129,15 @@
 	d.kept()
 }
 
-// TestBudgetsStayWhole: the fleet goes from three to nine to five processes under load, by start, SIGTERM and SIGKILL. The parts that all act on are
-// never over the whole, and come near it each time.
+// TestBudgetsStayWhole: the fleet goes from twelve to three to twelve to five processes under load, by start, SIGTERM and SIGKILL. The parts that all act
+// on are never over the whole, come near it each time, and follow the traffic: one has three times the others'.
 func TestBudgetsStayWhole(t *testing.T) {
 	t.Parallel()
-	w := newTown(t, 9, 9, 3, nil)
+	w := newTown(t, 9, 12, 3, nil)
 	w.agree(1)
+	for range 2 {
+		go w.ask(w.procs[1])
+	}
 	up := func(n int) {
 		for i, p := range w.procs {
 			switch {
@@ -149,18 +152,19 @@
 			}
 		}
 		until(t, fmt.Sprint("the parts of ", n), func() bool {
-			sum, least := 0.0, 1.0
+			sum, least, most := 0.0, 1.0, 0.0
 			for _, p := range w.procs[:n] {
 				s, err := p.status()
 				if err != nil || !s.Acting.Leased {
 					return false
 				}
-				sum, least = sum+s.Acting.Part, min(least, s.Acting.Part)
+				sum, least, most = sum+s.Acting.Part, min(least, s.Acting.Part), max(most, s.Acting.Part)
 			}
-			return sum > 0.98-0.5*float64(9-n)/9 && least >= 0.5/9
+			busy, err := w.procs[1].status()
+			return err == nil && sum > 0.98-0.5*float64(12-n)/12 && least >= 0.5/12 && busy.Acting.Part == most && most > 1.3*sum/float64(n)
 		})
 	}
-	for _, n := range []int{9, 3, 9, 5} {
+	for _, n := range []int{12, 3, 12, 5} {
 		up(n)
 	}
 	if _, wrong := check(w.trace(), terms.Pause); wrong != "" {
--- a/cmd/hollyfleet/zones_test.go
+++ b/cmd/hollyfleet/zones_test.go
@@ -117,10 +117,11 @@
 	}
 	until(t, "being half-way out", func() bool { least, _, _, _ := d.parts("z2"); return least > 0.3 })
 	s, _ := d.procs[4].status()
+	var killed *process
 	for _, p := range d.procs[:3] {
 		if p.name == s.Leads {
 			d.kill(p)
-			defer d.start(p)
+			killed = p
 		}
 	}
 	until(t, "being out", func() bool { least, _, _, hand := d.parts("z2"); return least == 1 && hand == 4 })
@@ -136,6 +137,21 @@
 	if went := count() - before; went > 0 {
 		t.Errorf("%d trips went there", went)
 	}
+	if killed != nil { // One that starts does not go there to leave it in steps.
+		d.start(killed)
+		part := -1.0
+		until(t, "the one that starts", func() bool {
+			for _, z := range killed.signalled().Zones {
+				if z.Zone == "z2" && part < 0 {
+					part = z.Part
+				}
+			}
+			return part >= 0
+		})
+		if part != 1 {
+			t.Errorf("%s starts with %v of the keys away", killed.name, part)
+		}
+	}
 	until(t, "accepting the return", func() bool {
 		a, err := d.procs[4].propose(joining.Proposal{ID: fmt.Sprint("return", time.Now().UnixNano()), Return: []string{"z2"}})
 		return err == nil && a.Version == 3
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -76,8 +76,12 @@
 		return // One zone is never left.
 	}
 	f.mu.Lock()
+	knows := f.acting.Latest > 0
 	left, leads, asking := f.acting.Left, f.keeper != nil && f.keeper.Leads() && f.acting.Leased, f.zones.asking
 	f.mu.Unlock()
+	if !knows {
+		return // It has just started, and what is left already is no way to go.
+	}
 	l := &f.zones
 	if leads != l.led {
 		l.led, l.watch = leads, zones.Watch{} // What another saw while it led is not known here.
--- a/zones/zones.go
+++ b/zones/zones.go
@@ -140,8 +140,10 @@
 func (p *Path) Look(now int64, zone string, left []string, own, slow bool, t Terms) float64 {
 	fails, byHand := slices.Contains(left, Fails+zone) && !own, slices.Contains(left, zone)
 	passed := float64(max(0, now-p.at))
-	if p.at == 0 {
-		passed = 0
+	if p.at == 0 { // It has just started: what is left already it never goes to.
+		if passed = 0; byHand {
+			p.part = 1
+		}
 	}
 	if p.at = now; slow {
 		passed /= mostLag
