Lives of processes are told apart by milliseconds; what a test waits for is what it is about

Need: a balancer killed and started within a second got a life by seconds and chance, lower than the one before in half of the cases: its signals counted as late for ever, and its cards for five seconds. Found as TestABrokenCableTakesNoHost did not hear its word, in one of six runs at once.

Change: a life is milliseconds and 22 bits of chance. The test waits for what the broken one tells and the other takes: what the other shows depends on what it saw settle itself.

--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -143,10 +143,12 @@
 	}
 	Signals struct {
 		Odd   int  `json:"of_nobody_or_none"`
+		Took  int  `json:"taken"`
 		Miss  bool `json:"reads_miss_for_all"`
 		Hosts []struct {
 			Host         string
 			Heeded, Turn bool
+			Own          int `json:"own_failures_in_a_row"`
 		}
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -124,8 +124,9 @@
 		behind: own.Duration("fleet.behind"), came: make(chan []byte, mostCame), changed: make(chan struct{}, 1), waiting: map[string]chan said{}}
 	var seed [16]byte
 	crand.Read(seed[:])
-	// Later lives have higher numbers: by the system's clock, and by chance within a second.
-	f.life = uint64(time.Now().Unix())<<24 | uint64(binary.LittleEndian.Uint32(seed[:4])&0xffffff)
+	// Later lives have higher numbers, also of one that was killed and came back within the same second: by the system's clock, and by chance within a
+	// millisecond, so that no two processes have one.
+	f.life = uint64(time.Now().UnixMilli())<<22 | uint64(binary.LittleEndian.Uint32(seed[:4])&0x3fffff)
 	if own.Yes("fleet.signals") {
 		f.seen = newSeen(name, zone, f.life, own.Duration("fleet.signal_delay"))
 	}
