--- a/zones/zones.go
+++ b/zones/zones.go
@@ -8,10 +8,7 @@
 // steps, each key once, for all processes the same keys first.
 package zones
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 const (
 	ms       = int64(1e6)
@@ -164,12 +161,3 @@
 	steps := int(p.part*Steps + 0.999999)
 	return float64(steps) / Steps
 }
-
-// Names gives the zones of a list that is agreed on, without marks.
-func Names(left []string) (zones []string) {
-	for _, name := range left {
-		zones = append(zones, strings.TrimPrefix(name, Fails))
-	}
-	slices.Sort(zones)
-	return slices.Compact(zones)
-}
--- a/zones/zones_test.go
+++ b/zones/zones_test.go
@@ -165,7 +165,4 @@
 	if got := started.Look(now, "z", []string{"z"}, false, false, terms); got != 1 {
 		t.Errorf("one that starts goes to a zone that was left before: %v", got)
 	}
-	if names := Names([]string{"a", Fails + "a", Fails + "b"}); !slices.Equal(names, []string{"a", "b"}) {
-		t.Error(names)
-	}
 }
