The change read again: one number for names, one look at the door, zones counted with the list

fleet and benchlink hashed names each for itself: signals.ID. The commands read /fleet in two places: asker.fleet. serving had its own third and its own fails: mark: zones'. Hosts were counted by zone twenty times a second under the lock that trips wait for: made up once a second with the list.

--- a/benchlink/peers.go
+++ b/benchlink/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/base64"
-	"hash/fnv"
 	"strconv"
 
 	"hollylever/choice"
@@ -63,9 +62,7 @@
 		return
 	}
 	for s := len(p.ids); s < len(addresses); s++ {
-		of := fnv.New32a()
-		of.Write([]byte(addresses[s]))
-		p.ids = append(p.ids, of.Sum32())
+		p.ids = append(p.ids, signals.ID(addresses[s]))
 		p.at[p.ids[s]] = s
 	}
 	p.board.Hosts(p.ids)
--- a/cmd/hollyfleet/district_test.go
+++ b/cmd/hollyfleet/district_test.go
@@ -125,6 +125,12 @@
 	return all
 }
 
+// end ends its processes before the test does: the next ones have the machine to themselves.
+func (d *district) end() {
+	d.town.close()
+	d.asks = make(chan struct{}) // The test's own end closes it too.
+}
+
 func (d *district) asked() (n []int) {
 	for _, h := range d.hosts {
 		n = append(n, h.Figures().Asked)
@@ -209,11 +215,7 @@
 
 // TestMeasureSignals is not for CI: HOLLYFLEET_SIGNALS names the numbers of processes.
 func TestMeasureSignals(t *testing.T) {
-	sizes := os.Getenv("HOLLYFLEET_SIGNALS")
-	if sizes == "" {
-		t.Skip("only where it is asked for")
-	}
-	for _, word := range strings.Split(sizes, ",") {
+	for _, word := range sizes(t, "HOLLYFLEET_SIGNALS") {
 		var n, rate int
 		fmt.Sscanf(word, "%dx%d", &n, &rate)
 		for _, on := range []bool{false, true} {
@@ -233,19 +235,14 @@
 			if held := d.left(d.hosts[18].Name); held > 0 {
 				t.Logf("%d still hold it back", held)
 			}
-			d.town.close()
-			d.asks = make(chan struct{})
+			d.end()
 		}
 	}
 }
 
 // TestMeasureFlush is not for CI: fetches a key after all caches are emptied. HOLLYFLEET_FLUSH names the numbers of processes and their rates.
 func TestMeasureFlush(t *testing.T) {
-	sizes := os.Getenv("HOLLYFLEET_FLUSH")
-	if sizes == "" {
-		t.Skip("only where it is asked for")
-	}
-	for _, word := range strings.Split(sizes, ",") {
+	for _, word := range sizes(t, "HOLLYFLEET_FLUSH") {
 		var n, rate int
 		fmt.Sscanf(word, "%dx%d", &n, &rate)
 		d := newDistrict(t, 1, n, 24, "")
@@ -274,18 +271,13 @@
 			}
 		}
 		t.Logf("%d asked, %d settled, %d dismissed", f.Asked, f.Settled, f.Dismissed)
-		d.town.close()
-		d.asks = make(chan struct{})
+		d.end()
 	}
 }
 
 // TestMeasureCold is not for CI: a third of the hosts comes back cold at once, before processes whose settings state a quarter of their number.
 func TestMeasureCold(t *testing.T) {
-	sizes := os.Getenv("HOLLYFLEET_COLD")
-	if sizes == "" {
-		t.Skip("only where it is asked for")
-	}
-	for _, word := range strings.Split(sizes, ",") {
+	for _, word := range sizes(t, "HOLLYFLEET_COLD") {
 		var n, rate int
 		fmt.Sscanf(word, "%dx%d", &n, &rate)
 		for _, most := range []int{0, n} {
@@ -328,19 +320,14 @@
 			}
 			f := d.quiet()
 			t.Logf("%d asked, %d settled, %d dismissed, %d given up, %d late", f.Asked, f.Settled, f.Dismissed, f.GivenUp, f.Late+f.Door)
-			d.town.close()
-			d.asks = make(chan struct{})
+			d.end()
 		}
 	}
 }
 
 // TestMeasureZone is not for CI: a zone hangs for 8 s and comes back cold, while the list calls it ready throughout; its part of the trips over time.
 func TestMeasureZone(t *testing.T) {
-	sizes := os.Getenv("HOLLYFLEET_ZONE")
-	if sizes == "" {
-		t.Skip("only where it is asked for")
-	}
-	for _, word := range strings.Split(sizes, ",") {
+	for _, word := range sizes(t, "HOLLYFLEET_ZONE") {
 		var n, rate, parts int // 0: nothing, 1: signals, 2: zones too
 		fmt.Sscanf(word, "%dx%dx%d", &n, &rate, &parts)
 		d := newDistrict(t, 1, n, 24, fmt.Sprintf("signals = %t\nzones = %t\n", parts > 0, parts > 1))
@@ -406,7 +393,6 @@
 		}
 		f := d.quiet()
 		t.Logf("%s: %d asked, %d settled, %d dismissed, %d given up, %d late", word, f.Asked, f.Settled, f.Dismissed, f.GivenUp, f.Late+f.Door)
-		d.town.close()
-		d.asks = make(chan struct{})
+		d.end()
 	}
 }
--- a/cmd/hollyfleet/measure_test.go
+++ b/cmd/hollyfleet/measure_test.go
@@ -17,11 +17,7 @@
 
 // TestMeasure is not for CI: how long a version takes to the last process, and what the exchange costs. HOLLYFLEET_MEASURE names the sizes.
 func TestMeasure(t *testing.T) {
-	sizes := os.Getenv("HOLLYFLEET_MEASURE")
-	if sizes == "" {
-		t.Skip("only where it is asked for")
-	}
-	for _, word := range strings.Split(sizes, ",") {
+	for _, word := range sizes(t, "HOLLYFLEET_MEASURE") {
 		n, err := strconv.Atoi(word)
 		if err != nil {
 			t.Fatal(err)
@@ -32,6 +28,15 @@
 	}
 }
 
+// sizes are those that a variable names; without it what is measured is skipped.
+func sizes(t *testing.T, variable string) []string {
+	words := os.Getenv(variable)
+	if words == "" {
+		t.Skip("only where it is asked for")
+	}
+	return strings.Split(words, ",")
+}
+
 func measure(t *testing.T, n int, loss float64) {
 	w := newTown(t, 1, n, 3, func(p *process) { p.clock = 1 })
 	w.agree(1)
--- a/cmd/hollylab/agree.go
+++ b/cmd/hollylab/agree.go
@@ -122,6 +122,14 @@
 	return said.Version
 }
 
+// accepted proposes again and again, until a majority accepts or it has taken too long; then it gives 0.
+func (w *town) accepted(ctx context.Context, n int, p joining.Proposal) (version uint64) {
+	for end := time.Now().Add(agreeFor); version == 0 && time.Now().Before(end) && ctx.Err() == nil; {
+		version = w.propose(n, p)
+	}
+	return version
+}
+
 // agree waits until all act on this version, under leases; what does not come is wrong.
 func (w *town) agree(ctx context.Context, version uint64) {
 	for end := time.Now().Add(agreeFor); time.Now().Before(end); {
@@ -143,10 +151,7 @@
 	host, last := w.hosts[1].Name, balancerCount-1
 	w.agree(ctx, 1)
 	w.accord.apart(last, true)
-	out := uint64(0)
-	for end := time.Now().Add(agreeFor); out == 0 && time.Now().Before(end) && ctx.Err() == nil; {
-		out = w.propose(0, joining.Proposal{Out: []string{host}, Why: "demo: cut"})
-	}
+	out := w.accepted(ctx, 0, joining.Proposal{Out: []string{host}, Why: "demo: cut"})
 	if out == 0 && ctx.Err() == nil {
 		w.wrong("a majority does not accept a ban")
 	}
@@ -174,10 +179,7 @@
 		pause(ctx, 700*time.Millisecond)
 		p.Cmd.Process.Signal(syscall.SIGCONT)
 	}
-	version := uint64(0)
-	for end := time.Now().Add(agreeFor); version == 0 && time.Now().Before(end) && ctx.Err() == nil; {
-		version = w.propose(1, joining.Proposal{Limits: map[string]int64{"held": 10000}, Why: "demo: pause"})
-	}
+	version := w.accepted(ctx, 1, joining.Proposal{Limits: map[string]int64{"held": 10000}, Why: "demo: pause"})
 	w.agree(ctx, version)
 }
 
@@ -195,10 +197,7 @@
 	}
 	w.killed = at + 1
 	w.processes[at].Kill()
-	version, began := uint64(0), time.Now()
-	for end := began.Add(agreeFor); version == 0 && time.Now().Before(end) && ctx.Err() == nil; {
-		version = w.propose((at+1)%balancerCount, joining.Proposal{Limits: map[string]int64{"held": 10000}, Why: "demo: die"})
-	}
+	version := w.accepted(ctx, (at+1)%balancerCount, joining.Proposal{Limits: map[string]int64{"held": 10000}, Why: "demo: die"})
 	if version == 0 && ctx.Err() == nil {
 		w.wrong("the two that are left accept nothing")
 	}
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	crand "crypto/rand"
 	"fmt"
@@ -46,25 +45,12 @@
 func (s *seen) views(now int64) (all []zones.View, scarce bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	failing := map[string]bool{}
+	all = slices.Clone(s.counts)
 	for _, h := range s.board.Status(now) {
-		if h.Heeded && h.Witnesses > 0 {
-			failing[s.names[h.Host]] = true
-		}
-	}
-	for _, h := range s.hosts {
-		if h.Zone == "" {
-			continue
-		}
-		at := slices.IndexFunc(all, func(v zones.View) bool { return v.Zone == h.Zone })
-		if at < 0 {
-			at, all = len(all), append(all, zones.View{Zone: h.Zone})
-		}
-		if all[at].Hosts++; failing[h.Name] {
+		if at, known := s.in[h.Host]; known && h.Heeded && h.Witnesses > 0 {
 			all[at].Failing++
 		}
 	}
-	slices.SortFunc(all, func(a, b zones.View) int { return cmp.Compare(a.Zone, b.Zone) })
 	return all, s.scarce
 }
 
--- a/fleet/seen.go
+++ b/fleet/seen.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,7 +11,7 @@
 	"hollylever/choice"
 	"hollylever/members"
 	"hollylever/signals"
-	"hollylever/subset"
+	"hollylever/zones"
 )
 
 // seen is what this process and others saw of hosts: the board, and names for its numbers. Its lock is held for moments only, and the
@@ -24,7 +24,8 @@
 	board  *signals.Board
 	ids    map[string]uint32
 	names  map[uint32]string
-	hosts  []subset.Host
+	counts []zones.View   // hosts by zone, sorted by its name, made up with the list
+	in     map[uint32]int // which of these a host is in
 	zones  map[string]uint8
 	heeds  map[uint32]bool // that the log knows of
 	odd    int             // what was no signal
@@ -37,16 +38,9 @@
 	silentFor   = 3 * time.Second // a member without a card for so long has no turn
 )
 
-// id is the number that a name has in signals. Two names may have one, once in some billions of pairs: they share what is said of them then.
-func id(name string) uint32 {
-	of := fnv.New32a()
-	of.Write([]byte(name))
-	return of.Sum32()
-}
-
 func newSeen(name, zone string, life uint64, delay time.Duration) *seen {
 	s := &seen{came: make(chan []byte, mostSignals), ids: map[string]uint32{}, names: map[uint32]string{}, zones: map[string]uint8{}, heeds: map[uint32]bool{}}
-	s.board = signals.New(signals.Member{ID: id(name), Zone: s.zone(zone)}, life)
+	s.board = signals.New(signals.Member{ID: signals.ID(name), Zone: s.zone(zone)}, life)
 	s.board.Delay(int64(delay))
 	return s
 }
@@ -125,16 +119,28 @@
 	defer s.mu.Unlock()
 	var all []signals.Member
 	for _, m := range lately {
-		all = append(all, signals.Member{ID: id(m.Name), Zone: s.zone(m.Zone)})
+		all = append(all, signals.Member{ID: signals.ID(m.Name), Zone: s.zone(m.Zone)})
 	}
 	s.board.Members(all)
 	clear(s.ids)
 	clear(s.names)
-	s.hosts = servers
+	s.counts, s.in = nil, map[uint32]int{}
 	hosts := make([]uint32, len(servers))
+	byZone := map[string]int{}
 	for n, h := range servers {
-		hosts[n] = id(h.Name)
+		hosts[n] = signals.ID(h.Name)
 		s.ids[h.Name], s.names[hosts[n]] = hosts[n], h.Name
+		if h.Zone != "" {
+			byZone[h.Zone]++
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		s.counts = append(s.counts, zones.View{Zone: zone, Hosts: byZone[zone]})
+	}
+	for n, h := range servers {
+		if at := slices.IndexFunc(s.counts, func(v zones.View) bool { return v.Zone == h.Zone }); at >= 0 {
+			s.in[hosts[n]] = at
+		}
 	}
 	s.board.Hosts(hosts)
 }
--- a/serving/fleet.go
+++ b/serving/fleet.go
@@ -83,17 +83,13 @@
 	c := &cobra.Command{Use: "fleet", Short: "See who is in the fleet and what each acts on; propose to it", Args: cobra.NoArgs}
 	a.flags(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		text, err := a.call(http.MethodGet, "/fleet")
-		if err != nil {
-			return err
-		}
-		if a.asJSON {
+		s, text, err := a.fleet()
+		if a.asJSON && text != "" {
 			fmt.Fprint(c.OutOrStdout(), text)
 			return nil
 		}
-		var s stands
-		if json.Unmarshal([]byte(text), &s) != nil {
-			return a.nonsense()
+		if err != nil {
+			return err
 		}
 		under := fmt.Sprintf("under a lease for %d ms", s.Lease)
 		if !s.Acting.Leased {
@@ -190,6 +186,14 @@
 	return c
 }
 
+// fleet asks how the fleet stands: what the commands show of it, and all that the door says.
+func (a *asker) fleet() (s stands, text string, err error) {
+	if text, err = a.call(http.MethodGet, "/fleet"); err == nil && json.Unmarshal([]byte(text), &s) != nil {
+		err = a.nonsense()
+	}
+	return s, text, err
+}
+
 func or(text, other string) string {
 	if text == "" {
 		return other
--- a/serving/zones.go
+++ b/serving/zones.go
@@ -1,33 +1,23 @@
 package serving
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"slices"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 
 	"hollylever/joining"
+	"hollylever/zones"
 )
 
-// leastLeft is the part of all hosts under which leaving a zone is advised against.
-const leastLeft = 1.0 / 3
-
 func zonesCommand() *cobra.Command {
 	a := &asker{}
 	c := &cobra.Command{Use: "zones", Short: "See how zones stand in the fleet, leave one and come back"}
 	a.flags(c)
-	look := func() (s stands, text string, err error) {
-		if text, err = a.call(http.MethodGet, "/fleet"); err == nil && json.Unmarshal([]byte(text), &s) != nil {
-			err = a.nonsense()
-		}
-		return s, text, err
-	}
 	list := &cobra.Command{Use: "list", Short: "List zones: hosts, how many fail for several, who left them, how far the way is", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, _, err := look()
+			s, _, err := a.fleet()
 			if err != nil {
 				return err
 			}
@@ -56,55 +46,55 @@
 			return out.Flush()
 		}}
 	plan := &cobra.Command{Use: "plan ZONE", Short: "Say what would remain without a zone; nothing is changed", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, zones []string) error {
-			s, _, err := look()
+		RunE: func(c *cobra.Command, names []string) error {
+			s, _, err := a.fleet()
 			if err != nil {
 				return err
 			}
 			all, remains, others, known := 0, 0, 0, false
 			for _, z := range s.Zones {
 				all += z.Hosts
-				known = known || z.Zone == zones[0]
-				if z.Zone != zones[0] && !z.ByHand && !z.Fails {
+				known = known || z.Zone == names[0]
+				if z.Zone != names[0] && !z.ByHand && !z.Fails {
 					remains += z.Hosts - z.Failing
 					others++
 				}
 			}
 			if !known {
-				return coded{fmt.Errorf("no zone %s", printable(zones[0])), exitMistake}
+				return coded{fmt.Errorf("no zone %s", printable(names[0])), exitMistake}
 			}
-			fmt.Fprintf(c.OutOrStdout(), "without %s %d of %d hosts remain, in %d zones; each has %.2f times the keys that it has with all\n", printable(zones[0]), remains, all, others,
+			fmt.Fprintf(c.OutOrStdout(), "without %s %d of %d hosts remain, in %d zones; each has %.2f times the keys that it has with all\n", printable(names[0]), remains, all, others,
 				float64(all)/float64(max(1, remains)))
-			if others == 0 || float64(remains) < leastLeft*float64(all) {
+			if others == 0 || float64(remains) < zones.Remains*float64(all) {
 				return coded{fmt.Errorf("leaving may be worse than staying: under a third remains"), exitNo}
 			}
 			return nil
 		}}
 	why := ""
 	leave := &cobra.Command{Use: "leave ZONE", Short: "Have the whole fleet leave a zone, in steps over 10 s, until it is told to return", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, zones []string) error {
-			s, _, err := look()
+		RunE: func(c *cobra.Command, names []string) error {
+			s, _, err := a.fleet()
 			if err != nil {
 				return err
 			}
 			others, known := 0, false
 			for _, z := range s.Zones {
-				known = known || z.Zone == zones[0]
-				if z.Zone != zones[0] && !z.ByHand {
+				known = known || z.Zone == names[0]
+				if z.Zone != names[0] && !z.ByHand {
 					others++
 				}
 			}
 			switch {
 			case !known:
-				return coded{fmt.Errorf("no zone %s", printable(zones[0])), exitMistake}
+				return coded{fmt.Errorf("no zone %s", printable(names[0])), exitMistake}
 			case others == 0:
-				return coded{fmt.Errorf("%s is the last zone: it is not left", printable(zones[0])), exitNo}
+				return coded{fmt.Errorf("%s is the last zone: it is not left", printable(names[0])), exitNo}
 			}
-			return a.propose(c, joining.Proposal{Leave: zones, Why: why})
+			return a.propose(c, joining.Proposal{Leave: names, Why: why})
 		}}
 	back := &cobra.Command{Use: "return ZONE", Short: "Come back to a zone, in steps over one and a half warm-ups, whoever left it", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, zones []string) error {
-			return a.propose(c, joining.Proposal{Return: append(slices.Clone(zones), "fails:"+zones[0]), Why: why})
+		RunE: func(c *cobra.Command, names []string) error {
+			return a.propose(c, joining.Proposal{Return: append(slices.Clone(names), zones.Fails+names[0]), Why: why})
 		}}
 	for _, one := range []*cobra.Command{leave, back} {
 		one.Flags().StringVar(&why, "why", "", "for the history")
--- a/signals/signals.go
+++ b/signals/signals.go
@@ -8,6 +8,7 @@
 package signals
 
 import (
+	"hash/fnv"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -128,6 +129,13 @@
 	return m, nil
 }
 
+// ID is the number that a name has in signals. Two names may have one, once in some billions of pairs: they share what is said of them then.
+func ID(name string) uint32 {
+	of := fnv.New32a()
+	of.Write([]byte(name))
+	return of.Sum32()
+}
+
 // Member is one that may speak. Zone is NoZone where it is not known.
 type Member struct {
 	ID   uint32
--- a/zones/zones.go
+++ b/zones/zones.go
@@ -19,11 +19,13 @@
 	calm     = 3000 * ms // and for so long before it is come back to, doubled with each relapse
 	mostCalm = 64 * calm
 	forgets  = 300_000 * ms // a return that lasted so long did last
-	remains  = 1.0 / 3      // of all hosts have to be left
 	Steps    = 32           // on the way out and back
 	mostLag  = 4            // while reads miss for all, a step takes so many times as long
 )
 
+// Remains is the part of all hosts that has to be left without a zone.
+const Remains = 1.0 / 3
+
 // Fails marks a zone that the fleet left by itself, beside those that operators left: "fails:z". Both may stand together; each is taken back alone.
 const Fails = "fails:"
 
@@ -99,7 +101,7 @@
 			continue
 		}
 		inUse := !slices.Contains(left, v.Zone)
-		if inUse && (usedZones <= 1 || float64(used-v.Hosts) < remains*float64(all)) {
+		if inUse && (usedZones <= 1 || float64(used-v.Hosts) < Remains*float64(all)) {
 			if !z.stays {
 				z.stays = true
 				stays = append(stays, v)
