A settings file that is written over in place while it is read is not taken

Cause: a file read in pieces while another is written over it can be half of one and half of another, and still be a file.

--- a/fields/read.go
+++ b/fields/read.go
@@ -1,6 +1,7 @@
 package fields
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -72,6 +73,14 @@
 	if err == nil && len(text) > Most {
 		err = fmt.Errorf("over %d bytes", Most)
 	}
+	if err != nil {
+		return text, err
+	}
+	// Guards against a file that is written over in place: half of one and half of another can be a file too.
+	again, err := io.ReadAll(io.NewSectionReader(at, 0, Most+1))
+	if err == nil && !bytes.Equal(text, again) {
+		err = errors.New("it changed while it was read")
+	}
 	return text, err
 }
 
