Others' word alone takes no process out of its own zone

Need: in a zone that only its own balancers reach, one of these left it too, in one run of all tests: two of four hosts were left on others' word before it had seen them settle. Once out it sees nothing of the zone any more.

Change: it leaves its own zone only if a host there fails for itself too.

--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -41,23 +41,26 @@
 	Part    float64 `json:"part_away"`
 }
 
-// views gives each zone's hosts and how many of them several processes call failing, by name; and whether reads miss for all.
-func (s *seen) views(now int64) (all []zones.View, scarce bool) {
+// views gives each zone's hosts and how many of them several processes call failing, by name; whether a host of this process's own zone fails for
+// itself too; and whether reads miss for all.
+func (s *seen) views(now int64, own string) (all []zones.View, fails, scarce bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all = slices.Clone(s.counts)
 	for _, h := range s.board.Status(now) {
-		if at, known := s.in[h.Host]; known && h.Heeded && h.Witnesses > 0 {
+		at, known := s.in[h.Host]
+		if known && h.Heeded && h.Witnesses > 0 {
 			all[at].Failing++
 		}
+		fails = fails || known && h.Own > 0 && all[at].Zone == own
 	}
-	return all, s.scarce
+	return all, fails, s.scarce
 }
 
 // leaves moves on on the ways out of zones and back, and proposes what is to be left if this process leads.
 func (f *Fleet) leaves(ctx context.Context) {
 	now := Now()
-	views, scarce := f.seen.views(now)
+	views, fails, scarce := f.seen.views(now, f.zone)
 	if len(views) < 2 {
 		return // One zone is never left.
 	}
@@ -88,7 +91,8 @@
 			path = &zones.Path{}
 			l.paths[v.Zone] = path
 		}
-		own := v.Zone == f.zone && v.Failing*2 < v.Hosts
+		// Others' word alone does not take it out of its own zone: once out, it would see nothing of it any more.
+		own := v.Zone == f.zone && (v.Failing*2 < v.Hosts || !fails)
 		parts[v.Zone] = path.Look(now, v.Zone, left, own, scarce, l.terms)
 		stands = append(stands, ZoneStands{v.Zone, v.Hosts, v.Failing, v.Zone == f.zone, slices.Contains(left, v.Zone), slices.Contains(left, zones.Fails+v.Zone), parts[v.Zone]})
 	}
