A client that goes while its commands wait is seen to go, whatever stands before its end

Also: a client that only ended its sending got the answer to its second command in place of the first's; a half command whose time was over called off the whole ones before it; a newcomer's limit was laid on the second command when the first had not been counted as good yet. Excluded: the module (Aborted ends what it holds, its timers and lines) and the pool (Withdraw stops a dial): both hold once they are told. Cause: routing/front.go, commands: 'answers <- t' blocks with 64 out, and after Garbled nobody reads, so the end is not seen; Serve closed 'left' on Stuck as if the client had gone; write went on with the next turn where one had no answer; Fill took its limit once, before Good. Change: transport/await.go: the reader awaits room, or the last answer, and reads on meanwhile (beyond the buffer it looks for the end only); limits are looked at anew; nothing is written behind an answer that is not there.

--- a/routing/front.go
+++ b/routing/front.go
@@ -31,26 +31,32 @@
 // Serve serves one client until it goes away. It reads on while retrievals are out, so that its going is seen.
 func (b *Balancer) Serve(c *transport.Client) {
 	left, written := make(chan struct{}), make(chan struct{})
-	answers := make(chan turn, pipelined)
+	answers := make(chan turn, pipelined+1) // One for the last word to a client that is not read any further.
 	go func() {
 		defer close(written)
 		b.write(c, answers, left)
 	}()
 	end := b.commands(c, answers, left)
-	if end != transport.Garbled && end != transport.Spared {
+	// Garbled or Stuck, half-way through a command: what came whole before is owed its answer, as long as the client stays.
+	unread := end == transport.Garbled || end == transport.Stuck
+	stays := unread && c.Await(1, true) == transport.Open
+	if !stays && end != transport.Spared {
 		close(left)
 	}
 	close(answers)
 	<-written
-	if end == transport.Garbled {
+	if stays {
 		c.Linger()
 	}
 }
 
 // commands reads until the client's connection ends, and says how.
 func (b *Balancer) commands(c *transport.Client, answers chan<- turn, left <-chan struct{}) transport.End {
-	var until time.Time // No limit between commands; one for a command that has begun to come.
+	var begun time.Time // Since when a command has begun to come, zero between commands.
 	for {
+		if end := c.Await(pipelined, false); end != transport.Open {
+			return end
+		}
 		words, length, err := protocol.Command(c.Unread())
 		if err != nil {
 			c.Begin()
@@ -59,21 +65,21 @@
 		}
 		if length == 0 {
 			if len(c.Unread()) == 0 {
-				until = time.Time{}
-			} else if until.IsZero() {
-				until = c.Whole()
+				begun = time.Time{}
+			} else if begun.IsZero() {
+				begun = time.Now()
 			}
 			if c.Grow(protocol.Needs(c.Unread())) == transport.NoRoom {
 				c.Begin()
 				answers <- ready(protocol.AppendDismissed(nil, 0)) // It was never begun, and can't be read any further.
 				return transport.Garbled
 			}
-			if end := c.Fill(until); end != transport.Open {
+			if end := c.Fill(begun); end != transport.Open {
 				return end
 			}
 			continue
 		}
-		until = time.Time{}
+		begun = time.Time{}
 		c.Begin()
 		is, write, wrong := protocol.Retrieval(words)
 		switch {
@@ -109,15 +115,17 @@
 func (b *Balancer) write(c *transport.Client, answers <-chan turn, left <-chan struct{}) {
 	for t := range answers {
 		var message reply
+		there := true
 		select {
 		case message = <-t.answer:
 		case <-left:
 			select {
 			case message = <-t.answer: // The client may only have ended its sending.
 			default:
+				there = false // Nor may it get any further one, which it would take for this.
 			}
 		}
-		if c.Hand(message.bytes, time.Now().Add(writeFor)) != transport.Open || !passOn(c, message.value) {
+		if !there || c.Hand(message.bytes, time.Now().Add(writeFor)) != transport.Open || !passOn(c, message.value) {
 			c.Conn.Close() // The reader sees it and tells all that is out.
 		}
 		close(t.written)
--- /dev/null
+++ b/transport/await.go
@@ -0,0 +1,59 @@
+package transport
+
+import (
+	"errors"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Await waits until fewer than so many things of the client are being answered (Open), or until the client has gone. It
+// reads meanwhile: nobody sees an end behind what was not read. What it reads stays, as far as there is room for it, or is dropped.
+func (c *Client) Await(most int, drop bool) End {
+	dropped := 0
+	for {
+		c.owner.mu.Lock()
+		if c.awaits = c.busy >= most; !c.awaits {
+			c.owner.mu.Unlock()
+			return Open
+		}
+		c.SetReadDeadline(time.Time{})
+		c.owner.mu.Unlock()
+		if drop {
+			dropped += len(c.Unread())
+			c.Skip(len(c.Unread()))
+		}
+		end := Open
+		if dropped <= mostLinger && c.room() == Open {
+			end = c.read(false)
+		} else {
+			end = c.hangsUp()
+		}
+		if end != Open && end != Stuck {
+			return end
+		}
+	}
+}
+
+// hangsUp waits without reading until the other side has ended the connection, or the read deadline is over (Stuck).
+func (c *Conn) hangsUp() End {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return Left
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return Left
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		return err == nil && n > 0 // Also by an error or an end, which are always told.
+	})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return Stuck
+	}
+	return Left
+}
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -44,6 +44,10 @@
 	Odd      func(err error) // told of accepts that went wrong
 	InHand   Mark            // around the time for which an accepted connection waits for room
 	shared   bool            // others accept from the socket too
+
+	// How long a command that has begun to come may take: a client's first, from when it connected, and a usual client's. To be set
+	// before Serve.
+	HalfFirst, HalfUsual time.Duration
 }
 
 // Mark is told of the beginning and the end of something that should not take long.
@@ -60,13 +64,14 @@
 // Client is a client's connection. It is busy while something of it is being answered.
 type Client struct {
 	Conn
-	owner *Listener
-	busy  int
-	good  int // commands that made sense
-	going bool
-	half  bool      // a part of a command has come
-	came  time.Time // when it connected
-	since time.Time // idle since
+	owner  *Listener
+	busy   int
+	good   int // commands that made sense
+	going  bool
+	awaits bool      // its reader is to be woken with each answer
+	half   bool      // a part of a command has come
+	came   time.Time // when it connected
+	since  time.Time // idle since
 }
 
 // keeps is how long a client is kept between commands. Guards descriptors and memory against those that connect and
@@ -111,7 +116,7 @@
 
 func newListener(inner net.Listener, most int) *Listener {
 	l := &Listener{listener: inner, most: most, least: max(1, most/2), clients: map[*Client]bool{}, Odd: func(error) {},
-		InHand: unmarked{}}
+		InHand: unmarked{}, HalfFirst: halfFirst, HalfUsual: halfUsual}
 	l.room.L = &l.mu
 	l.all.Add(1) // Serve counts too: Close must wait for a client that is just being accepted.
 	return l
@@ -261,15 +266,16 @@
 	c.SetReadDeadline(time.Unix(1, 0))
 }
 
-// Whole is until when a command that has begun to come has to be whole. Usual clients may write slowly; from one
-// that never sent a good command an end is owed soon after it came.
-func (c *Client) Whole() time.Time {
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	if c.good > 0 {
-		return time.Now().Add(halfUsual)
+// whole is until when a command that has begun to come has to be whole; zero: none has. Usual clients may write slowly;
+// from one that never sent a good command an end is owed soon after it came. Under the lock.
+func (c *Client) whole(begun time.Time) time.Time {
+	switch {
+	case begun.IsZero():
+		return begun
+	case c.good > 0:
+		return begun.Add(c.owner.HalfUsual)
 	}
-	return c.came.Add(halfFirst)
+	return c.came.Add(c.owner.HalfFirst)
 }
 
 // Linger ends the connection after a last word to a client that may still be sending: closed at once, what it sends
@@ -313,12 +319,15 @@
 		}
 		c.owner.room.Signal()
 	}
+	if c.awaits {
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
-// Fill reads once more. Spared: the connection is to go, nothing is being answered and nothing waits to be read. A
-// command that has begun to come is let come, within its time, but where a client that never sent a good one has to
-// make room.
-func (c *Client) Fill(until time.Time) End {
+// Fill reads once more. begun: since when a command has begun to come, zero if none has. Spared: the connection is to go,
+// nothing is being answered and nothing waits to be read. A command that has begun to come is let come, within its time,
+// but where a client that never sent a good one has to make room.
+func (c *Client) Fill(begun time.Time) End {
 	for {
 		if end := c.room(); end != Open {
 			return end
@@ -332,16 +341,17 @@
 				return Spared
 			}
 		}
-		c.SetReadDeadline(until)
+		c.SetReadDeadline(c.whole(begun))
 		c.owner.mu.Unlock()
 		end := c.read(false)
 		if end != Stuck {
 			return end
 		}
 		c.owner.mu.Lock()
-		woken := c.going // Guards what is being answered: being asked to go is no end of the client's time.
+		// Looked at anew: being asked to go is no end of the client's time, and it may have shown itself a usual one meanwhile.
+		until := c.whole(begun)
 		c.owner.mu.Unlock()
-		if !woken || !until.IsZero() && time.Now().After(until) {
+		if !until.IsZero() && !time.Now().Before(until) {
 			return end
 		}
 	}
