Lists are read as a stream of JSON values, cut anywhere

Seen: a list that comes indented, over several lines, was never taken: each of its lines failed as 'not a list of servers', the watch was given up and opened anew, for ever; so no drain was heard. A token left in 'follow' while Move and Follow cross had the next failure followed with no wait. Cause: routing/follow.go, watch: bufio.Scanner by lines, tell for each; Follow: the token that Move puts between '<-b.follow' and the lock stays. Change: json.Decoder over the answer; what counts as said is a value that begins or ends, or an empty line between two; the token is taken with the address. A list may have 4 MiB, as a line before.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -103,6 +103,7 @@
 	pool     *transport.Pool
 	follow   chan struct{} // the module wants the list followed
 	failing  bool          // the list can't be followed
+	silence  time.Duration // after which a watch is taken for broken
 	mostHeld int
 	mostHeap int64
 	taking   atomic.Bool // clients
@@ -152,7 +153,7 @@
 // retrievals at once, and what is out by hand in a file, if one is named. before is what a process before it has left, if any.
 func New(settings map[string]any, known []byte, discovery string, seed uint64, pool *transport.Pool, mostHeap int64, bansIn string,
 	before *learnt.Snapshot, log zerolog.Logger) (*Balancer, error) {
-	b := &Balancer{log: log, discovery: discovery, letGo: func(error) {}, settings: settings, began: time.Now(), pool: pool, follow: make(chan struct{}, 1),
+	b := &Balancer{log: log, discovery: discovery, letGo: func(error) {}, settings: settings, began: time.Now(), pool: pool, follow: make(chan struct{}, 1), silence: silence,
 		mostHeld: max(1, int(number(settings, "allowed.mostHeld"))), mostHeap: mostHeap, byName: map[string]int{},
 		open: map[string]bool{}, once: map[string]bool{}, oneShot: map[int]bool{},
 		workloads: tables.Places(settings, "workloads", ".name"), tenants: tables.Places(settings, "tenants", ".name"),
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -1,9 +1,9 @@
 package routing
 
 import (
-	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,12 +16,15 @@
 
 const (
 	silence  = 3500 * time.Millisecond // a watch that says nothing for so long is taken for broken; it should every 2 s
-	mostList = 4 << 20                 // bytes of one line
+	mostList = 4 << 20                 // bytes of one list
 
 	connectFor = 2 * time.Second // for the connection to discovery
 )
 
-var errMoved = errors.New("discovery has moved")
+var (
+	errMoved = errors.New("discovery has moved")
+	errLong  = errors.New("a list that is too long")
+)
 
 // Follow watches the list at discovery whenever the module wants that. A watch that ends is told as failed; the
 // module says when to ask again.
@@ -38,6 +41,10 @@
 		b.mu.Lock()
 		discovery, index := b.discovery, b.index
 		b.letGo = letGo
+		select {
+		case <-b.follow: // Move came in between. It is this watch that it asks for: later, it would follow a failure with no wait.
+		default:
+		}
 		b.mu.Unlock()
 		err := b.watch(watching, letGo, client, discovery, index)
 		letGo(nil)
@@ -74,7 +81,7 @@
 // watch follows the list until that breaks, and says why it did.
 func (b *Balancer) watch(ctx context.Context, letGo context.CancelCauseFunc, client *http.Client, discovery string,
 	index uint64) error {
-	quiet := time.AfterFunc(silence, func() { letGo(errors.New("discovery is silent")) })
+	quiet := time.AfterFunc(b.silence, func() { letGo(errors.New("discovery is silent")) })
 	defer quiet.Stop()
 	at := fmt.Sprintf("http://%s/catalog/members?follow=1&since=%d", discovery, index)
 	call, err := http.NewRequestWithContext(ctx, http.MethodGet, at, nil)
@@ -89,22 +96,52 @@
 	if answer.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", answer.Status)
 	}
-	lines := bufio.NewScanner(answer.Body)
-	lines.Buffer(nil, mostList)
-	for lines.Scan() {
-		quiet.Reset(silence)
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			if err := b.tell(ctx, line, false); err != nil {
-				return err
-			}
-		}
+	said := &sayings{in: answer.Body, said: func() {
+		quiet.Reset(b.silence)
 		if b.failing {
 			b.failing = false
 			b.log.Info().Str("discovery", discovery).Msg("list followed again")
 		}
+	}}
+	for lists := json.NewDecoder(said); ; {
+		var list json.RawMessage
+		if err := lists.Decode(&list); err != nil {
+			return errors.Join(err, context.Cause(ctx))
+		}
+		said.between(lists.Buffered())
+		if err := b.tell(ctx, list, false); err != nil {
+			return err
+		}
 	}
-	if err := lines.Err(); err != nil {
-		return errors.Join(err, context.Cause(ctx))
+}
+
+// sayings is what a watch says: a stream of JSON values, over lines as it likes, with empty lines between while nothing changes.
+type sayings struct {
+	in   io.Reader
+	said func() // a value has begun or ended, or an empty line came between two
+	amid bool   // a value has begun
+	size int    // of it, so far
+}
+
+// Read guards against a value that begins and does not end: nothing counts as said meanwhile, however it trickles in.
+func (s *sayings) Read(into []byte) (int, error) {
+	n, err := s.in.Read(into)
+	if n > 0 && !s.amid {
+		s.amid = len(bytes.TrimSpace(into[:n])) > 0
+		s.said()
+	}
+	if s.amid {
+		s.size += n
 	}
-	return io.ErrUnexpectedEOF
+	if s.size > mostList {
+		return n, errLong
+	}
+	return n, err
+}
+
+// between tells that a value was whole; what stands behind it may be the beginning of the next.
+func (s *sayings) between(rest io.Reader) {
+	text, _ := io.ReadAll(rest)
+	s.amid, s.size = len(bytes.TrimSpace(text)) > 0, len(text)
+	s.said()
 }
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -39,17 +39,26 @@
 // Unavailable in place of a watch's first line has it answered with 503.
 const Unavailable = "503"
 
-// Call is a watch that was asked for: what it is to say, line by line.
+// Call is a watch that was asked for: what it is to say.
 type Call struct {
 	Since string
-	lines chan string
+	Ended <-chan struct{} // the other side has closed it
+	says  chan string
 }
 
 // Say says a line.
-func (c Call) Say(line string) { c.lines <- line }
+func (c Call) Say(line string) {
+	if line != Unavailable {
+		line += "\n"
+	}
+	c.says <- line
+}
+
+// Give gives a piece as it is, cut anywhere; an empty one is the head of the answer alone.
+func (c Call) Give(piece string) { c.says <- piece }
 
 // End ends the watch.
-func (c Call) End() { close(c.lines) }
+func (c Call) End() { close(c.says) }
 
 // Discovery is the list of hosts. Scripted it hands over each call; else it tells what it is given by Tell, to all.
 type Discovery struct {
@@ -85,18 +94,18 @@
 }
 
 func (d *Discovery) scripted(w http.ResponseWriter, r *http.Request) {
-	c := Call{r.URL.Query().Get("since"), make(chan string, 100)}
+	c := Call{r.URL.Query().Get("since"), r.Context().Done(), make(chan string, 100)}
 	d.Calls <- c
 	for {
 		select {
-		case line, more := <-c.lines:
-			if line == Unavailable {
+		case piece, more := <-c.says:
+			if piece == Unavailable {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
-			if line == Unavailable || !more {
+			if piece == Unavailable || !more {
 				return
 			}
-			io.WriteString(w, line+"\n")
+			io.WriteString(w, piece)
 			w.(http.Flusher).Flush()
 		case <-r.Context().Done():
 			return
