Pushed lists are looked for within the grace; repeats arrive while hosts remember

A stamped trip was repeated up to nine tenths of the window after the first, but arrives up to allowed.dialTimeout later: with a window under ten times that, beyond it. Excluded: asked lists, where the time for asking bounds both; watches that hang while discovery is down are answered at its return. Cause: choice.go, Listing: min(wait, askEvery) whatever registryMode says; mayReach: remembers*9/10 with nothing for the connection. Change: pushed: at most an eighth of drainGrace; the window less the dial time-out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -212,10 +212,13 @@
 	}
 	if scope == Failed {
 		// Guards against a registry that all ask at once: growing waits, spread by chance, but not so long as to
-		// count as told.
+		// count as told. What is pushed counts from when it is there to be heard.
 		b.failures = min(b.failures+1, 6)
-		wait := float64(second/4) * float64(int(1)<<b.failures)
-		if most := b.number("invariants.askEvery") * 1e6; most > 0 {
+		wait, most := float64(second/4)*float64(int(1)<<b.failures), float64(b.span("invariants.askEvery"))
+		if b.text("registryMode") == "automatic" {
+			most = float64(b.span("invariants.drainGrace")) / 8
+		}
+		if most > 0 {
 			wait = min(wait, most)
 		}
 		b.host.Wake(tagList, int64((0.5+b.chance.part())*wait))
@@ -288,9 +291,7 @@
 			}
 		}
 	}
-	for len(b.best) < len(b.ready) {
-		b.best = append(b.best, ranked{})
-	}
+	b.best = append(b.best, make([]ranked, max(0, len(b.ready)-len(b.best)))...)
 }
 
 // open: the list lets a server be sent to. Where only draining binds, the list does not prove what is up.
@@ -302,9 +303,7 @@
 func (b *Balancer) Asked(now int64, i int, patience int64, workload, tenant int, key uint64, keyGiven,
 	write bool, predicted int64) {
 	b.passes(now)
-	for len(b.retrievals) <= i {
-		b.retrievals = append(b.retrievals, retrieval{})
-	}
+	b.retrievals = append(b.retrievals, make([]retrieval, max(0, i+1-len(b.retrievals)))...)
 	r, w := &b.retrievals[i], &b.workloads[workload]
 	if !keyGiven {
 		key = b.chance.next() // No key: any candidates are as good.
@@ -575,7 +574,7 @@
 		case r.trips[t].ran == never:
 		case w.effect == OneShot, r.trips[t].ran == running && !b.copies:
 			return false
-		case w.effect == Stamped && (now-r.trips[t].sent >= w.remembers*9/10 ||
+		case w.effect == Stamped && (now-r.trips[t].sent >= w.remembers*9/10-b.span("allowed.dialTimeout") ||
 			w.group == "zone" && was.zone != to.zone || w.group == "cell" && was.cell != to.cell):
 			return false
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -642,6 +642,36 @@
 	}
 }
 
+// Where lists are pushed, what the agent has counts as told whether it is heard or not: however often a watch has failed, the
+// next look comes well within the grace of a drain.
+func TestPushedListsAreLookedForWithinTheGrace(t *testing.T) {
+	const grace = 2500
+	w := plain(t, 1, 3, map[string]any{"registryMode": "automatic", "invariants.askEvery": 10000.0, "invariants.drainGrace": float64(grace)})
+	for n := range 12 {
+		w.b.Listing(w.now, Failed)
+		w.b.Listed(w.now)
+		w.step(grace / 5 * ms)
+		if w.subscribe != n+1 {
+			t.Fatalf("asked %d times after %d failures", w.subscribe, n+1)
+		}
+	}
+}
+
+// A repeated trip arrives as late as its connection may take to come up, and has to arrive while hosts remember.
+func TestStampedRepeatsArriveWhileHostsRemember(t *testing.T) {
+	again := 0
+	for after := range int64(90) {
+		w := plain(t, 1, 6, map[string]any{"allowed.dialTimeout": 200.0})
+		i := w.ask(Stamped, 5, 3*second)
+		w.step(after * 10 * ms)
+		w.answer(i, 0, Errored) // The helper looks at each send.
+		again += len(w.asked[i].trips) - 1
+	}
+	if again < 50 {
+		t.Fatalf("only %d of 90 are repeated", again)
+	}
+}
+
 // Aside: one fetch a key; the read that waited goes to the cache that now holds it; writes go to the origin.
 func TestAsideFetchesOnce(t *testing.T) {
 	w := plain(t, 1, 0, map[string]any{"extra.mode": "aside", "extra.originKind": 1.0})
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -83,7 +83,7 @@
 		if effect == OneShot {
 			w.t.Fatalf("one-shot %d sent again though it may have run", i)
 		}
-		if effect == Stamped && (w.now-t.at >= remembers || group == "zone" && w.zones[t.server] != w.zones[s] ||
+		if effect == Stamped && (w.now+w.span("allowed.dialTimeout")-t.at >= remembers || group == "zone" && w.zones[t.server] != w.zones[s] ||
 			group == "cell" && t.server%3 != s%3) {
 			w.t.Fatalf("stamped %d sent again outside its group or time", i)
 		}
