A stop answers all that was taken: what the kernel has connected, and clients that ask on

Cause: listener.go Leave closes the socket at once; main.go's stop had no word for the door; life.go, trip: nothing is looked at between Connect and Hand, and pass takes a new 250 ms for each piece; pool.go, HandCarefully: 2*up without a bound, and none of it for an idle connection. Change: Leave accepts what has connected, as there is room; Ends: at the door what has no time for its expected time before the end is dismissed; trips look at the drain before they hand over; one time for the rest; the look is bounded by 25 ms more and known for idle connections. Counts left_waiting and sent_after_left.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -80,6 +80,7 @@
 	told  chan news
 	at    []int // the servers of its trips
 	final bool  // it has its final answer, or its client has gone
+	left  int64 // when its client went, if it did
 }
 
 // server is what the list says of one, and how many trips are held that went there.
@@ -106,7 +107,8 @@
 	silence  time.Duration // after which a watch is taken for broken
 	mostHeld int
 	mostHeap int64
-	taking   atomic.Bool // clients
+	taking   atomic.Bool  // clients
+	ends     atomic.Int64 // by the module's clock: all has its answer by then; 0: not yet known
 	bans     bans
 
 	mu        sync.Mutex // around all that follows, and the module
--- a/routing/bans.go
+++ b/routing/bans.go
@@ -146,14 +146,25 @@
 // row tells the module what stands of a server: by the list, and by hand.
 func (b *Balancer) row(now int64, s int) {
 	h := &b.servers[s]
-	health := h.health
-	if health == choice.Ready && b.banned[h.name] {
-		health = choice.Draining
-	}
-	if b.keepsGone && health == choice.Gone && (b.banned[h.name] || h.spent) {
-		health = choice.Draining // Else the module might use it.
+	b.module.Row(now, s, h.name, b.stands(h), h.started, h.kind, h.zone, h.cell, h.weight)
+}
+
+// stands is a server's health by the list, and by hand.
+func (b *Balancer) stands(h *server) choice.Health {
+	switch {
+	case h.health == choice.Ready && b.banned[h.name]:
+		return choice.Draining
+	case b.keepsGone && h.health == choice.Gone && (b.banned[h.name] || h.spent):
+		return choice.Draining // Else the module might use it.
 	}
-	b.module.Row(now, s, h.name, health, h.started, h.kind, h.zone, h.cell, h.weight)
+	return h.health
+}
+
+// leaves tells whether a server drains, whatever the module decided before it heard of that.
+func (b *Balancer) leaves(s int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stands(&b.servers[s]) == choice.Draining
 }
 
 // listedOnce remembers a name, in place of the oldest where there are too many.
--- a/routing/figures.go
+++ b/routing/figures.go
@@ -99,6 +99,9 @@
 // Takes tells that clients are taken from now on, or no more.
 func (b *Balancer) Takes(clients bool) { b.taking.Store(clients) }
 
+// Ends tells by when all has to have its answer: what comes too late for its expected time before that is dismissed at the door.
+func (b *Balancer) Ends(at time.Time) { b.ends.Store(b.began.UnixNano() + int64(at.Sub(b.began))) }
+
 // Summary logs what has been counted since the last one, and what that took.
 func (b *Balancer) Summary(clients int, cpu time.Duration, collections uint64) {
 	b.mu.Lock()
--- a/routing/left_test.go
+++ b/routing/left_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -133,7 +134,8 @@
 		return h.Address, func(b *Balancer) bool { return len(h.Came) > 0 && b.heldNow() > 1 }
 	}, get("1", "c=read,t=acme,d=20000") + get("2", "c=read,t=acme,d=20000")},
 	{"for a connection to come up", map[string]any{"allowed.dialTimeout": 20000.0}, func(t *testing.T) (string, func(*Balancer) bool) {
-		return deaf(t), func(b *Balancer) bool { return b.counted("trips") > 0 }
+		address, _ := deaf(t)
+		return address, func(b *Balancer) bool { return b.counted("trips") > 0 }
 	}, get("1", "c=read,t=acme,d=20000")},
 }
 
@@ -146,13 +148,14 @@
 	return h
 }
 
-// deaf is an address at which connections do not come up: nobody accepts, and no more may wait.
-func deaf(t *testing.T) string {
+// deaf is an address at which connections do not come up: nobody accepts, and no more may wait. hears has them come up.
+func deaf(t *testing.T) (address string, hears func(each func(net.Conn))) {
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { unix.Close(fd) })
+	file := os.NewFile(uintptr(fd), "deaf")
+	t.Cleanup(func() { file.Close() })
 	if err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err == nil {
 		err = unix.Listen(fd, 0)
 	}
@@ -163,16 +166,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := fmt.Sprint("127.0.0.1:", name.(*unix.SockaddrInet4).Port)
+	address = fmt.Sprint("127.0.0.1:", name.(*unix.SockaddrInet4).Port)
+	hears = func(each func(net.Conn)) {
+		l, err := net.FileListener(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+				go each(c)
+			}
+		}()
+	}
 	for range 4 { // Until there is no more room: what comes then gets no word.
 		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
 		if err != nil {
-			return address
+			return address, hears
 		}
 		t.Cleanup(func() { c.Close() })
 	}
 	t.Fatal("connections go on coming up")
-	return ""
+	return "", nil
 }
 
 func TestWhoeverLeftWhileItWaitedIsNotSentOn(t *testing.T) {
--- a/routing/life.go
+++ b/routing/life.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	tailFor     = 250 * time.Millisecond // how long the next piece of an answer that has begun may take
-	progressFor = 3 * time.Second        // the next one of a large value
+	tailFor     = 250 * time.Millisecond       // how long the next piece of an answer that has begun may take
+	progressFor = 3 * time.Second              // the next one of a large value
+	crossing    = int64(50 * time.Millisecond) // by so much a trip may be handed over after its client went: the two crossed
 )
 
 var errCut = errors.New("the value breaks off")
@@ -46,6 +47,12 @@
 	}
 	id := string(words[2])
 	full := b.held.Out() >= b.mostHeld || b.decides != nil && b.held.Out() >= b.mostOpen || b.heap+size > b.mostHeap
+	if ends := b.ends.Load(); ends > 0 && known {
+		// Guards a stop against clients that go on asking on connections on which something is out: these have to come to an end.
+		most := ends - b.now()
+		full = full || most < min(patience, b.expected[w])
+		patience = min(patience, most)
+	}
 	if !known || b.open[id] || full {
 		twice := b.open[id]
 		switch {
@@ -88,8 +95,12 @@
 			if !b.slots[i].final {
 				b.slots[i].final = true
 				b.counts[count{"left", none}]++
+				if over == len(lines) {
+					b.counts[count{"left_waiting", none}]++
+				}
 				b.module.Aborted(b.now(), i)
 			}
+			b.slots[i].left = b.now()
 			b.mu.Unlock()
 			for _, line := range lines {
 				line.Withdraw()
@@ -107,7 +118,7 @@
 				if answered {
 					line.Cut() // Its client went away between the decision and this.
 				}
-				go b.trip(line, words, b.oneShot[w], n, told)
+				go b.trip(line, words, b.oneShot[w], i, n, told)
 			case callOff:
 				lines[n.trip].Cut()
 			case dismiss:
@@ -210,9 +221,12 @@
 
 // trip sends a retrieval to a server once and waits for how that ends. Careful: so that as little as can be is sent
 // of which nobody can tell whether it ran.
-func (b *Balancer) trip(line *transport.Line, words [][]byte, careful bool, n news, told chan<- news) {
+func (b *Balancer) trip(line *transport.Line, words [][]byte, careful bool, i int, n news, told chan<- news) {
 	until, clean := b.at(n.until), true
 	end := line.Connect(transport.Peer{Server: n.server, Address: n.address}, until)
+	if end == transport.Open && b.leaves(n.server) {
+		end = transport.Withdrawn // It was told to go while the connection came up.
+	}
 	if end == transport.Open {
 		message, follows := protocol.AppendRetrieval(nil, words, int64(time.Until(until)))
 		if follows != nil {
@@ -229,6 +243,9 @@
 		if end == transport.Open {
 			b.mu.Lock()
 			b.counts[count{"handed", none}]++
+			if left := b.slots[i].left; left > 0 && b.now() > left+crossing {
+				b.counts[count{"sent_after_left", none}]++ // None is wanted.
+			}
 			b.mu.Unlock()
 		}
 	}
@@ -306,14 +323,14 @@
 	}
 	into.Write([]byte("\r\n"))
 	into.Close()
-	for {
+	for until := time.Now().Add(tailFor); ; { // In all: a rest that trickles in must not keep the retrieval's place.
 		how, report, note, length := protocol.Rest(line.Unread())
 		if how == transport.Settled {
 			n.note, n.load = note, b.report(report)
 			line.Skip(length)
 			return transport.Settled, true
 		}
-		if how != transport.Open || more(line, time.Now().Add(tailFor)) != transport.Open {
+		if how != transport.Open || line.Fill(until) != transport.Open {
 			return transport.Settled, false // The value was whole.
 		}
 	}
--- /dev/null
+++ b/routing/trips_test.go
@@ -0,0 +1,221 @@
+package routing
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hollylever/standin"
+	"hollylever/transport"
+)
+
+// answered reads one answer.
+func answered(t *testing.T, c net.Conn) string {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(patience))
+	words, err := standin.Message(bufio.NewReader(c))
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	return strings.Join(words, " ")
+}
+
+// A drain that is told while a trip's connection comes up counts for that trip: nothing is handed over, and another host has it.
+func TestADrainToldWhileAConnectionComesUp(t *testing.T) {
+	at, hears := deaf(t)
+	b := before(t, at, map[string]any{"allowed.dialTimeout": 20000.0})
+	c := dial(t, front(t, b))
+	io.WriteString(c, get("1", "c=read,t=acme,d=20000"))
+	until(t, "a trip", func() bool { return b.counted("trips") == 1 })
+	h := scripted(t)
+	b.told(t, standin.List(2, true, standin.Entry("s", at, "Terminating"), standin.Entry("other", h.Address, "Ready")))
+	hears(func(late net.Conn) {
+		if n, _ := late.Read(make([]byte, 1)); n > 0 {
+			t.Error("it is handed to the host that drains")
+			io.WriteString(late, standin.Settled("of the host that drains"))
+		}
+	})
+	next(t, h.Came, "the trip to the other host").Say(standin.Settled("v"))
+	if got := answered(t, c); got != "v" {
+		t.Errorf("it is answered %q", got)
+	}
+}
+
+// cutting is a host that reads so many bytes of a command and then ends the connection in some way. It tells how many whole
+// commands it got.
+func cutting(t *testing.T, bytes int, ends func(*net.TCPConn)) (address string, whole *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	whole = &atomic.Int32{}
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go func() {
+				came := make([]byte, bytes)
+				if n, _ := io.ReadFull(c, came); n < bytes {
+					c.Close()
+					return
+				}
+				if in := bufio.NewReader(strings.NewReader(string(came))); bytes > 0 {
+					if words, err := standin.Message(in); err == nil && len(words) == 5 {
+						whole.Add(1)
+					}
+				}
+				ends(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l.Addr().String(), whole
+}
+
+// A one-shot whose connection ends at any byte of its command, in any way, runs at most once and has one answer; where it ended
+// before the last byte it may go elsewhere, and it does.
+func TestOneShotsAtEachByte(t *testing.T) {
+	const list = "c=book,t=acme,d=2000"
+	length := len(standin.Words("C.SET", "key-0", "1", list, "v"))
+	for _, way := range []struct {
+		name string
+		ends func(*net.TCPConn)
+	}{
+		{"close", func(c *net.TCPConn) { c.Close() }},
+		{"reset", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+		{"ends sending", func(c *net.TCPConn) { c.CloseWrite() }},
+		{"an error", func(c *net.TCPConn) { io.WriteString(c, "-ERR failed\r\n"); c.Close() }},
+		{"noise", func(c *net.TCPConn) { io.WriteString(c, "*3\r\n$1\r\nx\r\n!"); c.Close() }},
+	} {
+		t.Run(way.name, func(t *testing.T) {
+			t.Parallel()
+			elsewhere := 0
+			for bytes := range length + 1 {
+				at, whole := cutting(t, bytes, way.ends)
+				h := scripted(t)
+				b := before(t, at, nil)
+				b.told(t, standin.List(2, true, standin.Entry("s", at, "Ready"), standin.Entry("other", h.Address, "Ready")))
+				address := front(t, b)
+				for n := range 4 { // About half of them go to the one that cuts first.
+					c := dial(t, address)
+					io.WriteString(c, standin.Words("C.SET", fmt.Sprint("key-", n), fmt.Sprint(n), list, "v"))
+					done := make(chan string, 1)
+					go func() {
+						c.SetReadDeadline(time.Now().Add(patience))
+						words, err := standin.Message(bufio.NewReader(c))
+						done <- fmt.Sprint(strings.Join(words, " "), err)
+					}()
+					before, ran, answer := int(whole.Load()), 0, ""
+					for answer == "" {
+						select {
+						case came := <-h.Came:
+							ran++
+							came.Say(standin.Settled("v"))
+						case answer = <-done:
+						}
+					}
+					cut := int(whole.Load()) - before
+					elsewhere += ran
+					if cut+ran > 1 {
+						t.Fatalf("byte %d: it ran %d times", bytes, cut+ran)
+					}
+					if answer != "v<nil>" && answer != "-ERR given up<nil>" || answer == "v<nil>" && ran == 0 {
+						t.Fatalf("byte %d: it is answered %q after %d and %d runs", bytes, answer, cut, ran)
+					}
+				}
+			}
+			t.Logf("%d of %d ran elsewhere", elsewhere, 4*(length+1))
+		})
+	}
+}
+
+// An answer that never ends, in any form, holds neither its client beyond the hard stop nor the retrieval's place after it.
+func TestAnswersThatNeverEnd(t *testing.T) {
+	large := strings.Repeat("v", 100<<10)
+	for _, c := range []struct {
+		name, begins string
+		trickle      string
+		want         string
+	}{
+		{"nothing behind its beginning", "*3\r\n$5\r\nab", "", "-ERR given up"},
+		{"no rest", "*3\r\n$1\r\nv\r\n$3\r\nhit\r\n", "", "-ERR given up"},
+		{"a byte at a time", "*3\r\n$60000\r\n", "x", "-ERR given up"},
+		{"a line without end", "-ERR failed", "x", "-ERR given up"},
+		{"a large value, and a rest that trickles in", fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$60000\r\n", len(large), large), "x", large},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			h := scripted(t)
+			b := before(t, h.Address, nil)
+			client := dial(t, front(t, b))
+			io.WriteString(client, standin.Words("C.SET", "7f3a9c21e0b4d655", "1", "c=book,t=acme,d=700", "v"))
+			came := next(t, h.Came, "the command")
+			came.Say(c.begins)
+			go func() {
+				for tick := time.NewTicker(30 * time.Millisecond); c.trickle != ""; {
+					select {
+					case <-came.Ended:
+						tick.Stop()
+						return
+					case <-tick.C:
+						came.Say(c.trickle)
+					}
+				}
+			}()
+			if got := answered(t, client); got != c.want {
+				t.Errorf("it is answered %.60q", got)
+			}
+			until(t, "the end of its place", func() bool { return b.heldNow() == 0 })
+		})
+	}
+}
+
+// Open connections are counted right however they end: refused, withdrawn while they come up, cut, broken, kept.
+func TestConnectionsAreCountedHoweverTheyEnd(t *testing.T) {
+	h := scripted(t)
+	b := before(t, h.Address, nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case came := <-h.Came:
+				switch n % 5 {
+				case 0:
+					came.Say(standin.Settled("v"))
+				case 1:
+					came.SetLinger(0)
+					came.Close()
+				case 2:
+					came.Say("-BUSY\r\n")
+				case 3:
+					came.Close()
+				case 4: // Its client goes first.
+				}
+			}
+		}
+	}()
+	address := front(t, b)
+	for n := range 300 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, get(fmt.Sprint(n), "c=read,t=acme,d=40"))
+		if n%3 > 0 {
+			c.SetReadDeadline(time.Now().Add(patience))
+			c.Read(make([]byte, 1))
+		}
+		c.Close()
+	}
+	until(t, "the end of all", func() bool { return b.heldNow() == 0 })
+	b.pool.Drop(transport.Peer{Server: 0, Address: h.Address})
+	if n := b.pool.Count(); n != 0 {
+		t.Errorf("%d connections count as open", n)
+	}
+}
--- a/serving/main.go
+++ b/serving/main.go
@@ -231,6 +231,7 @@
 			}
 			log.Info().Int("clients", listener.Count()).Msg("stopping")
 			until := time.Now().Add(lastAnswer + hardStop)
+			balancer.Ends(until.Add(-2 * cutFor))
 			listener.Last()
 			if told.inherited >= 0 {
 				listener.Leave() // Whoever else holds the socket goes on accepting.
--- a/transport/await.go
+++ b/transport/await.go
@@ -47,13 +47,15 @@
 	if err != nil {
 		return Left
 	}
-	err = raw.Read(func(fd uintptr) bool {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		return err == nil && n > 0 // Also by an error or an end, which are always told.
-	})
+	err = raw.Read(func(fd uintptr) bool { return looks(fd, unix.POLLRDHUP) })
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return Stuck
 	}
 	return Left
 }
+
+// looks tells, without waiting, whether a descriptor has one of the events, or an error or an end.
+func looks(fd uintptr, events int16) bool {
+	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: events}}, 0)
+	return err == nil && n > 0
+}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -48,7 +48,8 @@
 	budget   *Budget // for more than MostBuffer; nil: none
 	owes     int     // to it
 	peer     Peer
-	idleAt   time.Time // pool: since when it has been idle
+	idleAt   time.Time     // pool: since when it has been idle
+	up       time.Duration // pool: how long it took to come up
 }
 
 // Unread is what has come and was not skipped. It holds until the next Fill.
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -26,6 +26,8 @@
 	halfFirst   = 2700 * time.Millisecond // from when it connected
 	halfUsual   = 10 * time.Second
 	askFor      = 500 * time.Millisecond // a client that has just come has so long to ask
+
+	lastLook = 10 * time.Millisecond // for an accept of what has connected
 )
 
 // Listener accepts clients and keeps them within a number of descriptors.
@@ -36,6 +38,7 @@
 	short    int // so many are all that there are descriptors for, once that was seen; 0: not yet
 	mu       sync.Mutex
 	room     sync.Cond // a client has gone, or is between commands
+	leaving  bool      // accepts what has connected, then no more
 	closed   bool      // accepts no more
 	last     bool      // each client goes with its last answer
 	clients  map[*Client]bool
@@ -140,6 +143,13 @@
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
+		case errors.Is(err, os.ErrDeadlineExceeded): // Only Leave sets one.
+			if !l.connected() {
+				l.listener.Close()
+				return
+			}
+			l.listener.(*net.TCPListener).SetDeadline(time.Now().Add(lastLook))
+			continue
 		case err != nil:
 			if !odd {
 				l.Odd(err) // Once for a run of them.
@@ -384,21 +394,34 @@
 	l.mu.Unlock()
 }
 
-// Leave stops accepting. Clients that are connected stay.
+// Leave stops accepting. Clients that are connected stay. Those that the kernel has connected by then are accepted still, as there
+// is room: what they have written counts as taken, and would be reset with the socket.
 func (l *Listener) Leave() {
+	l.mu.Lock()
+	l.leaving = true
+	if l.closed = l.shared; l.shared {
+		l.room.Signal()
+	}
+	l.mu.Unlock()
 	if l.shared { // Guards the stop: an accept that waits in the kernel keeps Close waiting for the next client.
 		l.Unblock()
 		go l.listener.Close()
 	} else {
-		l.listener.Close()
+		l.listener.(*net.TCPListener).SetDeadline(time.Now())
 	}
-	l.mu.Lock()
-	l.closed = true
-	l.room.Signal()
-	l.mu.Unlock()
 }
 
-// Close stops accepting, closes clients between retrievals, and waits until all are gone or the time is over.
+// connected tells whether connections wait to be accepted.
+func (l *Listener) connected() (some bool) {
+	raw, err := l.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) { some = looks(fd, unix.POLLIN) })
+	return some
+}
+
+// Close leaves, closes clients between retrievals, and waits until all are gone or the time is over.
 func (l *Listener) Close(until time.Time) bool {
 	l.Leave()
 	gone := make(chan struct{})
@@ -416,6 +439,11 @@
 			return true
 		case <-time.After(20 * time.Millisecond):
 			if time.Now().After(until) {
+				l.mu.Lock()
+				l.closed = true
+				l.room.Broadcast()
+				l.mu.Unlock()
+				l.listener.Close()
 				return false
 			}
 		}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -13,8 +13,11 @@
 // behind a good answer: a second copy would be taken for its own.
 const restFor = 5 * time.Millisecond
 
-// lookFor and twice the time that the connection took to come up is how long the last byte is held back.
-const lookFor = 2 * time.Millisecond
+// lookFor and twice the time that the connection took to come up is how long the last byte is held back, lookMost more where it came up late.
+const (
+	lookFor  = 2 * time.Millisecond
+	lookMost = 25 * time.Millisecond
+)
 
 const fadeFor = 20 * restFor
 
@@ -56,7 +59,6 @@
 	mu     sync.Mutex
 	cut    bool
 	handed bool
-	up     time.Duration // how long the connection took to come up
 	stop   context.CancelFunc
 }
 
@@ -90,7 +92,7 @@
 			}
 			return dialEnd(err)
 		}
-		c, l.up = &Conn{Conn: inner, peer: to}, time.Since(began)
+		c = &Conn{Conn: inner, peer: to, up: time.Since(began)}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -120,7 +122,7 @@
 	if end := l.Conn.Hand(message[:last], until); end != Open {
 		return l.unlessCut(end)
 	}
-	switch end := l.Conn.Fill(time.Now().Add(l.pool.look+2*l.up), false); end {
+	switch end := l.Conn.Fill(time.Now().Add(l.pool.look+min(lookMost, 2*l.Conn.up)), false); end {
 	case Stuck: // Nothing came, as it should be.
 		return l.Hand(message[last:], until)
 	case Open:
--- /dev/null
+++ b/transport/stop_test.go
@@ -0,0 +1,102 @@
+package transport
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// What a client has written on a connection that the kernel took counts as taken, whether or not it was accepted when the stop
+// began: while there was no room for it, one is in hand and the rest wait in the kernel.
+func TestStopServesWhatHasConnected(t *testing.T) {
+	for _, last := range []bool{true, false} { // how the stop is made: Leave and Close, or Close alone
+		l, err := Listen("127.0.0.1:0", 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gate := make(chan struct{})
+		began := make(chan struct{}, 10)
+		go l.Serve(func(c *Client) {
+			for c.Fill(time.Time{}) == Open {
+				c.Begin()
+				c.Skip(len(c.Unread()))
+				began <- struct{}{}
+				<-gate
+				c.Write([]byte("a"))
+				c.End()
+			}
+		})
+		var clients []net.Conn
+		for range 5 {
+			c, err := net.Dial("tcp", l.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(soon())
+			c.Write([]byte("q"))
+			clients = append(clients, c)
+			if len(clients) == 1 {
+				<-began // It takes all the room.
+			}
+		}
+		ended := make(chan bool)
+		if last {
+			l.Last()
+			l.Leave()
+			go func() { ended <- l.Close(soon()) }()
+		} else {
+			go func() { ended <- l.Close(soon()) }()
+			for stops := false; !stops; time.Sleep(time.Millisecond) {
+				l.mu.Lock()
+				for c := range l.clients {
+					stops = stops || c.going
+				}
+				l.mu.Unlock()
+			}
+		}
+		close(gate)
+		for n, c := range clients {
+			if got, err := c.Read(make([]byte, 10)); got != 1 {
+				t.Errorf("client %d is answered %d bytes, %v", n, got, err)
+			}
+		}
+		if !<-ended {
+			t.Error("the stop takes all of its time")
+		}
+		if c, err := net.Dial("tcp", l.Address()); err == nil {
+			c.Close()
+			t.Error("it still listens")
+		}
+	}
+}
+
+// A stop whose time is over while a client that never ends takes all the room gives up on those that wait.
+func TestStopWithNoRoomEnds(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began, over := make(chan struct{}, 10), make(chan struct{})
+	go func() {
+		l.Serve(func(c *Client) { c.Begin(); began <- struct{}{}; c.Read(make([]byte, 1)) })
+		close(over)
+	}()
+	for range 3 {
+		c, err := net.Dial("tcp", l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	<-began
+	if l.Close(time.Now()) {
+		t.Error("all have ended")
+	}
+	l.Cut(time.Second)
+	select {
+	case <-over:
+	case <-time.After(5 * time.Second):
+		t.Error("it accepts for ever")
+	}
+}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -153,6 +153,17 @@
 	}
 }
 
+// A connection that came up late is no reason to hold a last byte back for as long again.
+func TestALateConnectionIsNotLookedAtForLong(t *testing.T) {
+	address, accepted := peer(t)
+	line := connected(t, NewPool(4, time.Minute, time.Second), address)
+	defer (<-accepted).Close()
+	line.Conn.up = time.Hour
+	if end := line.HandCarefully([]byte("ab"), time.Now().Add(time.Second)); end != Open {
+		t.Errorf("it ends as %v", end)
+	}
+}
+
 // Guards one-shots: a write to a connection that the host has closed would end as a reset.
 func TestStaleIdleConnectionIsNotUsed(t *testing.T) {
 	address, accepted := peer(t)
