--- a/serving/given.go
+++ b/serving/given.go
@@ -31,8 +31,10 @@
 }
 
 const (
-	mostFields  = 16 // of a load report
-	leastMemory = 12 // MB: what the program itself needs, and as much again
+	mostFields  = 16   // of a load report
+	mostNamed   = 1000 // workloads, or tenants
+	leastTime   = 1e-3 // ms
+	leastMemory = 12   // MB: what the program itself needs, and as much again
 )
 
 func within(value any, least, most float64) bool {
@@ -148,9 +150,46 @@
 		_, is := g.settings[field].(bool)
 		return is || g.settings[field] == nil
 	}
-	for w := range int(min(workloads, 1000)) {
-		if at := "workloads." + strconv.Itoa(w) + ".keepOrder"; !yes(at) {
-			add("settings."+at, "neither true nor false")
+	for _, list := range []string{"workloads", "tenants"} {
+		count, _ := g.settings[list].(float64)
+		names := map[any]bool{"": true}
+		for n := range int(min(count, mostNamed)) {
+			at := list + "." + strconv.Itoa(n)
+			name, is := g.settings[at+".name"].(string)
+			if !is || names[name] {
+				add("settings."+at+".name", "not a name of its own")
+			}
+			names[name] = true
+		}
+	}
+	for w := range int(min(workloads, mostNamed)) {
+		at := "workloads." + strconv.Itoa(w)
+		for _, check := range []struct {
+			good       bool
+			field, why string
+		}{
+			{yes(at + ".keepOrder"), ".keepOrder", "neither true nor false"},
+			{g.settings[at+".effect"] != nil && is(at+".effect", "free", "guarded", "single_shot"), ".effect",
+				"none of free, guarded and single_shot"},
+			{is(at+".group", "all", "zone", "cell"), ".group", "none of all, zone and cell"},
+			{within(g.settings[at+".expectedTime"], leastTime, 3600e3), ".expectedTime", "not milliseconds over 0, up to 3600000"},
+			{within(g.settings[at+".hardStop"], leastTime, 3600e3), ".hardStop", "not milliseconds over 0, up to 3600000"},
+			{span(at+".dedupWindow", 24*3600e3), ".dedupWindow", "not milliseconds from 0 to 86400000"},
+			{span(at+".value", 1e9), ".value", "not a number from 0 to 1000000000"},
+			{span(at+".tardyValue", 1e9), ".tardyValue", "not a number from 0 to 1000000000"},
+		} {
+			if !check.good {
+				add("settings."+at+check.field, check.why)
+			}
+		}
+	}
+	for t := range len(tables.Places(g.settings, "tenants", ".name")) {
+		at := "tenants." + strconv.Itoa(t)
+		if !span(at+".fraction", 1) {
+			add("settings."+at+".fraction", "not a part from 0 to 1")
+		}
+		if !span(at+".quotaRps", 1e9) {
+			add("settings."+at+".quotaRps", "not a number from 0 to 1000000000")
 		}
 	}
 	for _, check := range []struct {
@@ -162,7 +201,17 @@
 		{g.memory >= leastMemory, "limits.memory_mb", "not a number of at least " + strconv.Itoa(leastMemory)},
 		{g.sockets >= 2*reserve, "limits.sockets", "not a number of at least " + strconv.Itoa(2*reserve)},
 		{object.Get("settings").IsObject(), "settings", "not an object"},
-		{workloads > 0, "settings.workloads", "names no workload"},
+		{workloads > 0 && workloads <= mostNamed, "settings.workloads", "names no workload, or over " + strconv.Itoa(mostNamed)},
+		{span("allowed.connIdle", 24*3600e3), "settings.allowed.connIdle", "not milliseconds from 0 to 86400000"},
+		{span("allowed.dialTimeout", 60e3), "settings.allowed.dialTimeout", "not milliseconds from 0 to 60000"},
+		{yes("allowed.secondCopies"), "settings.allowed.secondCopies", "neither true nor false"},
+		{yes("allowed.cancelling"), "settings.allowed.cancelling", "neither true nor false"},
+		{span("invariants.askEvery", 3600e3), "settings.invariants.askEvery", "not milliseconds from 0 to 3600000"},
+		{span("invariants.drainGrace", 3600e3), "settings.invariants.drainGrace", "not milliseconds from 0 to 3600000"},
+		{span("invariants.warmUp", 24*3600e3), "settings.invariants.warmUp", "not milliseconds from 0 to 86400000"},
+		{span("invariants.tipAfter", 3600e3), "settings.invariants.tipAfter", "not milliseconds from 0 to 3600000"},
+		{span("invariants.startCapacity", 1), "settings.invariants.startCapacity", "not a part from 0 to 1"},
+		{span("invariants.fallMultiple", 1e3), "settings.invariants.fallMultiple", "not a number from 0 to 1000"},
 		{trips >= 1 && trips <= 1000, "settings.allowed.mostTrips", "not a number from 1 to 1000"},
 		{!some || within(balancers, 1, 1e6), "settings.balancers", "not a number from 1 to 1000000"},
 		{is("weights", "silent", "none", "nominal", "rough", "live"), "settings.weights",
