--- a/routing/life.go
+++ b/routing/life.go
@@ -14,7 +14,7 @@
 const (
 	tailFor     = 250 * time.Millisecond       // how long the next piece of an answer that has begun may take
 	progressFor = 3 * time.Second              // the next one of a large value
-	crossing    = int64(50 * time.Millisecond) // by so much a trip may be handed over after its client went: the two crossed
+	crossing    = int64(50 * time.Millisecond) // a trip that begins to be handed over so long after its client went did not cross that
 )
 
 var errCut = errors.New("the value breaks off")
@@ -227,6 +227,7 @@
 	if end == transport.Open && b.leaves(n.server) {
 		end = transport.Withdrawn // It was told to go while the connection came up.
 	}
+	begun := b.now()
 	if end == transport.Open {
 		message, follows := protocol.AppendRetrieval(nil, words, int64(time.Until(until)))
 		if follows != nil {
@@ -243,7 +244,7 @@
 		if end == transport.Open {
 			b.mu.Lock()
 			b.counts[count{"handed", none}]++
-			if left := b.slots[i].left; left > 0 && b.now() > left+crossing {
+			if left := b.slots[i].left; left > 0 && begun > left+crossing {
 				b.counts[count{"sent_after_left", none}]++ // None is wanted.
 			}
 			b.mu.Unlock()
