--- a/serving/handover_test.go
+++ b/serving/handover_test.go
@@ -1,12 +1,15 @@
 package serving
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -253,3 +256,107 @@
 		}
 	}
 }
+
+// A new process that dies before it is ready, at any moment of its start, leaves the old one with all limits and its clients.
+func TestANewOneThatDiesBeforeItIsReady(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 3, -1, townLimits)
+	old := w.start(t)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	clients := standin.Ask(ctx, w.Address, standin.Load{Rate: 100, Keys: 50, Seed: 4, Patience: 2 * time.Second})
+	settles := func() {
+		t.Helper()
+		before := clients.Figures().Settled
+		until(t, "traffic", func() bool { return clients.Figures().Settled > before+20 })
+	}
+	settles()
+	rows := func() int {
+		list, _ := filepath.Glob(filepath.Join(w.Place, "hollylever.kin.[0-9]"))
+		return len(list)
+	}
+	for n := range 6 {
+		young, err := w.Begin()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n%2 == 0 { // Once it has its place among its kin; else at once.
+			until(t, "its place", func() bool { return rows() > 1 })
+		}
+		young.Kill()
+	}
+	settles()
+	until(t, "all limits are the old one's again", func() bool {
+		lines := old.Log(`"message":"limits divided"`)
+		return len(lines) > 0 && strings.Contains(lines[len(lines)-1], `"beside":0`)
+	})
+	end()
+	if f := clients.Wait(); f.Late+f.Wrong > 0 || f.Settled == 0 {
+		t.Errorf("%+v", f)
+	}
+	if old.Stop(3700*time.Millisecond) || old.Err != nil {
+		t.Errorf("the old one ends with %v", old.Err)
+	}
+}
+
+// Old and new are told to stop at the same time: each answers what it has taken, and exits with 0.
+func TestBothAreToldToStop(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, 3, -1, townLimits)
+	both := []*standin.Process{w.start(t), w.start(t)}
+	var goOn []func()
+	for _, h := range w.hosts {
+		goOn = append(goOn, h.Hang())
+	}
+	answers := make(chan string, 40)
+	var asked []net.Conn
+	for n := range cap(answers) {
+		c, err := net.Dial("tcp", w.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		c.Write([]byte(standin.Words("C.GET", "7f3a9c21e0b4d655", strconv.Itoa(n), "c=read,t=acme,d=3000")))
+		asked = append(asked, c)
+	}
+	until(t, "all are taken", func() bool {
+		sum := 0
+		for _, p := range both {
+			answer, err := http.Get("http://" + p.Mgmt + "/metrics")
+			if err != nil {
+				return false
+			}
+			text, _ := io.ReadAll(answer.Body)
+			answer.Body.Close()
+			for _, line := range strings.Split(string(text), "\n") {
+				for _, figure := range []string{"concurrent=", "replies.read.overload=", "replies.read.success="} {
+					if value, is := strings.CutPrefix(line, figure); is {
+						n, _ := strconv.Atoi(value)
+						sum += n
+					}
+				}
+			}
+		}
+		return sum == len(asked)
+	})
+	for _, p := range both {
+		p.Cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, p := range both {
+		says(t, p, `"message":"stopping"`)
+	}
+	for _, g := range goOn {
+		g()
+	}
+	for n, c := range asked {
+		if got, err := message(bufio.NewReader(c)); err != nil || len(got) != 1 {
+			t.Errorf("client %d has %q, %v", n, got, err)
+		}
+	}
+	for _, p := range both {
+		if p.Stop(3700*time.Millisecond) || p.Err != nil || len(p.Log(`"all_answered":true`)) == 0 {
+			t.Errorf("it ends with %v: %q", p.Err, p.Log("stopped"))
+		}
+	}
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -104,8 +104,8 @@
 
 const startFor = 10 * time.Second
 
-// Start starts the program, and waits until it serves.
-func (p *Platform) Start() (*Process, error) {
+// Begin starts the program and waits for nothing.
+func (p *Platform) Begin() (*Process, error) {
 	s := &Process{Ended: make(chan struct{})}
 	s.fresh.L = &s.mu
 	s.Cmd = exec.Command(p.program[0])
@@ -131,6 +131,15 @@
 		close(s.Ended)
 		s.fresh.Broadcast()
 	}()
+	return s, nil
+}
+
+// Start starts the program, and waits until it serves.
+func (p *Platform) Start() (*Process, error) {
+	s, err := p.Begin()
+	if err != nil {
+		return nil, err
+	}
 	line, err := s.Logged(`"message":"serving"`, startFor)
 	if err != nil {
 		s.Cmd.Process.Kill()
