--- a/transport/pool.go
+++ b/transport/pool.go
@@ -11,7 +11,7 @@
 
 // restFor is how long a connection stands idle before it is used again. Guards the next trip against what comes right
 // behind a good answer: a second copy would be taken for its own.
-const restFor = 5 * time.Millisecond
+const restFor = 20 * time.Millisecond
 
 // lookFor and twice the time that the connection took to come up is how long the last byte is held back, lookMost more where it came up late.
 const (
@@ -19,7 +19,7 @@
 	lookMost = 25 * time.Millisecond
 )
 
-const fadeFor = 20 * restFor
+const fadeFor = 100 * time.Millisecond
 
 // briefFor is how long a connection to a server that others look after stays idle: a key that is asked for again at once finds it.
 const briefFor = 500 * time.Millisecond
