--- a/transport/pool.go
+++ b/transport/pool.go
@@ -219,6 +219,11 @@
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.open > p.most { // It was allowed fewer while this one was out.
+		c.Close()
+		p.open--
+		return
+	}
 	c.idleAt = time.Now()
 	p.idle[c.peer] = append(p.idle[c.peer], c)
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// Fewer connections may be allowed while some are out: those that come back go, until there are no more than that.
+func TestFewerAreAllowedWhileSomeAreOut(t *testing.T) {
+	address, _ := peer(t)
+	p := NewPool(8, time.Minute, time.Second)
+	var lines []*Line
+	for range 4 {
+		lines = append(lines, connected(t, p, address))
+	}
+	p.Allow(2)
+	for _, line := range lines {
+		line.Done(true)
+	}
+	if n := p.Count(); n != 2 {
+		t.Errorf("%d are open, 2 are allowed", n)
+	}
+}
+
 // A connection that came up late is no reason to hold a last byte back for as long again.
 func TestALateConnectionIsNotLookedAtForLong(t *testing.T) {
 	address, accepted := peer(t)
