Tests: a dismissed one-shot that never ran is right; a stop with no room does not end by itself

Seen in 200 turns under load: TestOneShotsAtEachByte took a dismissal after no run for wrong (4 of some 600 turns; the rule allows it, and what may be answered after which run is now stated row by row, as strict); TestStopWithNoRoomEnds had its client end by the deadline that the stop sets (1 of 200).

--- a/routing/trips_test.go
+++ b/routing/trips_test.go
@@ -122,7 +122,9 @@
 					if cut+ran > 1 {
 						t.Fatalf("byte %d: it ran %d times", bytes, cut+ran)
 					}
-					if answer != "v<nil>" && answer != "-ERR given up<nil>" || answer == "v<nil>" && ran == 0 {
+					// Dismissed: trying again must do no harm.
+					is := map[string]bool{"v<nil>": ran == 1, "-ERR given up<nil>": ran == 0, "-BUSY<nil>": cut+ran == 0}
+					if !is[answer] {
 						t.Fatalf("byte %d: it is answered %q after %d and %d runs", bytes, answer, cut, ran)
 					}
 				}
--- a/transport/stop_test.go
+++ b/transport/stop_test.go
@@ -77,9 +77,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	began, over := make(chan struct{}, 10), make(chan struct{})
+	began, over, gate := make(chan struct{}, 10), make(chan struct{}), make(chan struct{})
+	defer close(gate)
 	go func() {
-		l.Serve(func(c *Client) { c.Begin(); began <- struct{}{}; c.Read(make([]byte, 1)) })
+		l.Serve(func(c *Client) { c.Begin(); began <- struct{}{}; <-gate })
 		close(over)
 	}()
 	for range 3 {
@@ -93,7 +94,7 @@
 	if l.Close(time.Now()) {
 		t.Error("all have ended")
 	}
-	l.Cut(time.Second)
+	l.Cut(50 * time.Millisecond)
 	select {
 	case <-over:
 	case <-time.After(5 * time.Second):
