--- a/routing/left_test.go
+++ b/routing/left_test.go
@@ -48,6 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { pool.Allow(0) }) // Idle ones are closed.
 	return b
 }
 
@@ -123,8 +124,13 @@
 	{"held by the module", nil, func(t *testing.T) (string, func(*Balancer) bool) {
 		h := scripted(t)
 		go func() {
-			for c := range h.Came {
-				c.Say("-BUSY\r\n")
+			for {
+				select {
+				case c := <-h.Came:
+					c.Say("-BUSY\r\n")
+				case <-t.Context().Done():
+					return
+				}
 			}
 		}()
 		return h.Address, func(b *Balancer) bool { return b.counted("trip_turned_away") > 0 }
