--- a/serving/helper_test.go
+++ b/serving/helper_test.go
@@ -124,6 +124,16 @@
 }
 
 func started(t *testing.T, file string, cmd *exec.Cmd) *program {
+	t.Helper()
+	p := begun(t, file, cmd)
+	var line struct{ Listen, Mgmt string }
+	json.Unmarshal([]byte(p.logged(`"message":"serving"`)), &line)
+	p.address, p.mgmt = line.Listen, line.Mgmt
+	return p
+}
+
+// begun starts the program and waits for nothing.
+func begun(t *testing.T, file string, cmd *exec.Cmd) *program {
 	t.Helper()
 	p := &program{t: t, file: file, cmd: cmd, log: make(chan string, 10000), ended: make(chan error, 1)}
 	stderr, err := p.cmd.StderrPipe()
@@ -140,9 +150,6 @@
 		p.ended <- p.cmd.Wait()
 	}()
 	t.Cleanup(func() { p.cmd.Process.Kill() })
-	var line struct{ Listen, Mgmt string }
-	json.Unmarshal([]byte(p.logged(`"message":"serving"`)), &line)
-	p.address, p.mgmt = line.Listen, line.Mgmt
 	return p
 }
 
