The change read again: one way to a descriptor's calls, one loop over names, a dead field out

What was twice: the way from a connection or listener to its descriptor's calls (pending, Unblock, hangsUp, connected: rawOf now), the deadline that wakes a reader (goSoon and End: wake), the walk over tenants (its second loop took its length from the table of names, so that one of a name twice left the last unchecked). Listener.leaving was set and never read.

--- a/serving/given.go
+++ b/serving/given.go
@@ -152,7 +152,7 @@
 	}
 	for _, list := range []string{"workloads", "tenants"} {
 		count, _ := g.settings[list].(float64)
-		names := map[any]bool{"": true}
+		names := map[string]bool{"": true}
 		for n := range int(min(count, mostNamed)) {
 			at := list + "." + strconv.Itoa(n)
 			name, is := g.settings[at+".name"].(string)
@@ -160,6 +160,12 @@
 				add("settings."+at+".name", "not a name of its own")
 			}
 			names[name] = true
+			if !span(at+".fraction", 1) { // Tenants have these.
+				add("settings."+at+".fraction", "not a part from 0 to 1")
+			}
+			if !span(at+".quotaRps", 1e9) {
+				add("settings."+at+".quotaRps", "not a number from 0 to 1000000000")
+			}
 		}
 	}
 	for w := range int(min(workloads, mostNamed)) {
@@ -183,15 +189,6 @@
 			}
 		}
 	}
-	for t := range len(tables.Places(g.settings, "tenants", ".name")) {
-		at := "tenants." + strconv.Itoa(t)
-		if !span(at+".fraction", 1) {
-			add("settings."+at+".fraction", "not a part from 0 to 1")
-		}
-		if !span(at+".quotaRps", 1e9) {
-			add("settings."+at+".quotaRps", "not a number from 0 to 1000000000")
-		}
-	}
 	for _, check := range []struct {
 		good       bool
 		field, why string
--- a/transport/await.go
+++ b/transport/await.go
@@ -39,21 +39,27 @@
 
 // hangsUp waits without reading until the other side has ended the connection, or the read deadline is over (Stuck).
 func (c *Conn) hangsUp() End {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	raw := rawOf(c.Conn)
+	if raw == nil {
 		return Left
 	}
-	raw, err := inner.SyscallConn()
-	if err != nil {
-		return Left
-	}
-	err = raw.Read(func(fd uintptr) bool { return looks(fd, unix.POLLRDHUP) })
+	err := raw.Read(func(fd uintptr) bool { return looks(fd, unix.POLLRDHUP) })
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return Stuck
 	}
 	return Left
 }
 
+// rawOf gives the descriptor's own calls of a connection or a listener, nil if it has none any more.
+func rawOf(of any) syscall.RawConn {
+	if inner, is := of.(syscall.Conn); is {
+		if raw, err := inner.SyscallConn(); err == nil {
+			return raw
+		}
+	}
+	return nil
+}
+
 // looks tells, without waiting, whether a descriptor has one of the events, or an error or an end.
 func looks(fd uintptr, events int16) bool {
 	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: events}}, 0)
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -155,12 +155,8 @@
 
 // pending looks, without reading, whether something waits to be read, and whether the other side has ended it.
 func (c *Conn) pending() (waits, ended bool) {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false, true
-	}
-	raw, err := inner.SyscallConn()
-	if err != nil {
+	raw := rawOf(c.Conn)
+	if raw == nil {
 		return false, true
 	}
 	var one [1]byte
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -38,7 +38,6 @@
 	short    int // so many are all that there are descriptors for, once that was seen; 0: not yet
 	mu       sync.Mutex
 	room     sync.Cond // a client has gone, or is between commands
-	leaving  bool      // accepts what has connected, then no more
 	closed   bool      // accepts no more
 	last     bool      // each client goes with its last answer
 	clients  map[*Client]bool
@@ -273,9 +272,12 @@
 // goSoon wakes the client's reader, which alone closes the connection: nothing that was read is dropped.
 func (c *Client) goSoon() {
 	c.going = true
-	c.SetReadDeadline(time.Unix(1, 0))
+	c.wake()
 }
 
+// wake ends what its reader waits for, as a time that is over.
+func (c *Client) wake() { c.SetReadDeadline(time.Unix(1, 0)) }
+
 // whole is until when a command that has begun to come has to be whole; zero: none has. Usual clients may write slowly;
 // from one that never sent a good command an end is owed soon after it came. Under the lock.
 func (c *Client) whole(begun time.Time) time.Time {
@@ -330,7 +332,7 @@
 		c.owner.room.Signal()
 	}
 	if c.awaits {
-		c.SetReadDeadline(time.Unix(1, 0))
+		c.wake()
 	}
 }
 
@@ -370,12 +372,8 @@
 // Unblock guards accepts against whoever else holds the socket: the mode in which they do not wait in the kernel is shared
 // by all, and starting a process with it may end that mode. It tells whether that was so.
 func (l *Listener) Unblock() (was bool) {
-	inner, is := l.listener.(syscall.Conn)
-	if !is {
-		return false
-	}
-	raw, err := inner.SyscallConn()
-	if err != nil {
+	raw := rawOf(l.listener)
+	if raw == nil {
 		return false
 	}
 	raw.Control(func(fd uintptr) {
@@ -397,27 +395,23 @@
 // Leave stops accepting. Clients that are connected stay. Those that the kernel has connected by then are accepted still, as there
 // is room: what they have written counts as taken, and would be reset with the socket.
 func (l *Listener) Leave() {
-	l.mu.Lock()
-	l.leaving = true
-	if l.closed = l.shared; l.shared {
-		l.room.Signal()
-	}
-	l.mu.Unlock()
-	if l.shared { // Guards the stop: an accept that waits in the kernel keeps Close waiting for the next client.
-		l.Unblock()
-		go l.listener.Close()
-	} else {
+	if !l.shared {
 		l.listener.(*net.TCPListener).SetDeadline(time.Now())
+		return
 	}
+	l.Unblock() // Guards the stop: an accept that waits in the kernel keeps Close waiting for the next client.
+	go l.listener.Close()
+	l.mu.Lock()
+	l.closed = true
+	l.room.Signal()
+	l.mu.Unlock()
 }
 
 // connected tells whether connections wait to be accepted.
 func (l *Listener) connected() (some bool) {
-	raw, err := l.listener.(*net.TCPListener).SyscallConn()
-	if err != nil {
-		return false
+	if raw := rawOf(l.listener); raw != nil {
+		raw.Control(func(fd uintptr) { some = looks(fd, unix.POLLIN) })
 	}
-	raw.Control(func(fd uintptr) { some = looks(fd, unix.POLLIN) })
 	return some
 }
 
