A silent trip ends while the final answer still reaches the client in time

A trace of all ends (lines at the reader, at the writer, at the client's going) shows no half commands and no lost answers at our side; each case is a client that goes 1.7 ms or so after its hard stop with a trip out.

Change: a trip ends 25 ms before the hard stop, at most a sixteenth of the client's time before; nothing is added to what the module holds back itself, as it is a bound on the trip's time only.

The test reads the time that the host is told and fails without.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -81,6 +81,7 @@
 	at    []int // the servers of its trips
 	final bool  // it has its final answer, or its client has gone
 	left  int64 // when its client went, if it did
+	ends  int64 // a trip that has no answer by then is over: what the client gets then has to reach it before the hard stop
 }
 
 // server is what the list says of one, and how many trips are held that went there.
@@ -107,6 +108,7 @@
 	silence  time.Duration // after which a watch is taken for broken
 	mostHeld int
 	mostHeap int64
+	drift    int64        // so much longer than told a client may wait
 	taking   atomic.Bool  // clients
 	ends     atomic.Int64 // by the module's clock: all has its answer by then; 0: not yet known
 	bans     bans
@@ -167,6 +169,7 @@
 	for w := range len(b.workloads) {
 		b.expected = append(b.expected, int64(number(settings, "workloads."+strconv.Itoa(w)+".expectedTime")*1e6))
 	}
+	b.drift = int64(number(settings, "invariants.deadlineDrift") * 1e6)
 	b.keepsGone, _ = settings["invariants.onlyDrainingBinds"].(bool)
 	b.module = choice.New(b.now(), seed, settings, b)
 	if settings["registryMode"] != "subscribe" {
@@ -210,6 +213,7 @@
 // Send and the methods after it are the module's Host; they are called under the lock.
 func (b *Balancer) Send(i, s int, until int64) {
 	r := &b.slots[i]
+	until = min(until, r.ends)
 	r.told <- news{what: send, trip: len(r.at), server: s, address: b.servers[s].address, at: b.now(), until: until}
 	r.at = append(r.at, s)
 	b.servers[s].trips++
--- a/routing/trips_test.go
+++ b/routing/trips_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -221,3 +222,26 @@
 		t.Errorf("%d connections count as open", n)
 	}
 }
+
+// A trip that stays silent is over while its retrieval's final answer can still reach the client before the hard stop: the host
+// is told that time, which is what the trip is waited for.
+func TestSilentTripsEndBeforeTheHardStop(t *testing.T) {
+	h := scripted(t)
+	b := before(t, h.Address, map[string]any{"allowed.mostTrips": 1.0})
+	address := front(t, b)
+	for _, c := range []struct{ patience, most float64 }{{3000, 2975}, {400, 375}, {96, 90}, {32, 30}} {
+		client := dial(t, address)
+		io.WriteString(client, standin.Words("C.SET", "7f3a9c21e0b4d655", fmt.Sprint(c.patience), fmt.Sprintf("c=book,t=acme,d=%v", c.patience), "v"))
+		came := next(t, h.Came, "the trip")
+		_, of, _ := strings.Cut(came.Words[3], "d=")
+		if told, err := strconv.ParseFloat(of, 64); err != nil || told > c.most {
+			t.Errorf("of %v ms the host is told %q", c.patience, came.Words[3])
+		}
+		if c.patience < 1000 {
+			if got := answered(t, client); got != "-ERR given up" {
+				t.Errorf("after %v ms it is answered %q", c.patience, got)
+			}
+		}
+		came.Close()
+	}
+}
