A shared socket's accept never waits in the kernel; transport's tests leave nothing behind

The socket's mode belongs to all who hold it; whoever starts the new process over an upgrade sets it to wait, and an accept that begins then is ended by the next client alone. Leave did not wait for it, Close did, for all of its time, and said that not all had gone. A time-out by SO_RCVTIMEO was tried: an MPTCP socket, which Go listens on by default, does not heed it (strace).

Change: whoever inherits a socket waits for a client on a copy of it, in the runtime, and accepts only then, for 1 ms.

--- a/transport/listener.go
+++ b/transport/listener.go
@@ -27,6 +27,8 @@
 	halfUsual   = 10 * time.Second
 	askFor      = 500 * time.Millisecond // a client that has just come has so long to ask
 
+	mostAccept = time.Millisecond // of a shared socket, once a client has connected: another process may have taken it
+
 	lastLook = 10 * time.Millisecond // for an accept of what has connected
 )
 
@@ -46,6 +48,7 @@
 	Odd      func(err error) // told of accepts that went wrong
 	InHand   Mark            // around the time for which an accepted connection waits for room
 	shared   bool            // others accept from the socket too
+	comes    *os.File        // shared: the socket once more, to wait for clients without accepting
 
 	// How long a command that has begun to come may take: a client's first, from when it connected, and a usual client's. To be set
 	// before Serve.
@@ -102,8 +105,14 @@
 	if _, is := inner.(*net.TCPListener); !is {
 		return nil, fmt.Errorf("descriptor %d is no TCP socket", descriptor)
 	}
+	copied, err := unix.FcntlInt(uintptr(descriptor), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		inner.Close()
+		return nil, fmt.Errorf("descriptor %d: %w", descriptor, err)
+	}
+	unix.SetNonblock(copied, true) // So that the runtime waits for it, no thread.
 	l := newListener(inner, most)
-	l.shared = true
+	l.shared, l.comes = true, os.NewFile(uintptr(copied), "listening socket")
 	return l, nil
 }
 
@@ -137,12 +146,18 @@
 			l.mu.Lock()
 			l.awaitRoom()
 			l.mu.Unlock()
+			if !l.awaitClient() {
+				return
+			}
 		}
 		inner, err := l.listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
-		case errors.Is(err, os.ErrDeadlineExceeded): // Only Leave sets one.
+		case errors.Is(err, os.ErrDeadlineExceeded): // Only Leave sets one, and awaitClient.
+			if l.shared {
+				continue
+			}
 			if !l.connected() {
 				l.listener.Close()
 				return
@@ -185,6 +200,18 @@
 	}
 }
 
+// awaitClient waits until one has connected, false: the socket is closed. Guards a stop against an accept that waits in the kernel,
+// which nothing ends but the next client: the mode in which it does is whoever's who holds the socket, and can change at any time.
+func (l *Listener) awaitClient() bool {
+	raw, err := l.comes.SyscallConn()
+	if err == nil {
+		err = raw.Read(func(fd uintptr) bool { return looks(fd, unix.POLLIN) })
+	}
+	l.Unblock()
+	l.listener.(*net.TCPListener).SetDeadline(time.Now().Add(mostAccept))
+	return err == nil
+}
+
 // awaitRoom waits for it: all may be at work, and the first that has its answer makes some. Under the lock.
 func (l *Listener) awaitRoom() {
 	for ; len(l.clients) >= l.most && !l.closed; l.spare() {
@@ -399,8 +426,8 @@
 		l.listener.(*net.TCPListener).SetDeadline(time.Now())
 		return
 	}
-	l.Unblock() // Guards the stop: an accept that waits in the kernel keeps Close waiting for the next client.
-	go l.listener.Close()
+	l.comes.Close()
+	l.listener.Close()
 	l.mu.Lock()
 	l.closed = true
 	l.room.Signal()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -533,6 +533,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { l.Close(time.Now()); l.Cut(time.Second) })
 	served, ended := make(chan *Client, 10), make(chan string, 10)
 	go l.Serve(func(c *Client) {
 		served <- c
@@ -582,6 +583,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { l.Close(time.Now()); l.Cut(time.Second) })
 	come := make(chan *Client, 10)
 	go l.Serve(func(c *Client) {
 		for c.Fill(time.Time{}) == Open {
@@ -631,6 +633,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { l.Close(time.Now()); l.Cut(time.Second) })
 	return l, held
 }
 
@@ -657,6 +660,9 @@
 	if l.Leave(); time.Since(began) > time.Second {
 		t.Errorf("it took %v to leave", time.Since(began))
 	}
+	if !l.Close(soon()) || time.Since(began) > time.Second {
+		t.Errorf("the accept is still waited for after %v", time.Since(began))
+	}
 }
 
 // Guards clients over an upgrade: one that there is no room for stays where another process can take it.
