A process that starts amid a way out of a zone or back stands where the others do

Need: the fleet comes back to a zone in steps, as its hosts are cold; a process that started meanwhile began at the end of that way, with all of its keys at once. And one that was down while a zone was left went there by what it had been left, then out in steps.

Change: cards tell how far each process is from each zone; one that starts takes the middle of what others tell until it has a lease and has heard another, 3 s at most.

Measured by tests with five processes: it starts within 0.1 of another's part, 0 before; one that was down starts with nothing there. Fails without the change.

--- /dev/null
+++ b/cmd/hollyfleet/starts_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"testing"
+
+	"hollylever/joining"
+)
+
+// partOf is how far a process is from a zone, as its door shows it; knows: it does, and what is left it knows by a lease.
+func (p *process) partOf(zone string) (part float64, byHand, knows bool) {
+	s, err := p.status()
+	if err != nil || !s.Acting.Leased {
+		return 0, false, false
+	}
+	for _, z := range p.signalled().Zones {
+		if z.Zone == zone {
+			return z.Part, z.ByHand, true
+		}
+	}
+	return 0, false, false
+}
+
+// TestOneThatStartsStandsWhereTheOthersDo: one that was killed before a zone was left goes nothing there once it knows; one that starts amid the way back
+// stands where the others do, and does not begin at its end.
+func TestOneThatStartsStandsWhereTheOthersDo(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 9, 5, 12, "")
+	d.load(60, 500)
+	until(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	late := d.procs[4]
+	d.kill(late)
+	if a, err := d.procs[0].propose(joining.Proposal{ID: "leave", Leave: []string{"z2"}, Why: "a test"}); err != nil || a.Version != 2 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	until(t, "being out", func() bool { least, _, _, hand := d.parts("z2"); return least == 1 && hand == 4 })
+	d.start(late) // What it left behind it knows nothing of that.
+	until(t, "knowing", func() bool {
+		part, byHand, knows := late.partOf("z2")
+		if knows && byHand && part < 1 {
+			t.Fatalf("it starts with %v of the keys away", part)
+		}
+		return knows && byHand
+	})
+	until(t, "accepting the return", func() bool {
+		a, err := d.procs[0].propose(joining.Proposal{ID: "return", Return: []string{"z2"}})
+		return err == nil && a.Version == 3
+	})
+	until(t, "coming back", func() bool { least, most, _, _ := d.parts("z2"); return least > 0 && most < 0.85 })
+	d.kill(late)
+	d.start(late)
+	until(t, "standing with the others", func() bool {
+		part, _, knows := late.partOf("z2")
+		return knows && part > 0
+	})
+	part, _, _ := late.partOf("z2")
+	if others, _, _ := d.procs[1].partOf("z2"); part < others-0.1 || part > others+0.1 || others < 0.1 {
+		t.Errorf("it stands at %v, another at %v", part, others)
+	}
+	until(t, "being back", func() bool { _, most, _, _ := d.parts("z2"); return most == 0 })
+	d.quiet()
+}
--- a/cmd/hollyfleet/zones_test.go
+++ b/cmd/hollyfleet/zones_test.go
@@ -257,3 +257,40 @@
 		t.Errorf("%+v, %d twice", f, d.origin.Twice())
 	}
 }
+
+// TestAZoneWhoseHostsCrash: they take no connection, while the list calls them ready and the origin is slow all the while. It is left by one version, and come
+// back to when they are up again, cold: no host is pushed over.
+func TestAZoneWhoseHostsCrash(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 10, 6, 24, "")
+	d.origin.Takes(60 * time.Millisecond)
+	d.load(60, 500)
+	until(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	zone := d.zoneOf(1)
+	for _, h := range zone {
+		d.hosts[h].Down()
+	}
+	until(t, "all leaving", func() bool { least, _, fails, _ := d.parts("z1"); return least == 1 && fails == len(d.procs) })
+	entries := map[string]string{}
+	for _, h := range zone {
+		if err := d.hosts[h].Restart(); err != nil {
+			t.Fatal(err)
+		}
+		entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
+	}
+	d.list.Tell(entries)
+	until(t, "being back", func() bool { _, most, fails, _ := d.parts("z1"); return most == 0 && fails == 0 })
+	for _, h := range zone {
+		if f := d.hosts[h].Figures(); f.Pushed > 0 {
+			t.Errorf("%s was pushed over: %d", d.hosts[h].Name, f.Pushed)
+		}
+	}
+	if ids := d.procs[0].history(t); len(ids) != 2 {
+		t.Errorf("%d versions, not one for each way: %v", len(ids), ids)
+	}
+	f := d.quiet()
+	if f.Wrong > 0 || d.origin.Twice() > 0 || f.Settled < f.Asked*8/10 {
+		t.Errorf("%+v, %d twice", f, d.origin.Twice())
+	}
+	t.Logf("%+v", f)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -423,7 +423,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cards++
-	return members.Card{Name: f.name, Zone: f.zone, Life: f.life, Seq: f.cards, Keeper: f.keeper != nil, Leads: f.keeper != nil && f.keeper.Leads(),
+	var ways []members.Way
+	for _, z := range f.zones.stands {
+		if z.Part > 0 && len(ways) < members.MostWays {
+			ways = append(ways, members.Way{Zone: z.Zone, Part: z.Part})
+		}
+	}
+	return members.Card{Ways: ways, Name: f.name, Zone: f.zone, Life: f.life, Seq: f.cards, Keeper: f.keeper != nil, Leads: f.keeper != nil && f.keeper.Leads(),
 		Version: f.settings, Leased: f.acting.Leased, Floor: f.acting.Floor, Latest: f.acting.Latest, Index: index, Digest: digest, Drains: drains}
 }
 
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"hollylever/agreed"
+	"hollylever/members"
 	"hollylever/zones"
 )
 
 const (
 	leavesOver = 10 * time.Second // out of a zone that an operator left
 	byItself   = "fleet"
+	startsFor  = int64(3 * time.Second) // at most, a process that starts takes over from others how far they are
 )
 
 // leaving is what this process has on zones: what it would propose if it leads, and how far it has come out of each or back.
@@ -26,6 +28,8 @@
 	toldAt  int64
 	asking  bool // a proposal is out; under the fleet's lock
 	led     bool
+	since   int64        // when it first knew what is left
+	begun   bool         // it goes its ways by itself
 	stands  []ZoneStands // under the fleet's lock
 	anyLeft []string     // as the log knows
 }
@@ -72,6 +76,10 @@
 		return // It has just started, and what is left already is no way to go.
 	}
 	l := &f.zones
+	var others func(zone string) float64
+	if !l.begun {
+		others = f.begins(now)
+	}
 	if leads != l.led {
 		l.led, l.watch = leads, zones.Watch{} // What another saw while it led is not known here.
 	}
@@ -91,6 +99,9 @@
 			path = &zones.Path{}
 			l.paths[v.Zone] = path
 		}
+		if others != nil {
+			path.Begin(others(v.Zone))
+		}
 		// Others' word alone does not take it out of its own zone: once out, it would see nothing of it any more.
 		own := v.Zone == f.zone && (v.Failing*2 < v.Hosts || !fails)
 		parts[v.Zone] = path.Look(now, v.Zone, left, own, scarce, l.terms)
@@ -116,6 +127,44 @@
 	}
 }
 
+// begins gives how far the others are, as long as this process starts: what it was left by the one before it may be old, and on the way back to a
+// zone whose hosts are cold it must not begin at its end. The middle one counts: some may not know the last version.
+func (f *Fleet) begins(now int64) (others func(zone string) float64) {
+	if f.zones.since == 0 {
+		f.zones.since = now
+	}
+	var fellows []members.Member
+	var all []members.Member
+	if f.exchange != nil {
+		all = f.exchange.Members()
+	}
+	for _, m := range all {
+		if m.Name != f.name && m.Latest > 0 && time.Since(m.Heard) <= silentFor {
+			fellows = append(fellows, m)
+		}
+	}
+	f.mu.Lock()
+	leased := f.acting.Leased
+	f.mu.Unlock()
+	f.zones.begun = leased && len(fellows) > 0 || now-f.zones.since > startsFor
+	return func(zone string) float64 {
+		parts := []float64{}
+		for _, m := range fellows {
+			part := 0.0
+			for _, w := range m.Ways {
+				if w.Zone == zone {
+					part = w.Part
+				}
+			}
+			parts = append(parts, part)
+		}
+		if slices.Sort(parts); len(parts) == 0 {
+			return 0
+		}
+		return parts[len(parts)/2]
+	}
+}
+
 // say proposes what the watch says, in the background: the majority decides.
 func (f *Fleet) say(ctx context.Context, s zones.Say) {
 	c := agreed.Change{ID: crand.Text(), By: byItself, Why: fmt.Sprintf("%s: %d of %d", s.Why, s.Failing, s.Hosts)}
--- a/members/members.go
+++ b/members/members.go
@@ -19,6 +19,7 @@
 	packet      = 1200 // bytes that go as one datagram; more goes over a connection
 	mostName    = 128
 	mostDrains  = 64
+	MostWays    = 32 // in a card
 	cardEvery   = time.Second
 	goneAfter   = 5 * time.Second // without a card, a member counts as gone
 )
@@ -40,7 +41,8 @@
 	Digest  uint64  `cbor:"10,keyasint,omitempty" json:"list_digest"`
 	Drains  []Drain `cbor:"11,keyasint,omitempty" json:"drains,omitempty"` // the last ones of its list
 	Version string  `cbor:"12,keyasint,omitempty" json:"settings_digest,omitempty"`
-	Seq     uint64  `cbor:"13,keyasint,omitempty" json:"-"` // of this life's cards
+	Ways    []Way   `cbor:"14,keyasint,omitempty" json:"zones_away,omitempty"` // zones to which not all keys go
+	Seq     uint64  `cbor:"13,keyasint,omitempty" json:"-"`                    // of this life's cards
 }
 
 // Drain is a host that a list called draining or gone, from an index on.
@@ -49,6 +51,12 @@
 	Index uint64 `cbor:"2,keyasint" json:"index"`
 }
 
+// Way is how far a process has come out of a zone, or is on its way back: the part of the keys that does not go there.
+type Way struct {
+	Zone string  `cbor:"1,keyasint" json:"zone"`
+	Part float64 `cbor:"2,keyasint" json:"part"`
+}
+
 // Member is a process that was heard.
 type Member struct {
 	Card
@@ -89,7 +97,7 @@
 }
 
 func unpackCard(bytes []byte) (c Card, err error) {
-	if err = strict.Unmarshal(bytes, &c); err == nil && (c.Name == "" || len(c.Name) > mostName || len(c.Drains) > mostDrains) {
+	if err = strict.Unmarshal(bytes, &c); err == nil && (c.Name == "" || len(c.Name) > mostName || len(c.Drains) > mostDrains || len(c.Ways) > MostWays) {
 		err = fmt.Errorf("a card without a name, or too large")
 	}
 	return c, err
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -155,14 +155,14 @@
 
 // What comes from a network that is not the fleet's leads nobody astray.
 func FuzzTake(f *testing.F) {
-	f.Add(append([]byte{isCard}, packCard(Card{Name: "p1", Life: 1, Drains: []Drain{{"h", 3}}})...))
+	f.Add(append([]byte{isCard}, packCard(Card{Name: "p1", Life: 1, Drains: []Drain{{"h", 3}}, Ways: []Way{{"z", 0.5}}})...))
 	f.Add([]byte{isMessage, 1})
 	f.Fuzz(func(t *testing.T, framed []byte) {
 		e := &ears{}
 		p := &Plain{name: "p0", ears: e}
 		p.take(framed)
 		for _, c := range e.cards {
-			if c.Name == "" || len(c.Name) > mostName || len(c.Drains) > mostDrains || c.Name == "p0" {
+			if c.Name == "" || len(c.Name) > mostName || len(c.Drains) > mostDrains || len(c.Ways) > MostWays || c.Name == "p0" {
 				t.Fatalf("%+v is taken", c)
 			}
 		}
--- a/zones/zones.go
+++ b/zones/zones.go
@@ -134,6 +134,14 @@
 	Returns int64 // back: as long as its hosts take to be warm, and half of that more
 }
 
+// Begin has a process that starts stand where the others do: they may be on the way back to a zone whose hosts are cold.
+func (p *Path) Begin(part float64) {
+	if !(part >= 0 && part <= 1) { // Not a number, either.
+		part = 1
+	}
+	*p = Path{part: part}
+}
+
 // Look moves on. left: which zones are; own: this process's zone, of which it sees itself that it does not fail: it stays there, as a zone that
 // only its own balancers reach goes on for them, but not where an operator left it. slow: reads miss for all, and each step takes longer.
 func (p *Path) Look(now int64, zone string, left []string, own, slow bool, t Terms) float64 {
--- a/zones/zones_test.go
+++ b/zones/zones_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -166,3 +167,24 @@
 		t.Errorf("one that starts goes to a zone that was left before: %v", got)
 	}
 }
+
+// A process that starts stands where the others do, and goes on from there; what makes no sense is taken as all that there is.
+func TestBegin(t *testing.T) {
+	terms := Terms{Leaves: 10_000 * ms, Returns: 12_000 * ms}
+	for _, c := range []struct {
+		begins       float64
+		left         []string
+		first, later float64
+	}{
+		{0, nil, 0, 0}, {0.75, nil, 0.75, 0.5}, {1, nil, 1, 0.75}, {0.5, []string{"z"}, 1, 1}, {0, []string{"z"}, 1, 1}, {0, []string{Fails + "z"}, 1, 1},
+		{math.NaN(), nil, 1, 0.75}, {7, nil, 1, 0.75}, {-1, nil, 1, 0.75},
+	} {
+		p, now := &Path{}, int64(1e12)
+		p.Begin(c.begins)
+		first := p.Look(now, "z", c.left, false, false, terms)
+		later := p.Look(now+3000*ms, "z", c.left, false, false, terms)
+		if first != c.first || later != c.later {
+			t.Errorf("%v, left %v: %v and %v, not %v and %v", c.begins, c.left, first, later, c.first, c.later)
+		}
+	}
+}
