--- a/cmd/hollyfleet/starts_test.go
+++ b/cmd/hollyfleet/starts_test.go
@@ -59,3 +59,34 @@
 	until(t, "being back", func() bool { _, most, _, _ := d.parts("z2"); return most == 0 })
 	d.quiet()
 }
+
+// TestOneThatStoodStillAmidTheWayBack: a process is stopped for some seconds while the fleet comes back to a zone. When it goes on it stands where the others
+// do, and all end at the same place.
+func TestOneThatStoodStillAmidTheWayBack(t *testing.T) {
+	t.Parallel()
+	d := newDistrict(t, 11, 5, 12, "")
+	d.load(60, 500)
+	until(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	if a, err := d.procs[0].propose(joining.Proposal{ID: "leave", Leave: []string{"z2"}, Why: "a test"}); err != nil || a.Version != 2 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	until(t, "being out", func() bool { least, _, _, hand := d.parts("z2"); return least == 1 && hand == 5 })
+	until(t, "accepting the return", func() bool {
+		a, err := d.procs[0].propose(joining.Proposal{ID: "return", Return: []string{"z2"}})
+		return err == nil && a.Version == 3
+	})
+	until(t, "coming back", func() bool { least, most, _, _ := d.parts("z2"); return least > 0 && most < 0.9 })
+	d.stop(d.procs[3])
+	until(t, "the others going on", func() bool { _, most, _, _ := d.parts("z2"); return most < 0.5 })
+	d.goOn(d.procs[3])
+	until(t, "standing with the others", func() bool {
+		part, _, knows := d.procs[3].partOf("z2")
+		others, _, _ := d.procs[1].partOf("z2")
+		return knows && part < others+0.1 && part > others-0.1 && others > 0
+	})
+	until(t, "being back", func() bool { _, most, _, _ := d.parts("z2"); return most == 0 })
+	if worst, wrong := check(d.trace(), terms.Pause); wrong != "" || worst > terms.T() {
+		t.Errorf("longest contradiction %v of %v; %s", worst, terms.T(), wrong)
+	}
+	d.quiet()
+}
