Over an upgrade the new process goes nothing to a zone that is left

Cause: found by the test of an upgrade amid a way back. A process knew which host is in which zone only from its first second in the fleet on (fellows, called beside the exchange); over an upgrade it is not in the fleet until the one before it has gone. Until then it left no zone at all: fleet/leave.go returns at fewer than two zones, and all of its keys go to the zone that is left or cold.

Change: zones and hosts are made up from the start on, whether anybody is heard or not; how far a process is from each zone is left beside what counts, and the next one goes on from there.

Measured by test, five processes, twelve hosts: an upgrade while a zone is left sends none of 200 retrievals there; one amid the way back stands within 0.1 of the others.

--- a/cmd/hollyfleet/starts_test.go
+++ b/cmd/hollyfleet/starts_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"hollylever/joining"
+	"hollylever/standin"
 )
 
 // partOf is how far a process is from a zone, as its door shows it; knows: it does, and what is left it knows by a lease.
@@ -41,6 +44,30 @@
 		}
 		return knows && byHand
 	})
+	// An upgrade meanwhile: until the one before has gone the new one hears no other, and goes nothing there all the same.
+	young := *d.procs[2]
+	young.listen, young.door = free(t), free(t)
+	d.start(&young)
+	until(t, "the new process knowing", func() bool {
+		z := young.signalled().Zones
+		return len(z) == 3 && z[2].ByHand && z[2].Part == 1
+	})
+	there := func() (n int) {
+		for _, h := range d.zoneOf(2) {
+			n += d.hosts[h].Figures().Asked
+		}
+		return n
+	}
+	before := there()
+	ctx, enough := context.WithCancel(context.Background())
+	clients := standin.Ask(ctx, young.listen, standin.Load{Rate: 200, Keys: 500, Seed: 77, Patience: 1500 * time.Millisecond})
+	until(t, "answers of the new process", func() bool { return clients.Figures().Settled > 200 })
+	enough()
+	clients.Wait()
+	if went := there() - before; went > 0 {
+		t.Errorf("%d trips went to the zone that is left", went)
+	}
+	d.kill(&young)
 	until(t, "accepting the return", func() bool {
 		a, err := d.procs[0].propose(joining.Proposal{ID: "return", Return: []string{"z2"}})
 		return err == nil && a.Version == 3
@@ -56,6 +83,18 @@
 	if others, _, _ := d.procs[1].partOf("z2"); part < others-0.1 || part > others+0.1 || others < 0.1 {
 		t.Errorf("it stands at %v, another at %v", part, others)
 	}
+	// An upgrade: until the one before has gone it hears no other, and goes on from where that one stood.
+	next := *d.procs[3]
+	next.listen, next.door = free(t), free(t)
+	d.start(&next)
+	until(t, "the new process", func() bool { return len(next.signalled().Zones) > 0 })
+	for _, z := range next.signalled().Zones {
+		if others, _, _ := d.procs[1].partOf("z2"); z.Zone == "z2" && (z.Part < others-0.1 || z.Part > others+0.1 || others < 0.1) {
+			t.Errorf("the new one stands at %v, another at %v", z.Part, others)
+		}
+	}
+	d.kill(d.procs[3])
+	d.procs[3] = &next
 	until(t, "being back", func() bool { _, most, _, _ := d.parts("z2"); return most == 0 })
 	d.quiet()
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -253,6 +253,7 @@
 	tell, again := time.NewTicker(time.Second), time.NewTicker(joinEvery)
 	defer tell.Stop()
 	defer again.Stop()
+	f.fellows() // Hosts and their zones are known before anybody is heard: what is left is not gone to.
 	var looks <-chan time.Time
 	var signals chan []byte
 	if f.seen != nil {
@@ -293,9 +294,9 @@
 			if f.exchange != nil {
 				f.exchange.Tell(f.card())
 				f.gossip()
-				f.fellows()
 				f.counts()
 			}
+			f.fellows()
 		}
 		timer.Reset(f.look())
 	}
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,7 +29,7 @@
 	toldAt  int64
 	asking  bool // a proposal is out; under the fleet's lock
 	led     bool
-	since   int64        // when it first knew what is left
+	since   int64        // when it first could hear others
 	begun   bool         // it goes its ways by itself
 	stands  []ZoneStands // under the fleet's lock
 	anyLeft []string     // as the log knows
@@ -76,10 +77,7 @@
 		return // It has just started, and what is left already is no way to go.
 	}
 	l := &f.zones
-	var others func(zone string) float64
-	if !l.begun {
-		others = f.begins(now)
-	}
+	others := f.begins(now)
 	if leads != l.led {
 		l.led, l.watch = leads, zones.Watch{} // What another saw while it led is not known here.
 	}
@@ -99,8 +97,8 @@
 			path = &zones.Path{}
 			l.paths[v.Zone] = path
 		}
-		if others != nil {
-			path.Begin(others(v.Zone))
+		if part, told := others(v.Zone); told {
+			path.Begin(part)
 		}
 		// Others' word alone does not take it out of its own zone: once out, it would see nothing of it any more.
 		own := v.Zone == f.zone && (v.Failing*2 < v.Hosts || !fails)
@@ -119,7 +117,10 @@
 	}
 	if again {
 		f.acts.Leaves(parts, time.Duration(l.terms.Returns))
-		l.told, l.toldAt = parts, now
+		moved := !maps.Equal(parts, l.told)
+		if l.told, l.toldAt = parts, now; moved {
+			f.leave()
+		}
 	}
 	if !slices.Equal(left, l.anyLeft) {
 		l.anyLeft = left
@@ -129,25 +130,23 @@
 
 // begins gives how far the others are, as long as this process starts: what it was left by the one before it may be old, and on the way back to a
 // zone whose hosts are cold it must not begin at its end. The middle one counts: some may not know the last version.
-func (f *Fleet) begins(now int64) (others func(zone string) float64) {
-	if f.zones.since == 0 {
-		f.zones.since = now
-	}
+func (f *Fleet) begins(now int64) (others func(zone string) (part float64, told bool)) {
 	var fellows []members.Member
-	var all []members.Member
-	if f.exchange != nil {
-		all = f.exchange.Members()
-	}
-	for _, m := range all {
-		if m.Name != f.name && m.Latest > 0 && time.Since(m.Heard) <= silentFor {
-			fellows = append(fellows, m)
+	if l := &f.zones; !l.begun && f.exchange != nil { // Over an upgrade there is none until the process before this one has gone.
+		if l.since == 0 {
+			l.since = now
+		}
+		for _, m := range f.heard() {
+			if m.Name != f.name && m.Latest > 0 && time.Since(m.Heard) <= silentFor {
+				fellows = append(fellows, m)
+			}
 		}
+		f.mu.Lock()
+		leased := f.acting.Leased
+		f.mu.Unlock()
+		l.begun = leased && len(fellows) > 0 || now-l.since > startsFor
 	}
-	f.mu.Lock()
-	leased := f.acting.Leased
-	f.mu.Unlock()
-	f.zones.begun = leased && len(fellows) > 0 || now-f.zones.since > startsFor
-	return func(zone string) float64 {
+	return func(zone string) (float64, bool) {
 		parts := []float64{}
 		for _, m := range fellows {
 			part := 0.0
@@ -159,9 +158,9 @@
 			parts = append(parts, part)
 		}
 		if slices.Sort(parts); len(parts) == 0 {
-			return 0
+			return 0, false
 		}
-		return parts[len(parts)/2]
+		return parts[len(parts)/2], true
 	}
 }
 
--- a/fleet/left.go
+++ b/fleet/left.go
@@ -5,12 +5,21 @@
 	"os"
 
 	"hollylever/agreed"
+	"hollylever/zones"
 )
 
 // left is what a process leaves for the one that comes after it: what counts, so that a ban holds from its first retrieval on.
 type left struct {
 	Floor    uint64           `json:"floor"`
 	Versions []agreed.Version `json:"versions"`
+	Ways     []leftWay        `json:"ways,omitempty"`
+}
+
+// leftWay is how far it was from a zone, and when by the machine's clock since its start.
+type leftWay struct {
+	Zone string  `json:"zone"`
+	Part float64 `json:"part"`
+	At   int64   `json:"at"`
 }
 
 const mostLeft = 2 << 20
@@ -21,7 +30,13 @@
 		return
 	}
 	f.mu.Lock()
-	bytes, err := json.Marshal(left{f.acting.Floor, f.holder.Versions()})
+	var ways []leftWay
+	for zone, path := range f.zones.paths {
+		if part, at := path.Stands(); part > 0 {
+			ways = append(ways, leftWay{zone, part, at})
+		}
+	}
+	bytes, err := json.Marshal(left{f.acting.Floor, f.holder.Versions(), ways})
 	f.mu.Unlock()
 	if err == nil {
 		if err = os.WriteFile(f.left+".new", bytes, 0o600); err == nil {
@@ -49,6 +64,10 @@
 			return // Not what a process writes.
 		}
 	}
+	for _, w := range l.Ways {
+		f.zones.paths[w.Zone] = &zones.Path{}
+		f.zones.paths[w.Zone].Recall(w.Part, w.At, Now())
+	}
 	f.holder.Recall(l.Floor, l.Versions)
 	f.acting = f.holder.Acting(Now())
 	if f.acting.Latest > 0 {
--- a/zones/zones.go
+++ b/zones/zones.go
@@ -142,6 +142,15 @@
 	*p = Path{part: part}
 }
 
+// Stands is where it was, and when: for the process that comes after this one.
+func (p *Path) Stands() (part float64, at int64) { return p.part, p.at }
+
+// Recall has it go on from where the process before this one stood, at a time that may be another clock's.
+func (p *Path) Recall(part float64, at, now int64) {
+	p.Begin(part)
+	p.at = max(1, min(at, now))
+}
+
 // Look moves on. left: which zones are; own: this process's zone, of which it sees itself that it does not fail: it stays there, as a zone that
 // only its own balancers reach goes on for them, but not where an operator left it. slow: reads miss for all, and each step takes longer.
 func (p *Path) Look(now int64, zone string, left []string, own, slow bool, t Terms) float64 {
