--- a/routing/life.go
+++ b/routing/life.go
@@ -14,7 +14,7 @@
 const (
 	tailFor     = 250 * time.Millisecond       // how long the next piece of an answer that has begun may take
 	progressFor = 3 * time.Second              // the next one of a large value
-	onTheWay    = int64(25 * time.Millisecond) // at most, for a final answer to its client
+	onTheWay    = int64(5 * time.Millisecond) // at most, for a final answer to its client
 	crossing    = int64(50 * time.Millisecond) // a trip that begins to be handed over so long after its client went did not cross that
 )
 
@@ -79,7 +79,7 @@
 	b.heap += size
 	b.counts[count{"retrievals", none}]++
 	i, told := b.take()
-	b.slots[i].ends = b.now() + patience - min(onTheWay, patience/16) + b.drift
+	b.slots[i].ends = b.now() + patience - min(onTheWay, patience/64) + b.drift
 	b.deciding()
 	b.module.Asked(b.now(), i, patience, w, owner, protocol.Key(words[1]), true, write, predicted)
 	b.mu.Unlock()
