--- a/routing/life.go
+++ b/routing/life.go
@@ -14,7 +14,7 @@
 const (
 	tailFor     = 250 * time.Millisecond       // how long the next piece of an answer that has begun may take
 	progressFor = 3 * time.Second              // the next one of a large value
-	onTheWay    = int64(5 * time.Millisecond) // at most, for a final answer to its client
+	onTheWay    = int64(5 * time.Millisecond)  // at most, for a final answer to its client
 	crossing    = int64(50 * time.Millisecond) // a trip that begins to be handed over so long after its client went did not cross that
 )
 
