--- a/cmd/hollyfleet/zones_test.go
+++ b/cmd/hollyfleet/zones_test.go
@@ -41,6 +41,19 @@
 	return hosts
 }
 
+// restart has hosts come back cold and empty, as the list tells.
+func (d *district) restart(hosts []int) {
+	d.t.Helper()
+	entries := map[string]string{}
+	for _, h := range hosts {
+		if err := d.hosts[h].Restart(); err != nil {
+			d.t.Fatal(err)
+		}
+		entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
+	}
+	d.list.Tell(entries)
+}
+
 // TestAZoneThatFailsIsLeft: its hosts hang while the list calls them ready. The fleet leaves it, all processes within a second of each other and by one
 // version; when they are back, cold, it comes back in steps, and no host is pushed over. A relapse on the way is one more version.
 func TestAZoneThatFailsIsLeft(t *testing.T) {
@@ -58,15 +71,10 @@
 		began := time.Now()
 		until(t, "all leaving", func() bool { least, _, fails, _ := d.parts("z1"); return least == 1 && fails == len(d.procs) })
 		t.Logf("round %d: the last left %v after the first was seen to", round, time.Since(began))
-		entries := map[string]string{}
-		for n, h := range zone {
-			goOn[n]()
-			if err := d.hosts[h].Restart(); err != nil {
-				t.Fatal(err)
-			}
-			entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
+		for _, f := range goOn {
+			f()
 		}
-		d.list.Tell(entries)
+		d.restart(zone)
 		if round == 0 { // A relapse half-way back.
 			until(t, "coming back", func() bool { _, most, fails, _ := d.parts("z1"); return fails == 0 && most < 0.8 })
 			if least, _, _, _ := d.parts("z1"); least == 0 {
@@ -271,14 +279,7 @@
 		d.hosts[h].Down()
 	}
 	until(t, "all leaving", func() bool { least, _, fails, _ := d.parts("z1"); return least == 1 && fails == len(d.procs) })
-	entries := map[string]string{}
-	for _, h := range zone {
-		if err := d.hosts[h].Restart(); err != nil {
-			t.Fatal(err)
-		}
-		entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
-	}
-	d.list.Tell(entries)
+	d.restart(zone)
 	until(t, "being back", func() bool { _, most, fails, _ := d.parts("z1"); return most == 0 && fails == 0 })
 	for _, h := range zone {
 		if f := d.hosts[h].Figures(); f.Pushed > 0 {
