--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -136,8 +136,8 @@
 		if l.since == 0 {
 			l.since = now
 		}
-		for _, m := range f.heard() {
-			if m.Name != f.name && m.Latest > 0 && time.Since(m.Heard) <= silentFor {
+		for _, m := range f.lately() {
+			if m.Name != f.name && m.Latest > 0 {
 				fellows = append(fellows, m)
 			}
 		}
--- a/fleet/seen.go
+++ b/fleet/seen.go
@@ -101,23 +101,22 @@
 	return true
 }
 
-// heard is who there is: nobody before this process has joined, as over an upgrade until the one before it has gone.
-func (f *Fleet) heard() []members.Member {
+// lately is who was heard lately: nobody before this process has joined, as over an upgrade until the one before it has gone.
+func (f *Fleet) lately() (all []members.Member) {
 	if f.exchange == nil {
 		return nil
 	}
-	return f.exchange.Members()
+	for _, m := range f.exchange.Members() {
+		if time.Since(m.Heard) <= silentFor {
+			all = append(all, m)
+		}
+	}
+	return all
 }
 
 // fellows says who may speak and which hosts there are, and takes up which of these are this process's to tend.
 func (f *Fleet) fellows() {
-	servers, now := f.acts.Servers(), time.Now()
-	var lately []members.Member
-	for _, m := range f.heard() {
-		if now.Sub(m.Heard) <= silentFor {
-			lately = append(lately, m)
-		}
-	}
+	servers, lately := f.acts.Servers(), f.lately()
 	f.tend(lately, servers)
 	s := f.seen
 	if s == nil {
