--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-GOTOOLCHAIN=local GOFLAGS=-mod=mod go build -o bin/ ./1 ./2
+GOTOOLCHAIN=local GOFLAGS=-mod=mod go build -o bin/ ./1 ./2 ./3
