--- a/review/1/main.go
+++ b/review/1/main.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	memoryMB    = 64
-	descriptors = 512
+	memoryMB    = 32
+	descriptors = 256
 
 	goodClients = 8
 	pause       = 40 * time.Millisecond // of a good client between its requests: 200 requests a second from all
@@ -22,7 +22,7 @@
 	valueBytes = 60000 // within the 64 KiB of a value
 
 	calm     = 3 * time.Second
-	lasts    = 10 * time.Second
+	lasts    = 20 * time.Second
 	dAllowed = 1500 * time.Millisecond
 )
 
