Count all that clients make the balancer hold, and admit commands before they are copied

Cause: the reader copied each command (transport.Conn.Take) and started a goroutine for it before anything asked whether there was memory or whether the class exists. The bound in the request table counted only what had been admitted, and of that neither goroutines, read buffers, the copy that is sent, nor responses until they were the final ones.

Change: admission runs in the reading goroutine, on the bytes in its buffer; what is rejected is never copied, and its reply takes no channels. One account (transport.MemoryAccount, half of the memory) counts connections, read buffers, commands with the copy that is sent, requests with their goroutines, and responses. Who finds none waits (a buffer 0.25 s, a response until its deadline, in the kernel) or is rejected. The more replies a client is owed, the more it leaves to others; the response that its client reads next may use all, so that those behind it can't hold it up. Limits per part stay.

/metrics has memory.clients and memory.clients_limit, the summary clients_partial, client_memory_kb.

--- a/admin/handler.go
+++ b/admin/handler.go
@@ -112,6 +112,7 @@
 	for _, closed := range figures.Closed {
 		fmt.Fprintf(&out, "connections.closed.%s=%d\n", closed.End, closed.Count)
 	}
+	fmt.Fprintf(&out, "memory.clients=%d\nmemory.clients_limit=%d\n", figures.ClientMemory, figures.ClientMemoryLimit)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	io.WriteString(w, out.String())
 }
--- a/protocol/response.go
+++ b/protocol/response.go
@@ -51,6 +51,12 @@
 	return parseValueResponse(resp, length)
 }
 
+// MinResponseLength returns the minimum length in bytes of an incomplete response, or 0 if it is not known yet.
+func MinResponseLength(received []byte) int {
+	_, minLength, _ := frameLength(received, MaxValue)
+	return minLength
+}
+
 // parseValueResponse parses a response that is an array of responseElements elements. Only the value is required.
 func parseValueResponse(resp redcon.RESP, length int) Response {
 	response := Response{End: transport.Succeeded, Length: length}
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -24,13 +24,12 @@
 	remaining       int64 // rest of the client's timeout, in ns
 }
 
-// admit admits or rejects a request. An admitted request gets a slot and is handed to the policy; any other one gets its
-// final reply here.
-func (x *exchange) admit() bool {
+// admit admits or rejects a request. An admitted request gets a slot and is handed to the policy; for any other one the
+// final reply is returned, and nothing of it is kept.
+func (x *exchange) admit() (rejection []byte) {
 	attributes, err := protocol.ParseAttributes(x.arguments[3])
 	if err != nil {
-		x.reply.reply <- reply{bytes: protocol.AppendError(nil, err.Error())}
-		return false
+		return protocol.AppendError(nil, err.Error())
 	}
 	for _, argument := range x.arguments {
 		x.bytes += int64(len(argument))
@@ -45,8 +44,7 @@
 	x.workload = a.workload
 	if rejection := b.rejectionReply(a); rejection != nil {
 		b.mu.Unlock()
-		x.reply.reply <- reply{bytes: rejection}
-		return false
+		return rejection
 	}
 	x.register(a, policy.RequestInfo{
 		Remaining:     a.remaining,
@@ -58,13 +56,14 @@
 		PredictedWork: attributes.PredictedNanos,
 	})
 	b.mu.Unlock()
-	return true
+	x.client.onAdmitted()
+	return nil
 }
 
 // assess collects the input to the admission decision. The caller holds Balancer.mu.
 func (x *exchange) assess(workload []byte, remaining int64) admission {
 	b := x.balancer
-	a := admission{remaining: remaining, isDuplicate: b.requests.openIDs[x.id], isFull: b.requests.isFull(x.bytes, b.leaseCheck != nil)}
+	a := admission{remaining: remaining, isDuplicate: b.requests.openIDs[x.id], isFull: b.requests.isFull(x.bytes, b.leaseCheck != nil) || !x.hasMemory()}
 	a.workload, a.isKnownWorkload = b.catalog.workloads[string(workload)]
 	if answerBy := b.answerBy.Load(); answerBy > 0 && a.isKnownWorkload {
 		// Clients may go on sending requests on busy connections during a shutdown, and these connections have to end.
@@ -101,6 +100,8 @@
 	b := x.balancer
 	b.requests.openIDs[x.id] = true
 	b.requests.bytes += x.bytes
+	x.reservedMemory = x.commandMemory()
+	b.memory.Add(x.reservedMemory)
 	b.counters.increment(counterRequests)
 	x.slot, x.events = b.requests.allocate()
 	reserve := min(maxReplyReserve, a.remaining/replyReserveDivisor)
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -32,6 +32,7 @@
 	isReusable := false
 	if end == transport.Open {
 		end, isReusable = x.readAnswer(conn, deadline, &result)
+		x.keepReserved(len(result.answer), &result)
 	}
 	conn.Release(isUnused || isReusable && end <= transport.Rejected)
 	result.end = end
@@ -125,11 +126,14 @@
 		if size, start := protocol.ParseLargeValueHeader(conn.Unread()); size > 0 {
 			result.latency = x.balancer.now() - result.startedAt
 			conn.Skip(start)
-			return x.streamValue(conn, size, result)
+			return x.streamValue(conn, size, deadline, result)
 		}
 		response := protocol.ParseResponse(conn.Unread())
 		result.cacheResult = int(response.CacheResult)
 		if response.End == transport.Open {
+			if end := x.reserveRead(conn, deadline, result); end != transport.Open {
+				return end, false
+			}
 			if end := readMore(conn, deadline); end != transport.Open {
 				return end, true
 			}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -21,6 +21,7 @@
 	settings       map[string]any
 	startedAt      time.Time // start of the policy's clock
 	pool           *transport.Pool
+	memory         *transport.MemoryAccount // the pool's, shared with the listener; nil: unlimited
 	catalog        catalog
 	deadlineDrift  int64         // how long after its timeout a client may still be waiting, in ns
 	watchRequested chan struct{} // signals that the policy requests a watch on the endpoint list
@@ -57,6 +58,7 @@
 		settings:       settings,
 		startedAt:      time.Now(),
 		pool:           pool,
+		memory:         pool.Memory,
 		catalog:        newCatalog(settings),
 		deadlineDrift:  int64(settingNumber(settings, "invariants.deadlineDrift") * 1e6),
 		watchRequested: make(chan struct{}, 1),
--- a/routing/clientconn.go
+++ b/routing/clientconn.go
@@ -24,7 +24,7 @@
 // client's disconnect.
 func (b *Balancer) Serve(c *transport.Client) {
 	disconnected, written := make(chan struct{}), make(chan struct{})
-	replies := make(chan pendingReply, maxPipelined+extraReplies)
+	replies := make(chan *pendingReply, maxPipelined+extraReplies)
 	go func() {
 		defer close(written)
 		writeReplies(c, replies, disconnected)
@@ -50,7 +50,7 @@
 type commandReader struct {
 	balancer     *Balancer
 	client       *transport.Client
-	replies      chan<- pendingReply
+	replies      chan<- *pendingReply
 	disconnected <-chan struct{}
 	partialSince time.Time // when a partial command was first seen; zero between commands
 	overflow     overflow
@@ -89,14 +89,18 @@
 	} else if r.partialSince.IsZero() {
 		r.partialSince = time.Now()
 	}
-	if c.Grow(protocol.MinCommandLength(c.Unread())) == transport.LocalShortage {
-		c.BeginReply()
-		// The command was not started, and the rest of it cannot be read: the connection ends as after a command that
-		// breaks the protocol.
-		r.queueReply(protocol.AppendRejected(nil, 0))
-		return transport.Malformed
+	end := c.Grow(protocol.MinCommandLength(c.Unread()))
+	if end == transport.Open {
+		end = c.Fill(r.partialSince)
 	}
-	return c.Fill(r.partialSince)
+	if end != transport.LocalShortage {
+		return end
+	}
+	// The command was not started, and the rest of it cannot be read: the connection ends as after a command that breaks
+	// the protocol.
+	c.BeginReply()
+	r.queueReply(protocol.AppendRejected(nil, 0))
+	return transport.Malformed
 }
 
 // handle replies to a command, or starts a request. It returns ClientDisconnected if the client of a request has
@@ -106,12 +110,12 @@
 	if verb.IsRequest() && r.client.HasEnded() {
 		return transport.ClientDisconnected
 	}
-	r.client.BeginReply()
+	replyNumber := r.client.BeginReply()
 	switch {
 	case err != nil:
 		r.queueReply(protocol.AppendError(nil, err.Error()))
 	case verb.IsRequest():
-		r.startRequest(length, verb == protocol.VerbSet)
+		r.startRequest(arguments, length, verb == protocol.VerbSet, replyNumber)
 		return transport.Open
 	default:
 		r.answerNonRequest(verb, arguments[0])
@@ -120,18 +124,25 @@
 	return transport.Open
 }
 
-// startRequest takes the next command from the buffer and handles it in a new goroutine.
-func (r *commandReader) startRequest(length int, isWrite bool) {
+// startRequest takes the next command from the buffer and handles it in a new goroutine, if it is admitted. One that is
+// not is answered at once: until then nothing but the client's buffer holds it, however many the client sends.
+func (r *commandReader) startRequest(arguments [][]byte, length int, isWrite bool, replyNumber int) {
 	c := r.client
-	receivedAt := c.ArrivedAt(length)
+	x := r.balancer.newExchange(arguments, isWrite, client{receivedAt: c.ArrivedAt(length),
+		repliesBefore: func() int { return c.RepliesBefore(replyNumber) },
+		onAdmitted:    c.CountValidCommand, disconnected: r.disconnected, hasEnded: c.HasEnded})
+	if rejection := x.admit(); rejection != nil {
+		r.queueReply(rejection)
+		c.Skip(length)
+		return
+	}
 	command, done := c.Take(length)
-	arguments, _, _ := protocol.ParseCommand(command) // Cannot fail: the same bytes were parsed in the connection's buffer.
-	reply := newPendingReply()
-	r.replies <- reply
+	x.arguments, _, _ = protocol.ParseCommand(command) // Cannot fail: the same bytes were parsed in the connection's buffer.
+	x.reply = newPendingReply()
+	r.replies <- x.reply
 	go func() {
 		defer done()
-		r.balancer.handleRequest(arguments, isWrite, reply,
-			client{receivedAt: receivedAt, onAdmitted: c.CountValidCommand, disconnected: r.disconnected, hasEnded: c.HasEnded})
+		x.run()
 	}()
 }
 
@@ -155,7 +166,7 @@
 }
 
 // writeReplies writes the replies to the client in command order, until replies is closed.
-func writeReplies(c *transport.Client, replies <-chan pendingReply, disconnected <-chan struct{}) {
+func writeReplies(c *transport.Client, replies <-chan *pendingReply, disconnected <-chan struct{}) {
 	for pending := range replies {
 		result := clientClosed
 		if r, ok := pending.await(disconnected); ok {
@@ -164,7 +175,7 @@
 		if result != delivered {
 			c.Conn.Close() // The commandReader sees that and cancels what is in flight for the client.
 		}
-		pending.delivery <- result
+		pending.reportDelivery(result)
 		c.EndReply()
 	}
 }
--- a/routing/events.go
+++ b/routing/events.go
@@ -39,10 +39,11 @@
 // attemptResult is how an attempt ended.
 type attemptResult struct {
 	attempt
-	end         transport.End
-	answer      []byte      // for the client; nil without one
-	value       *largeValue // nil unless a large value began
-	latency     int64       // in ns, until a large value began; 0 otherwise: then measured when the event is handled
-	cacheResult int         // as stated by the server
-	load        []float64   // the server's load report; nil without one
+	end            transport.End
+	answer         []byte      // for the client; nil without one
+	reservedMemory int64       // bytes of the memory account that the attempt still holds
+	value          *largeValue // nil unless a large value began
+	latency        int64       // in ns, until a large value began; 0 otherwise: then measured when the event is handled
+	cacheResult    int         // as stated by the server
+	load           []float64   // the server's load report; nil without one
 }
--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -28,10 +28,11 @@
 
 // client is what an exchange needs to know of the client that sent its request.
 type client struct {
-	receivedAt   time.Time       // when the request's last byte arrived at this machine; its timeout counts from then
-	onAdmitted   func()          // called once the request is admitted
-	disconnected <-chan struct{} // closed once the client's disconnect has been read; nil if it never disconnects
-	hasEnded     func() bool     // checks the connection itself; nil if there is no connection
+	receivedAt    time.Time       // when the request's last byte arrived at this machine; its timeout counts from then
+	repliesBefore func() int      // returns how many replies are owed to it before the request's own; nil: none ever
+	onAdmitted    func()          // called once the request is admitted
+	disconnected  <-chan struct{} // closed once the client's disconnect has been read; nil if it never disconnects
+	hasEnded      func() bool     // checks the connection itself; nil if there is no connection
 }
 
 // hasDisconnected reports whether the client has disconnected, even if the end of its connection has not been read yet.
@@ -39,21 +40,30 @@
 // are handled in any order.
 func (c client) hasDisconnected() bool { return c.hasEnded != nil && c.hasEnded() }
 
+// replyPosition returns how many replies are owed to the client before the request's own.
+func (c client) replyPosition() int {
+	if c.repliesBefore == nil {
+		return 0
+	}
+	return c.repliesBefore()
+}
+
 // exchange handles one request from its arguments through its attempts to its single final reply, and on until its last
-// attempt has ended. The goroutine that runs handleRequest owns it; attempts read only fields that are set before they
-// start.
+// attempt has ended. The client's reading goroutine admits it; from then on the goroutine that calls run owns it.
+// Attempts read only fields that are set before they start.
 type exchange struct {
 	balancer  *Balancer
 	arguments [][]byte
 	isWrite   bool
-	reply     pendingReply
+	reply     *pendingReply
 	client    client
 
 	id             string
 	workload       int
 	slot           int // in the request table
 	events         chan event
-	bytes          int64                   // of memory in use by the request
+	bytes          int64                   // of the request and its reply
+	reservedMemory int64                   // bytes of the memory account that are held until the release
 	connections    []*transport.PooledConn // the connection of each attempt
 	attemptsEnded  int
 	isAnswered     bool // it has its final reply, or its client has disconnected and gets none
@@ -62,15 +72,15 @@
 	record         requestRecord
 }
 
-// handleRequest handles a request from admission to release.
-func (b *Balancer) handleRequest(arguments [][]byte, isWrite bool, reply pendingReply, sender client) {
-	x := &exchange{balancer: b, arguments: arguments, isWrite: isWrite, reply: reply, client: sender}
-	if !x.admit() {
-		return
-	}
-	sender.onAdmitted()
+// newExchange returns the exchange of a request that is to be admitted.
+func (b *Balancer) newExchange(arguments [][]byte, isWrite bool, sender client) *exchange {
+	return &exchange{balancer: b, arguments: arguments, isWrite: isWrite, client: sender}
+}
+
+// run handles an admitted request until it is released.
+func (x *exchange) run() {
 	x.handleEvents()
-	delivery := <-reply.delivery // Until then its reply occupies memory.
+	delivery := <-x.reply.delivery // Until then its reply occupies memory.
 	x.record.answered = time.Since(x.client.receivedAt)
 	x.logEnd(delivery)
 	x.release()
@@ -203,8 +213,8 @@
 		return false
 	}
 	slot.isFinal = true
-	b.requests.bytes += 2 * pieceSize // One piece is read while another is written.
-	x.bytes += 2 * pieceSize
+	b.requests.bytes += largeValueMemory
+	x.bytes += largeValueMemory
 	b.policy.HandleResponseStarted(x.slot, number)
 	return true
 }
@@ -233,7 +243,11 @@
 		slot.isFinal = true
 		x.bytes += int64(len(r.answer))
 		b.requests.bytes += int64(len(r.answer))
-	} else if outcome != policy.OK {
+		x.reservedMemory += r.reservedMemory
+	} else {
+		b.memory.Release(r.reservedMemory)
+	}
+	if !isFinal && outcome != policy.OK {
 		b.counters.increment(counterAttemptPrefix + r.end.String())
 	}
 	if r.load != nil {
@@ -281,6 +295,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.requests.bytes -= x.bytes
+	b.memory.Release(x.reservedMemory)
 	for _, endpoint := range b.requests.slots[x.slot].attemptEndpoints {
 		b.releaseAttempt(endpoint)
 	}
--- a/routing/figures.go
+++ b/routing/figures.go
@@ -18,6 +18,9 @@
 	Late       int // requests whose final answer was sent after the client's timeout
 	Unanswered int // requests whose client stayed connected, but did not read the final answer within writeTimeout
 	Closed     []CloseCount
+
+	ClientMemory      int64 // bytes that clients make the process hold: connections, buffers, requests and responses
+	ClientMemoryLimit int64 // bytes
 }
 
 // Replies counts the final answers to requests of one workload: successes (Settled), rejections (Dismissed) and errors
@@ -52,6 +55,9 @@
 		Late:       c.total(counterLate),
 		Unanswered: c.total(counterUnanswered),
 		Closed:     c.closes(),
+
+		ClientMemory:      b.memory.InUse(),
+		ClientMemoryLimit: b.memory.Limit(),
 	}
 	for name, w := range b.catalog.workloads {
 		f.Replies[w] = Replies{
@@ -117,11 +123,18 @@
 	return all
 }
 
-// Summary logs the counts since the last summary, and the current state. clients is the number of client connections,
-// cpu the CPU time and collections the garbage collections of the process.
-func (b *Balancer) Summary(clients int, cpu time.Duration, collections uint64) {
+// ClientCounts are the numbers of client connections.
+type ClientCounts struct {
+	Connected int
+	Partial   int // of these, the ones in the middle of a command
+}
+
+// Summary logs the counts since the last summary, and the current state. cpu is the CPU time and collections the number
+// of garbage collections of the process.
+func (b *Balancer) Summary(clients ClientCounts, cpu time.Duration, collections uint64) {
 	b.mu.Lock()
-	line := b.log.Info().Int("clients", clients).Int("hosts_open", b.pool.Count()).
+	line := b.log.Info().Int("clients", clients.Connected).Int("clients_partial", clients.Partial).
+		Int64("client_memory_kb", b.memory.InUse()>>10).Int("hosts_open", b.pool.Count()).
 		Int("held", b.requests.indices.InUse()).Int("servers", len(b.endpoints.byName)).Uint64("index", b.list.index).
 		Int64("cpu_ms", cpu.Milliseconds()).Uint64("collections", collections)
 	since := b.counters.sinceSummary()
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -139,6 +139,17 @@
 	return b.counters.total(name)
 }
 
+// handleRequest handles a request from admission to release.
+func (b *Balancer) handleRequest(arguments [][]byte, isWrite bool, pending *pendingReply, sender client) {
+	x := b.newExchange(arguments, isWrite, sender)
+	x.reply = pending
+	if rejection := x.admit(); rejection != nil {
+		pending.reply <- reply{bytes: rejection}
+		return
+	}
+	x.run()
+}
+
 // requestsHeld returns how many requests have not been released.
 func (b *Balancer) requestsHeld() int {
 	b.mu.Lock()
--- a/routing/largevalue.go
+++ b/routing/largevalue.go
@@ -32,7 +32,10 @@
 
 // streamValue streams a large value to the client as it arrives, so that little of it is in memory, and reads the rest
 // of the reply. It returns how that ended, and whether the connection may be reused.
-func (x *exchange) streamValue(conn *transport.PooledConn, size int, result *attemptResult) (end transport.End, isReusable bool) {
+func (x *exchange) streamValue(conn *transport.PooledConn, size int, deadline time.Time, result *attemptResult) (end transport.End, isReusable bool) {
+	if end := x.awaitResponseMemory(conn, largeValueMemory, deadline, result); end != transport.Open {
+		return end, false
+	}
 	body, writer := io.Pipe()
 	result.value = &largeValue{size: size, body: body, isAccepted: make(chan bool, 1)}
 	x.events <- responseStarted{result.number, result.value}
--- a/routing/overflow.go
+++ b/routing/overflow.go
@@ -56,7 +56,7 @@
 // everything is read, and no more of it is kept than fits into the buffer.
 type overflow struct {
 	client  *transport.Client
-	replies chan<- pendingReply
+	replies chan<- *pendingReply
 	run     *rejectionRun // the most recent one; nil if a command was accepted since
 }
 
--- a/routing/reply.go
+++ b/routing/reply.go
@@ -13,25 +13,31 @@
 const writeTimeout = 10 * time.Second
 
 // pendingReply holds a command's position among the client's replies. It receives the reply once there is one, and then
-// how the delivery of that reply ended.
+// how the delivery of that reply ended. If the reply was known from the start, it has no channels.
 type pendingReply struct {
+	known    reply
 	reply    chan reply
 	delivery chan delivery
 }
 
-func newPendingReply() pendingReply { return pendingReply{make(chan reply, 1), make(chan delivery, 1)} }
-
-// immediateReply returns the pending reply of a command whose reply is already known.
-func immediateReply(r reply) pendingReply {
-	pending := newPendingReply()
-	pending.reply <- r
-	return pending
+func newPendingReply() *pendingReply {
+	return &pendingReply{reply: make(chan reply, 1), delivery: make(chan delivery, 1)}
 }
 
+// immediateReply returns the pending reply of a command whose reply is already known. A client may have many of them
+// queued, so they take little memory.
+func immediateReply(r reply) *pendingReply { return &pendingReply{known: r} }
+
+// isKnown reports whether the reply was known from the start.
+func (p *pendingReply) isKnown() bool { return p.reply == nil }
+
 // await returns the reply, or ok false if the client disconnects before there is one. A disconnect may be a half-close,
 // after which the client still reads: a reply that is ready by then is written. If there is none, no later reply may be
 // written either, since the client would take it for this one.
-func (p pendingReply) await(disconnected <-chan struct{}) (r reply, ok bool) {
+func (p *pendingReply) await(disconnected <-chan struct{}) (r reply, ok bool) {
+	if p.isKnown() {
+		return p.known, true
+	}
 	select {
 	case r = <-p.reply:
 		return r, true
@@ -45,6 +51,13 @@
 	}
 }
 
+// reportDelivery tells the request how the delivery of its reply ended.
+func (p *pendingReply) reportDelivery(d delivery) {
+	if !p.isKnown() {
+		p.delivery <- d
+	}
+}
+
 // delivery is how the delivery of a reply ended.
 type delivery int
 
--- a/server/admin_test.go
+++ b/server/admin_test.go
@@ -61,6 +61,7 @@
 	for _, end := range []string{"left", "spared", "garbled", "stuck", "cut_short"} {
 		want += "connections.closed." + end + "=0\n"
 	}
+	want += "memory.clients=0\nmemory.clients_limit=16777216\n" // Half of the 32 MB.
 	if code, text := p.adminRequest("GET", "/metrics"); code != 200 || text != want {
 		t.Fatalf("%d, %q", code, text)
 	}
--- a/server/loglines.go
+++ b/server/loglines.go
@@ -54,7 +54,7 @@
 	{"sibling processes not updated", []string{"error"}},
 	{"stall detected", []string{"cause", "duration_ms", "wakeup_delay_ms", "cpu_ms", "run_delay_ms", "gc_pause_ms", "scheduling_latency_ms",
 		"gc_cycles", "cpu_before_ms", "resume_signals", "steal_ms", "lock_ms", "accept_ms", "log_ms", "goroutines", "suppressed", "functions"}},
-	{"summary", []string{"clients", "hosts_open", "held", "servers", "index", "cpu_ms", "collections"}},
+	{"summary", []string{"clients", "clients_partial", "client_memory_kb", "hosts_open", "held", "servers", "index", "cpu_ms", "collections"}},
 	{"request", nil},
 	{"request ended badly", []string{"problem", "suppressed"}},
 	{"client connection closed", []string{"client", "end", "age_ms", "commands"}},
--- a/server/resources.go
+++ b/server/resources.go
@@ -60,11 +60,14 @@
 // collectorPercent is GOGC by the memory, in its MB: a small machine collects sooner.
 func collectorPercent(memory int64) int { return int(min(400, max(50, memory>>20))) }
 
-// clientMemory is how much the buffers of clients may hold.
-func clientMemory(memory int64) int64 { return memory / 3 }
+// clientMemory is how much clients may make the process hold, in all: connections, buffers, requests and responses.
+func clientMemory(memory int64) int64 { return memory / 2 }
 
-// balancerMemory is how much the requests in flight may hold.
-func balancerMemory(memory int64) int64 { return memory / 6 }
+// largeValueMemory is how much of that the buffers of clients' large values may hold.
+func largeValueMemory(memory int64) int64 { return memory / 3 }
+
+// requestMemory is how much of that the commands in flight and their responses may hold.
+func requestMemory(memory int64) int64 { return memory / 6 }
 
 // resourceLimits lays limits on what takes a process's resources. Each of its parts has locks of its own.
 type resourceLimits struct {
@@ -86,8 +89,9 @@
 // set sets what this process may use from now on, and which share of the balancer's attempts it sends. It returns the
 // numbers of connections.
 func (l resourceLimits) set(allowed siblings.Resources, attemptShare float64) (clients, endpoints int) {
-	l.listener.Budget.SetTotal(clientMemory(allowed.MemoryBytes))
-	l.balancer.SetLimits(balancerMemory(allowed.MemoryBytes), attemptShare)
+	l.listener.Memory.SetLimit(clientMemory(allowed.MemoryBytes))
+	l.listener.Budget.SetTotal(largeValueMemory(allowed.MemoryBytes))
+	l.balancer.SetLimits(requestMemory(allowed.MemoryBytes), attemptShare)
 	return l.setConnectionLimits(int(allowed.ClientConnections), int(allowed.EndpointConnections))
 }
 
--- a/server/run.go
+++ b/server/run.go
@@ -83,7 +83,8 @@
 
 func (s *Server) logSummary() {
 	cpu, collections := s.usage.SinceLast()
-	s.balancer.Summary(s.listener.Count(), cpu, collections)
+	clients := routing.ClientCounts{Connected: s.listener.Count(), Partial: s.listener.CountPartial()}
+	s.balancer.Summary(clients, cpu, collections)
 }
 
 // reload reads both configuration files again (SIGHUP). If either is bad, neither is taken: what was in force stays.
--- a/transport/budget.go
+++ b/transport/budget.go
@@ -10,8 +10,9 @@
 // large buffers could be dropped faster than the garbage collector reclaims them, and the heap would grow past the
 // process's memory limit. It is safe for concurrent use. A nil Budget grants no buffers.
 type Budget struct {
-	available, total atomic.Int64 // bytes
-	free             sync.Map     // released buffers: size to *sync.Pool of *[]byte, emptied by the garbage collector
+	Memory           *MemoryAccount // bounds all memory for clients, of which the budget is a part; set before use
+	available, total atomic.Int64   // bytes
+	free             sync.Map       // released buffers: size to *sync.Pool of *[]byte, emptied by the garbage collector
 }
 
 // NewBudget returns a budget of the given number of bytes.
@@ -35,6 +36,10 @@
 		b.available.Add(int64(size))
 		return nil, 0
 	}
+	if !b.Memory.Reserve(int64(size), 0) {
+		b.available.Add(int64(size))
+		return nil, 0
+	}
 	if reused, _ := b.freeOfSize(size).Get().(*[]byte); reused != nil {
 		return (*reused)[:n], size
 	}
@@ -47,6 +52,7 @@
 		buffer = buffer[:size]
 		b.freeOfSize(size).Put(&buffer)
 		b.available.Add(int64(size))
+		b.Memory.Release(int64(size))
 	}
 }
 
--- a/transport/client.go
+++ b/transport/client.go
@@ -23,6 +23,19 @@
 	defaultFirstCommandTimeout = 2700 * time.Millisecond
 	// defaultCommandTimeout is the time from the first byte of each later command within which it must be complete.
 	defaultCommandTimeout = 10 * time.Second
+	// memoryWaitTimeout bounds how long a client waits for the memory that the rest of its command needs, and
+	// memoryRetryInterval is how often that is tried.
+	memoryWaitTimeout   = 250 * time.Millisecond
+	memoryRetryInterval = 5 * time.Millisecond
+
+	// clientMemory is what a connected client takes, in bytes: the stacks of its two goroutines, its first buffer, and
+	// the replies that are queued for it.
+	clientMemory = 16 << 10
+
+	// maxPipelineReserve: a client to which this many replies are owed, or more, has to leave half of the memory free when
+	// its buffer grows; one with fewer, less. So clients that send much at once do not hold up the others.
+	maxPipelineReserve = 64
+
 	// firstCommandGrace is how long a new client is protected from eviction, so that it can send a first command.
 	firstCommandGrace = 500 * time.Millisecond
 )
@@ -34,6 +47,7 @@
 	Conn
 	listener          *Listener
 	pendingReplies    int       // replies owed; listener.mu guards this and the fields up to idleSince
+	repliesEnded      int       // replies that are done
 	validCommands     int       // valid commands received
 	isClosing         bool      // to be closed once no reply is owed
 	isAwaitingReplies bool      // the reader must be woken by each reply
@@ -42,6 +56,13 @@
 
 	connectedAt   time.Time // when it was accepted; immutable
 	overfullSince time.Time // start of more being pending than the buffer holds, else zero; used by the reader only
+	shortSince    time.Time // start of a wait for memory, else zero; used by the reader only
+}
+
+// KeepFree returns how many bytes of memory are to stay free when this many replies are owed to a client and more is to
+// be held for it.
+func KeepFree(memory *MemoryAccount, pendingReplies int) int64 {
+	return memory.Limit() / 2 * int64(min(pendingReplies, maxPipelineReserve)) / maxPipelineReserve
 }
 
 // idleTimeout returns how long the client may stay between commands. The short timeouts protect descriptors and memory
@@ -107,6 +128,7 @@
 		c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
 	c.listener.mu.Unlock()
+	c.releaseBuffer()
 	_, _ = io.CopyN(io.Discard, c, maxLingerBytes)
 }
 
@@ -120,11 +142,20 @@
 	return c.validCommands
 }
 
-// BeginReply records that one more reply is owed to the client. Each BeginReply needs exactly one EndReply.
-func (c *Client) BeginReply() {
+// BeginReply records that one more reply is owed to the client, and returns its number, from 1. Each BeginReply needs
+// exactly one EndReply.
+func (c *Client) BeginReply() (number int) {
 	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	c.pendingReplies++
-	c.listener.mu.Unlock()
+	return c.repliesEnded + c.pendingReplies
+}
+
+// RepliesBefore returns how many replies are still owed to the client before the one of a given number.
+func (c *Client) RepliesBefore(number int) int {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return max(0, number-1-c.repliesEnded)
 }
 
 // CountValidCommand records that the client has sent a valid command.
@@ -140,6 +171,7 @@
 func (c *Client) EndReply() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
+	c.repliesEnded++
 	if c.pendingReplies--; c.pendingReplies == 0 {
 		if c.validCommands > 0 {
 			c.idleSince = time.Now()
@@ -156,21 +188,18 @@
 
 // Fill reads once more and returns Open, or how the connection ended. startedAt is when the first byte of the current
 // command arrived, or zero if there is none. ClosedIdle means that the client was marked as closing, no reply was owed,
-// nothing was left to be read, and Fill has closed the connection. Only the reading goroutine may call it.
+// nothing was left to be read, and Fill has closed the connection. LocalShortage means that there was no memory for the
+// rest of the command in time; the connection stays open. Only the reading goroutine may call it.
 func (c *Client) Fill(startedAt time.Time) End {
 	for {
-		if end := c.ensureSpace(); end != Open {
-			return end
-		}
-		c.listener.mu.Lock()
-		c.hasPartialCommand = len(c.Unread()) > 0
-		if c.closeIfIdle() {
-			c.listener.mu.Unlock()
-			return ClosedIdle
+		end, pendingReplies := c.prepareRead(startedAt)
+		switch end {
+		case Open:
+			c.shortSince = time.Time{}
+			end = c.readAvailable()
+		case LocalShortage:
+			end = c.awaitMemory(pendingReplies)
 		}
-		c.SetReadDeadline(c.commandDeadline(startedAt))
-		c.listener.mu.Unlock()
-		end := c.readAvailable()
 		if end != TimedOutBeforeSent {
 			return end
 		}
@@ -185,6 +214,41 @@
 	}
 }
 
+// prepareRead makes space for a read and sets its deadline, and returns Open and how many replies are owed to the client.
+// It returns ClosedIdle if it has closed the connection, and an error as ensureSpace does.
+func (c *Client) prepareRead(startedAt time.Time) (end End, pendingReplies int) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.hasPartialCommand = len(c.Unread()) > 0
+	if c.closeIfIdle() {
+		return ClosedIdle, 0
+	}
+	deadline := c.commandDeadline(startedAt)
+	end = c.ensureSpace(KeepFree(c.memory, c.pendingReplies))
+	if end == LocalShortage {
+		deadline = time.Now().Add(memoryRetryInterval)
+	}
+	c.SetReadDeadline(deadline)
+	return end, c.pendingReplies
+}
+
+// awaitMemory waits until the read deadline, after which memory is to be tried again (TimedOutBeforeSent). A client to
+// which replies are owed waits for only as long as its disconnect may go unnoticed behind unread bytes.
+func (c *Client) awaitMemory(pendingReplies int) End {
+	now, timeout := time.Now(), memoryWaitTimeout
+	if pendingReplies > 0 {
+		timeout = overfullTimeout
+	}
+	if c.shortSince.IsZero() {
+		c.shortSince = now
+	}
+	if now.Sub(c.shortSince) > timeout {
+		c.shortSince = time.Time{}
+		return LocalShortage
+	}
+	return c.awaitHangup()
+}
+
 // closeIfIdle closes a client that is marked as closing if no reply is owed to it and nothing is left to be read, and
 // reports whether it did. A command that has begun may be completed within its time, except if the client has sent no
 // valid command and its place is needed for others. The close follows the check under the same lock: a command that
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -34,13 +34,15 @@
 type Conn struct {
 	net.Conn
 	buffer        []byte
-	start, end    int           // bounds of the unread bytes in the buffer
-	budget        *Budget       // for a buffer over MaxBuffer; if nil, the buffer can't grow beyond that
-	budgetedBytes int           // bytes that the buffer takes from the budget; 0 for an ordinary buffer
-	arrivalTimes  *arrivalTimes // of a client's bytes; nil if not recorded
-	peer          Peer          // pooled connections only: the server
-	idleAt        time.Time     // pooled connections only: when it became idle
-	dialDuration  time.Duration // pooled connections only: how long the dial took
+	start, end    int            // bounds of the unread bytes in the buffer
+	budget        *Budget        // for a buffer over MaxBuffer; if nil, the buffer can't grow beyond that
+	budgetedBytes int            // bytes that the buffer takes from the budget; 0 for an ordinary buffer
+	memory        *MemoryAccount // for an ordinary buffer over initialBuffer; nil: unlimited
+	reservedBytes int64          // bytes that the buffer takes from memory
+	arrivalTimes  *arrivalTimes  // of a client's bytes; nil if not recorded
+	peer          Peer           // pooled connections only: the server
+	idleAt        time.Time      // pooled connections only: when it became idle
+	dialDuration  time.Duration  // pooled connections only: how long the dial took
 }
 
 // Unread returns the bytes that were read and not skipped. The slice is valid until the next Fill or Skip.
@@ -53,8 +55,8 @@
 	}
 	if c.start += n; c.start == c.end {
 		c.start, c.end = 0, 0
-		if c.releaseBuffer(); len(c.buffer) > maxIdleBuffer {
-			c.buffer = nil // Many idle connections that each once carried a large value would use much memory.
+		if len(c.buffer) > maxIdleBuffer || len(c.buffer) > initialBuffer && c.memory.isScarce() {
+			c.releaseBuffer() // Many idle connections that each once carried a large value would use much memory.
 		}
 	}
 }
@@ -87,28 +89,52 @@
 	if grown == nil {
 		return LocalShortage
 	}
-	c.start, c.end, c.buffer, c.budgetedBytes = 0, copy(grown, c.Unread()), grown, size
+	end := copy(grown, c.Unread())
+	c.releaseBuffer()
+	c.end, c.buffer, c.budgetedBytes = end, grown, size
 	return Open
 }
 
-// releaseBuffer returns the buffer to the budget if it came from there.
+// releaseBuffer drops the buffer with the unread bytes in it, and returns its memory.
 func (c *Conn) releaseBuffer() {
 	if c.budgetedBytes > 0 {
 		c.budget.releaseFunc(c.buffer, c.budgetedBytes)()
-		c.buffer, c.start, c.end, c.budgetedBytes = nil, 0, 0, 0
 	}
+	c.memory.Release(c.reservedBytes)
+	c.buffer, c.start, c.end, c.budgetedBytes, c.reservedBytes = nil, 0, 0, 0, 0
+}
+
+// NextBuffer returns the size in bytes of the buffer that the next read needs: the present one's unless that is full.
+func (c *Conn) NextBuffer() int {
+	if c.end < len(c.buffer) || c.start > 0 {
+		return len(c.buffer)
+	}
+	return min(MaxBuffer, max(initialBuffer, 2*len(c.buffer)))
 }
 
 // EnlargeEmptyBuffer grows an empty buffer to maxIdleBuffer, for a caller that is about to read and discard many bytes.
+// It does nothing while memory is scarce.
 func (c *Conn) EnlargeEmptyBuffer() {
-	if c.start == c.end && len(c.buffer) < maxIdleBuffer {
+	if c.start == c.end && len(c.buffer) < maxIdleBuffer && c.reserveBuffer(maxIdleBuffer, c.memory.Limit()/2) {
 		c.buffer = make([]byte, maxIdleBuffer)
 	}
 }
 
+// reserveBuffer reserves the memory for an ordinary buffer of so many bytes in place of the present one, and reports
+// whether it did. The first initialBuffer bytes are part of what a connection takes. It leaves keepFree bytes free.
+func (c *Conn) reserveBuffer(size int, keepFree int64) bool {
+	more := int64(max(0, size-initialBuffer)) - c.reservedBytes
+	if !c.memory.Reserve(more, keepFree) {
+		return false
+	}
+	c.reservedBytes += more
+	return true
+}
+
 // ensureSpace makes space for a read after the unread bytes, by compacting or growing the buffer. It returns Malformed
-// if a message is longer than the buffer may grow.
-func (c *Conn) ensureSpace() End {
+// if a message is longer than the buffer may grow, and LocalShortage if no more than keepFree bytes of memory would be
+// left after growing.
+func (c *Conn) ensureSpace(keepFree int64) End {
 	switch {
 	case c.end < len(c.buffer):
 	case c.start > 0:
@@ -117,7 +143,11 @@
 	case len(c.buffer) >= MaxBuffer:
 		return Malformed
 	default:
-		grown := make([]byte, min(MaxBuffer, max(initialBuffer, 2*len(c.buffer))))
+		size := c.NextBuffer()
+		if !c.reserveBuffer(size, keepFree) {
+			return LocalShortage
+		}
+		grown := make([]byte, size)
 		copy(grown, c.buffer)
 		c.buffer = grown
 	}
@@ -127,7 +157,7 @@
 // Fill reads once more, until the deadline. isSent tells that the read is for the response to a message whose last byte
 // was handed to the kernel, which decides the End that a failure is reported as.
 func (c *Conn) Fill(deadline time.Time, isSent bool) End {
-	if end := c.ensureSpace(); end != Open {
+	if end := c.ensureSpace(0); end != Open {
 		return end
 	}
 	if err := c.SetReadDeadline(deadline); err != nil {
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -34,6 +34,7 @@
 // The exported fields must be set before Serve is called and not changed after that.
 type Listener struct {
 	Budget              *Budget         // for clients' large values; if nil, clients can't send any
+	Memory              *MemoryAccount  // bounds what clients make the process hold; if nil, unlimited
 	OnAcceptError       func(err error) // called with the first error of each series of failed accepts
 	AdmissionWatchdog   Watchdog        // tracks how long an accepted connection waits for the client limit
 	Stalls              *StallClock     // records when the process did not run; if nil, it is assumed to run always
@@ -217,7 +218,7 @@
 func (l *Listener) admit(inner net.Conn, backlog *acceptBacklog, called time.Time, serve func(*Client)) {
 	acceptedAt := time.Now()
 	pendingSince := backlog.connectedSince(called, acceptedAt)
-	c := &Client{Conn: Conn{Conn: inner, budget: l.Budget}, listener: l, connectedAt: acceptedAt, idleSince: acceptedAt}
+	c := &Client{Conn: Conn{Conn: inner, budget: l.Budget, memory: l.Memory}, listener: l, connectedAt: acceptedAt, idleSince: acceptedAt}
 	l.mu.Lock()
 	if l.evictIdle(); len(l.clients) >= l.limit {
 		l.AdmissionWatchdog.Begin()
@@ -228,6 +229,7 @@
 	c.arrivalTimes = newArrivalTimes(l.Stalls, pendingSince, time.Now())
 	l.clients[c] = true
 	l.mu.Unlock()
+	l.Memory.Add(clientMemory)
 	l.serving.Add(1)
 	go l.serveClient(c, serve)
 }
@@ -239,6 +241,7 @@
 	serve(c)
 	c.Close()
 	c.releaseBuffer()
+	l.Memory.Release(clientMemory)
 	l.mu.Lock()
 	delete(l.clients, c)
 	l.capacityChanged.Signal()
@@ -262,6 +265,18 @@
 	return wasBlocking
 }
 
+// CountPartial returns how many clients are in the middle of a command.
+func (l *Listener) CountPartial() (count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.clients {
+		if c.hasPartialCommand && c.pendingReplies == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // Count returns how many clients are connected.
 func (l *Listener) Count() int {
 	l.mu.Lock()
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -21,6 +21,8 @@
 	// briefIdleTimeout is the idle timeout of connections to servers that are assigned to other balancers. It is long
 	// enough for an immediate second request for the same key to find one.
 	briefIdleTimeout = 500 * time.Millisecond
+
+	pooledConnMemory = 4 << 10 // bytes that an open connection takes, with a first buffer
 )
 
 // Peer identifies a server by its index and address. The address alone is not enough: a new server may take over the
@@ -32,7 +34,10 @@
 
 // Pool keeps idle connections by server and address, and limits how many are open. A connection carries one attempt at
 // a time, so that cancelling an attempt, which closes its connection, affects no other. The pool itself sends nothing.
+//
+// Memory must be set before the first connection is opened.
 type Pool struct {
+	Memory       *MemoryAccount // for open connections; if nil, unlimited
 	dialer       net.Dialer
 	minReuseIdle time.Duration // the constant minReuseIdle, except in tests
 	holdback     time.Duration // minHoldback, except in tests
@@ -66,8 +71,7 @@
 		if hasBytes, hasEnded := c.peek(); !hasBytes && !hasEnded && idle < p.idleTimeout {
 			return c
 		}
-		c.Close()
-		p.open--
+		p.closeConn(c)
 	}
 	return nil
 }
@@ -77,10 +81,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open > p.limit {
-		c.Close()
-		p.open--
+		p.closeConn(c)
 		return
 	}
+	if len(c.buffer) > initialBuffer {
+		c.releaseBuffer()
+	}
 	c.idleAt = time.Now()
 	p.idle[c.peer] = append(p.idle[c.peer], c)
 }
@@ -94,16 +100,29 @@
 		return false
 	}
 	p.open++
+	p.Memory.Add(pooledConnMemory)
 	return true
 }
 
 // release stops counting a connection that was reserved and is closed or was never opened.
 func (p *Pool) release() {
 	p.mu.Lock()
-	p.open--
+	p.countClosed()
 	p.mu.Unlock()
 }
 
+// closeConn closes an idle connection. The caller must hold p.mu.
+func (p *Pool) closeConn(c *Conn) {
+	c.Close()
+	p.countClosed()
+}
+
+// countClosed stops counting a connection. The caller must hold p.mu.
+func (p *Pool) countClosed() {
+	p.open--
+	p.Memory.Release(pooledConnMemory)
+}
+
 // closeOldestIdle closes the connection that has been idle longest, and returns false if none is idle. The caller must
 // hold p.mu.
 func (p *Pool) closeOldestIdle() bool {
@@ -116,9 +135,8 @@
 	if oldest == nil {
 		return false
 	}
-	oldest.Close()
 	p.idle[oldest.peer] = slices.Delete(p.idle[oldest.peer], 0, 1)
-	p.open--
+	p.closeConn(oldest)
 	return true
 }
 
@@ -136,8 +154,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle[to] {
-		c.Close()
-		p.open--
+		p.closeConn(c)
 	}
 	delete(p.idle, to)
 }
@@ -154,8 +171,7 @@
 		}
 		n := 0
 		for n < len(list) && time.Since(list[n].idleAt) >= timeout {
-			list[n].Close()
-			p.open--
+			p.closeConn(list[n])
 			n++
 		}
 		if p.idle[peer] = slices.Delete(list, 0, n); n == len(list) {
--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -141,6 +141,13 @@
 	pc.cancelLocked()
 }
 
+// IsCancelled reports whether the attempt was cancelled.
+func (pc *PooledConn) IsCancelled() bool {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	return pc.isCancelled
+}
+
 // CancelUnsent cancels the attempt unless the last byte of the message was handed to the kernel.
 func (pc *PooledConn) CancelUnsent() {
 	pc.mu.Lock()
