Skip a command for which there is no memory, in place of dropping those behind it

Cause: commandReader.readMore treated a shortage as a command that breaks the protocol, after which the start of the next one is unknown. But the length of a command is known once the header of its last element has come, which frameLength now states.

Change: the command is answered -BUSY, counted as rejected.memory, and its remaining bytes are read and dropped; what follows is handled. Only where the length is not known yet the connection ends as before.

--- a/protocol/command.go
+++ b/protocol/command.go
@@ -59,10 +59,11 @@
 	return arguments, length, nil
 }
 
-// MinCommandLength returns the minimum length in bytes of an incomplete command, or 0 if it is not known yet.
-func MinCommandLength(received []byte) int {
-	_, minLength, _ := frameLength(received, MaxLargeValue)
-	return minLength
+// MinCommandLength returns the minimum length in bytes of an incomplete command, or 0 if it is not known yet. isExact
+// reports that it is the length of the whole command.
+func MinCommandLength(received []byte) (length int, isExact bool) {
+	_, expected, _ := frameLength(received, MaxLargeValue)
+	return expected.min, expected.isExact
 }
 
 // ParseRequest returns a command's verb. If the command is a request, it also validates the arguments and returns
--- a/protocol/frame.go
+++ b/protocol/frame.go
@@ -47,14 +47,19 @@
 	return length, err
 }
 
-// frameLength does what completeLength does and also returns the minimum length of the message, derived from the
-// lengths received so far; 0 if it is not known yet.
-func frameLength(received []byte, maxBulk int) (length, minLength int, err error) {
+// expectedLength is what is known of the length of a message before all of it is received.
+type expectedLength struct {
+	min     int  // bytes, derived from the lengths received so far; 0 if it is not known yet
+	isExact bool // the message has min bytes: the length of its last element has been received
+}
+
+// frameLength does what completeLength does and also returns the expected length of the message.
+func frameLength(received []byte, maxBulk int) (length int, expected expectedLength, err error) {
 	at := 0
 	for remaining := 1; remaining > 0; remaining-- {
 		line, isComplete, err := nextLine(received[at:])
 		if err != nil || !isComplete {
-			return 0, 0, err
+			return 0, expectedLength{}, err
 		}
 		isFirst := at == 0
 		at += len(line) + len(lineEnd)
@@ -63,16 +68,16 @@
 		case '*':
 			n, err := parseLength(line[1:])
 			if err != nil {
-				return 0, 0, err
+				return 0, expectedLength{}, err
 			}
 			if n > maxElements || !isFirst {
-				return 0, 0, ErrLength // No valid message nests arrays or has this many elements.
+				return 0, expectedLength{}, ErrLength // No valid message nests arrays or has this many elements.
 			}
 			remaining += max(0, n)
 		case '$':
 			n, err := parseLength(line[1:])
 			if err != nil {
-				return 0, 0, err
+				return 0, expectedLength{}, err
 			}
 			if n < 0 {
 				continue
@@ -80,18 +85,18 @@
 			end := at + n + len(lineEnd)
 			switch {
 			case n > maxBulk, n > MaxValue && remaining > 1, end > max(n, MaxValue)+maxFraming:
-				return 0, 0, ErrLength
+				return 0, expectedLength{}, ErrLength
 			case len(received) < end:
-				return 0, end, nil
+				return 0, expectedLength{min: end, isExact: remaining == 1}, nil
 			case string(received[at+n:end]) != lineEnd:
-				return 0, 0, ErrMalformed
+				return 0, expectedLength{}, ErrMalformed
 			}
 			at = end
 		default:
-			return 0, 0, ErrMalformed
+			return 0, expectedLength{}, ErrMalformed
 		}
 	}
-	return at, at, nil
+	return at, expectedLength{min: at, isExact: true}, nil
 }
 
 // nextLine returns the first line of received, without its line end, and whether the line is complete.
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -21,7 +21,8 @@
 		"*1\n", "*1\r\n$-1\r\n", "*1\r\n$-7\r\nx\r\n", "*1\r\n$3\r\nabcde", "*1\r\n:5\r\n", "*1\r\n*1\r\n$1\r\na\r\n", "*17\r\n", "*1\r\n$65537\r\n", "*3\r\n$65537\r\n",
 		"*1\r\n$4194305\r\n", "*1\r\n$99999999999999999999\r\n", "*1\r\n!1\r\n", strings.Repeat("*", 2000), "\x89?d\xfcD\r\n\xcb%mq"} {
 		arguments, length, err := ParseCommand([]byte(received))
-		fmt.Fprintf(&out, "command %.60q: %q %d needs %d, %v\n", received, arguments, length, MinCommandLength([]byte(received)), err)
+		needed, _ := MinCommandLength([]byte(received))
+		fmt.Fprintf(&out, "command %.60q: %q %d needs %d, %v\n", received, arguments, length, needed, err)
 	}
 	for _, list := range []string{"c=read,t=acme,d=480.5,k=5c,r=1,h=2500,size=9", "c=read,d=0", "", "c=read", "d=5", "c=read,d", "c=read,d=-1", "c=read,d=inf", "c=read,d=0x1p4",
 		"c=read,d=1e3", "c=read,d=.5", "c=read,d=3600000", "c=read,d=3600001", "c=read,d=5,h=x", "c=read,c=book,d=5,d=6", "c=,d=5"} {
--- a/protocol/response.go
+++ b/protocol/response.go
@@ -53,8 +53,8 @@
 
 // MinResponseLength returns the minimum length in bytes of an incomplete response, or 0 if it is not known yet.
 func MinResponseLength(received []byte) int {
-	_, minLength, _ := frameLength(received, MaxValue)
-	return minLength
+	_, expected, _ := frameLength(received, MaxValue)
+	return expected.min
 }
 
 // parseValueResponse parses a response that is an array of responseElements elements. Only the value is required.
--- a/routing/clientconn.go
+++ b/routing/clientconn.go
@@ -53,12 +53,19 @@
 	replies      chan<- *pendingReply
 	disconnected <-chan struct{}
 	partialSince time.Time // when a partial command was first seen; zero between commands
+	discarding   int       // bytes of a rejected command that are still to be read and discarded
 	overflow     overflow
 }
 
 // run reads until the client's connection ends, and returns how it ended.
 func (r *commandReader) run() transport.End {
 	for {
+		if r.discarding > 0 {
+			if end := r.discard(); end != transport.Open {
+				return end
+			}
+			continue
+		}
 		if end := r.overflow.awaitCapacity(r.balancer); end != transport.Open {
 			return end
 		}
@@ -89,18 +96,42 @@
 	} else if r.partialSince.IsZero() {
 		r.partialSince = time.Now()
 	}
-	end := c.Grow(protocol.MinCommandLength(c.Unread()))
+	length, isExact := protocol.MinCommandLength(c.Unread())
+	end := c.Grow(length)
 	if end == transport.Open {
 		end = c.Fill(r.partialSince)
 	}
 	if end != transport.LocalShortage {
 		return end
 	}
-	// The command was not started, and the rest of it cannot be read: the connection ends as after a command that breaks
-	// the protocol.
-	c.BeginReply()
-	r.queueReply(protocol.AppendRejected(nil, 0))
-	return transport.Malformed
+	r.rejectPartial()
+	if !isExact {
+		return transport.Malformed // Where the next command starts is unknown, as after a command that breaks the protocol.
+	}
+	r.discarding = length
+	return transport.Open
+}
+
+// rejectPartial rejects the command that has begun, for which there is no memory. It was not started.
+func (r *commandReader) rejectPartial() {
+	b := r.balancer
+	b.mu.Lock()
+	b.counters.increment(counterRejectedMemory)
+	b.mu.Unlock()
+	r.overflow.reject()
+}
+
+// discard reads on to the end of a rejected command, so that the commands behind it are handled.
+func (r *commandReader) discard() transport.End {
+	c := r.client
+	skipped := min(r.discarding, len(c.Unread()))
+	c.Skip(skipped)
+	if r.discarding -= skipped; r.discarding == 0 {
+		r.partialSince = time.Time{}
+		return transport.Open
+	}
+	c.EnlargeEmptyBuffer()
+	return c.Fill(r.partialSince)
 }
 
 // handle replies to a command, or starts a request. It returns ClientDisconnected if the client of a request has
--- a/routing/memory_test.go
+++ b/routing/memory_test.go
@@ -25,6 +25,30 @@
 	})
 }
 
+// There is no memory for a long command of a client that has sent others behind it. It is rejected alone: the others,
+// which may have arrived in full, must be answered.
+func TestCommandsBehindRejectedLongOneAreAnswered(t *testing.T) {
+	for name, size := range map[string]int{"ordinary": 60000, "large": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			h := scriptedServer(t)
+			b, address := serveWithMemory(t, h.Address, 64<<10)
+			c := dial(t, address)
+			go io.WriteString(c, fakes.Words("C.SET", "k", "1", "c=report,t=acme,k=1,d=2000", strings.Repeat("v", size))+getCommand("2", "c=read,t=acme,d=20000"))
+			go receive(t, h.Came, "the command behind the rejected one").Say(fakes.Settled("served"))
+			reader := bufio.NewReader(c)
+			c.SetReadDeadline(time.Now().Add(slowEventTimeout))
+			for _, want := range []string{"-BUSY", "served"} {
+				if words, err := fakes.Message(reader); err != nil || strings.Join(words, " ") != want {
+					t.Fatalf("reply %q, %v; want %s", words, err, want)
+				}
+			}
+			if n := b.counted(counterRejectedMemory); n != 1 {
+				t.Errorf("%d commands are counted as rejected for memory", n)
+			}
+		})
+	}
+}
+
 // A client sends many requests at once whose responses are long. Those for which there is no memory wait in the kernel,
 // and come once the client has read others; none is lost, and all memory is returned.
 func TestLongResponsesWaitForMemory(t *testing.T) {
--- a/routing/overflow.go
+++ b/routing/overflow.go
@@ -52,7 +52,7 @@
 }
 
 // overflow rejects the commands that one client sends beyond the capacity of its buffer while maxPipelined commands are
-// in flight. A disconnect has to be detected soon, but is read only after all that the client sent before it. So
+// in flight, and those for which there is no memory. A disconnect has to be detected soon, but is read only after all that the client sent before it. So
 // everything is read, and no more of it is kept than fits into the buffer.
 type overflow struct {
 	client  *transport.Client
@@ -85,15 +85,20 @@
 		}
 		b.countRejectedCommand(arguments)
 		o.client.Skip(length)
-		if o.run == nil || !o.run.add() {
-			o.run = &rejectionRun{count: 1}
-			o.client.BeginReply()
-			o.replies <- immediateReply(reply{rejected: o.run})
-		}
+		o.reject()
 	}
 	return isAnyRejected
 }
 
+// reject queues the rejection of one more command.
+func (o *overflow) reject() {
+	if o.run == nil || !o.run.add() {
+		o.run = &rejectionRun{count: 1}
+		o.client.BeginReply()
+		o.replies <- immediateReply(reply{rejected: o.run})
+	}
+}
+
 // countRejectedCommand counts a rejected command as not admitted, under its workload.
 func (b *Balancer) countRejectedCommand(arguments [][]byte) {
 	verb, err := protocol.ParseRequest(arguments)
--- a/transport/client.go
+++ b/transport/client.go
@@ -219,7 +219,7 @@
 func (c *Client) prepareRead(startedAt time.Time) (end End, pendingReplies int) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.hasPartialCommand = len(c.Unread()) > 0
+	c.hasPartialCommand = len(c.Unread()) > 0 || !startedAt.IsZero()
 	if c.closeIfIdle() {
 		return ClosedIdle, 0
 	}
