Close clients that stop in the middle of a command, and make room where transfers take too long

Three seconds are owed.

Cause: one valid command raised a client's time for the next from 2.7 s to 10 s, however little of it came, and took it out of what may be evicted (evictIdle, closeIfIdle). The listener waited in awaitCapacity for a client to end; a client that became evictable by time alone woke nobody.

The same cause elsewhere: a client that does not read a reply was never evicted, with 10 s a write, so for minutes with a long value; one that trickles bytes kept its 10 s; so did both at a planned restart, where nobody else in the backlog was served; one that lingers after its last reply was spared as if it were in the middle of a command.

Change: a pause of 2.7 s in a later command ends it, as for a first one; its 10 s in all stay. Slow clients that pause for 2 s keep their place, so do 60 KB in six seconds where nobody waits, and bytes that arrived while the client waited for its place or the process was stalled are read before its time is called over.

--- a/routing/overflow.go
+++ b/routing/overflow.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"sync"
-	"time"
 
 	"hollylever/protocol"
 	"hollylever/transport"
@@ -36,14 +35,14 @@
 }
 
 // writeTo writes the run's replies in batches. It returns false if a write to the client fails.
-func (r *rejectionRun) writeTo(c *transport.Client) bool {
+func (r *rejectionRun) writeTo(w *replyWriter) bool {
 	if r == nil {
 		return true
 	}
 	answer := protocol.AppendRejected(nil, 0)
 	for remaining := r.close(); remaining > 0; {
 		batch := min(remaining, pieceSize/len(answer))
-		if c.Send(bytes.Repeat(answer, batch), time.Now().Add(writeTimeout)) != transport.Open {
+		if w.write(bytes.Repeat(answer, batch)) != transport.Open {
 			return false
 		}
 		remaining -= batch
--- a/transport/client.go
+++ b/transport/client.go
@@ -23,6 +23,9 @@
 	defaultFirstCommandTimeout = 2700 * time.Millisecond
 	// defaultCommandTimeout is the time from the first byte of each later command within which it must be complete.
 	defaultCommandTimeout = 10 * time.Second
+	// defaultStallTimeout is how long a client may send nothing in the middle of a later command. Slow clients may pause
+	// for two seconds; one that has stopped must be gone within three.
+	defaultStallTimeout = 2700 * time.Millisecond
 	// memoryWaitTimeout bounds how long a client waits for the memory that the rest of its command needs, and
 	// memoryRetryInterval is how often that is tried.
 	memoryWaitTimeout   = 250 * time.Millisecond
@@ -52,6 +55,9 @@
 	isClosing         bool      // to be closed once no reply is owed
 	isAwaitingReplies bool      // the reader must be woken by each reply
 	hasPartialCommand bool      // part of a command has been read
+	partial           transfer  // of that command
+	sending           transfer  // of the reply that is being written; zero if none is
+	isLingering       bool      // it has had its last reply
 	idleSince         time.Time // when the last reply was done; before the first valid command, when it connected
 
 	connectedAt   time.Time // when it was accepted; immutable
@@ -77,10 +83,13 @@
 	return [...]time.Duration{silentIdleTimeout, firstCommandIdleTimeout, establishedIdleTimeout}[min(c.validCommands, 2)]
 }
 
-// evictionRank orders clients for eviction, lowest first: those without a valid command, those with one, those that
-// have only just connected and had no time to send one, and established clients. The caller must hold listener.mu.
+// evictionRank orders clients for eviction, lowest first: those that have had their last reply, take too long for a
+// command or a reply, or have sent no valid command; those with one; those that have only just connected and had no time
+// to send one; and established clients. The caller must hold listener.mu.
 func (c *Client) evictionRank() int {
 	switch {
+	case c.isLingering, c.hasPartialCommand && c.validCommands > 0, c.sending != transfer{}:
+		return 0
 	case c.validCommands > 1:
 		return 3
 	case c.validCommands == 1:
@@ -102,19 +111,62 @@
 // the wall clock can't move it into the future.
 func (c *Client) interruptRead() { c.SetReadDeadline(time.Unix(1, 0)) }
 
-// commandDeadline returns when a command whose first byte arrived at startedAt must be complete, or zero if startedAt
-// is zero. Clients that have sent a valid command may write slowly. For one that has not, the time counts from its
-// connect: otherwise it could hold its descriptor by sending a byte now and then. The caller must hold listener.mu.
-func (c *Client) commandDeadline(startedAt time.Time) time.Time {
+// commandDeadline returns when the command that has begun must be complete, or zero if none has. Clients that have sent a valid
+// command may write slowly, as long as they go on writing. For one that has not, the time counts from its connect:
+// otherwise it could hold its descriptor by sending a byte now and then. The caller must hold listener.mu.
+func (c *Client) commandDeadline() time.Time {
 	switch {
-	case startedAt.IsZero():
-		return startedAt
+	case c.partial.startedAt.IsZero():
+		return time.Time{}
 	case c.validCommands > 0:
-		return startedAt.Add(c.listener.CommandTimeout)
+		return earlier(c.partial.startedAt.Add(c.listener.CommandTimeout), c.partial.progressAt.Add(c.listener.StallTimeout))
 	}
 	return c.connectedAt.Add(c.listener.FirstCommandTimeout)
 }
 
+func earlier(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+	return other
+}
+
+// SendReply writes a part of a reply, until the deadline. sent is the progress of the reply before it. While it is being
+// written, a client that takes too long may be closed in favor of others.
+func (c *Client) SendReply(part []byte, sent ReplyProgress, deadline time.Time) (ReplyProgress, End) {
+	startedAt := time.Now()
+	sent.bytes += len(part)
+	c.beginSending(transfer{startedAt: startedAt.Add(-sent.duration), bytes: sent.bytes}, deadline)
+	n, err := c.Write(part)
+	c.endSending()
+	sent.duration += time.Since(startedAt)
+	if n == len(part) {
+		return sent, Open
+	}
+	return sent, endOfError(err, false)
+}
+
+// ReplyProgress is how much of a reply has been written; the zero value is that of a reply that has not been begun.
+type ReplyProgress struct {
+	bytes    int
+	duration time.Duration // spent in writes, without the time between them
+}
+
+// beginSending records which reply is being written, and sets the deadline of the write.
+func (c *Client) beginSending(sending transfer, deadline time.Time) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.sending = sending
+	_ = c.SetWriteDeadline(deadline) // Fails only on a closed connection, as the write does then.
+}
+
+// endSending records that nothing is being written.
+func (c *Client) endSending() {
+	c.listener.mu.Lock()
+	c.sending = transfer{}
+	c.listener.mu.Unlock()
+}
+
 // Linger ends the connection after the last reply to a client that may still be sending. It half-closes the connection
 // and discards what it receives. After an immediate full close the kernel would answer further bytes from the client
 // with a reset, and the client would lose the unread reply. The reading goroutine calls it once all replies are
@@ -124,6 +176,7 @@
 		_ = half.CloseWrite() // Fails if the client has disconnected; the read below then ends at once.
 	}
 	c.listener.mu.Lock()
+	c.isLingering, c.hasPartialCommand = true, false
 	if !c.isClosing {
 		c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
@@ -191,8 +244,11 @@
 // nothing was left to be read, and Fill has closed the connection. LocalShortage means that there was no memory for the
 // rest of the command in time; the connection stays open. Only the reading goroutine may call it.
 func (c *Client) Fill(startedAt time.Time) End {
+	progressAt := time.Now()
 	for {
-		end, pendingReplies := c.prepareRead(startedAt)
+		// A read may be interrupted by requestClose, which does not cut the time of a command that has begun. The client's
+		// first command may also be found valid in the meantime, which makes its deadline later.
+		end, pendingReplies := c.prepareRead(transfer{startedAt: startedAt, progressAt: progressAt, bytes: len(c.Unread())})
 		switch end {
 		case Open:
 			c.shortSince = time.Time{}
@@ -203,12 +259,7 @@
 		if end != TimedOutBeforeSent {
 			return end
 		}
-		// The read may have been interrupted by requestClose, which does not cut the time of a command that has begun.
-		// The client's first command may also have been found valid in the meantime, which makes the deadline later.
-		c.listener.mu.Lock()
-		deadline := c.commandDeadline(startedAt)
-		c.listener.mu.Unlock()
-		if !deadline.IsZero() && !time.Now().Before(deadline) {
+		if c.isPastDeadline() {
 			return end
 		}
 	}
@@ -216,22 +267,35 @@
 
 // prepareRead makes space for a read and sets its deadline, and returns Open and how many replies are owed to the client.
 // It returns ClosedIdle if it has closed the connection, and an error as ensureSpace does.
-func (c *Client) prepareRead(startedAt time.Time) (end End, pendingReplies int) {
+func (c *Client) prepareRead(partial transfer) (end End, pendingReplies int) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.hasPartialCommand = len(c.Unread()) > 0 || !startedAt.IsZero()
+	c.hasPartialCommand, c.partial = partial.bytes > 0 || !partial.startedAt.IsZero(), partial
 	if c.closeIfIdle() {
 		return ClosedIdle, 0
 	}
-	deadline := c.commandDeadline(startedAt)
+	deadline := c.commandDeadline()
 	end = c.ensureSpace(KeepFree(c.memory, c.pendingReplies))
-	if end == LocalShortage {
-		deadline = time.Now().Add(memoryRetryInterval)
+	if now := time.Now(); end == LocalShortage || !deadline.IsZero() && !now.Before(deadline) {
+		deadline = now.Add(memoryRetryInterval)
 	}
 	c.SetReadDeadline(deadline)
 	return end, c.pendingReplies
 }
 
+// isPastDeadline reports whether the time for the current command is over and nothing of it is left to be read. After a
+// wait for the client limit or a stall of the process, its rest may have arrived in time.
+func (c *Client) isPastDeadline() bool {
+	c.listener.mu.Lock()
+	deadline := c.commandDeadline()
+	c.listener.mu.Unlock()
+	if deadline.IsZero() || time.Now().Before(deadline) {
+		return false
+	}
+	hasBytes, _ := c.peek()
+	return !hasBytes
+}
+
 // awaitMemory waits until the read deadline, after which memory is to be tried again (TimedOutBeforeSent). A client to
 // which replies are owed waits for only as long as its disconnect may go unnoticed behind unread bytes.
 func (c *Client) awaitMemory(pendingReplies int) End {
@@ -250,15 +314,15 @@
 }
 
 // closeIfIdle closes a client that is marked as closing if no reply is owed to it and nothing is left to be read, and
-// reports whether it did. A command that has begun may be completed within its time, except if the client has sent no
-// valid command and its place is needed for others. The close follows the check under the same lock: a command that
+// reports whether it did. A command that has begun may be completed within its time, except if the client's place is
+// needed for others and the command is not protected. The close follows the check under the same lock: a command that
 // arrives in between meets a closed connection and is answered with a reset, rather than being accepted and dropped.
 // The caller must hold listener.mu.
 func (c *Client) closeIfIdle() bool {
 	if !c.isClosing || c.pendingReplies > 0 {
 		return false
 	}
-	if c.hasPartialCommand && (c.validCommands > 0 || c.listener.hasSpareCapacity(len(c.listener.clients))) {
+	if c.hasPartialCommand && (c.hasProtectedCommand(time.Now()) || c.listener.hasSpareCapacity(len(c.listener.clients))) {
 		return false
 	}
 	if hasBytes, hasEnded := c.peek(); hasBytes || hasEnded {
--- a/transport/limit.go
+++ b/transport/limit.go
@@ -65,39 +65,58 @@
 }
 
 // awaitCapacity waits until the limit allows one more client. If all clients are busy, that is when the first has its
-// reply and is evicted. The caller must hold l.mu.
+// reply and is evicted, or when one has taken too long for a command or a reply. The caller must hold l.mu.
 func (l *Listener) awaitCapacity() {
 	for ; len(l.clients) >= l.limit && !l.isClosed; l.evictIdle() {
+		l.isAwaitingCapacity = true
 		l.capacityChanged.Wait()
 	}
+	l.isAwaitingCapacity = false
 }
 
 // hasSpareCapacity reports whether this number of clients leaves the reserve set by spareDivisor free. The caller must
 // hold l.mu.
 func (l *Listener) hasSpareCapacity(clients int) bool { return clients < l.limit-l.limit/spareDivisor }
 
-// evictIdle marks one client between commands as closing, unless there is spare capacity: the one with the lowest rank,
-// and among equal ranks the one that has been idle longest. Clients already closing are counted as gone. The caller
-// must hold l.mu.
+// evictIdle marks one client as closing, unless there is spare capacity: the one with the lowest rank, and among equal
+// ranks the one that has been idle longest. Clients to which a reply is owed and those that are sending a command are
+// spared while they make progress. Clients already closing are counted as gone. The caller must hold l.mu.
 func (l *Listener) evictIdle() {
 	var candidate *Client
-	closing := 0
+	closing, now := 0, time.Now()
 	for c := range l.clients {
 		switch {
-		case c.pendingReplies > 0, c.hasPartialCommand && c.validCommands > 0:
+		case c.isClosing && c.isSendOverdue(now):
+			closing++
+			c.interruptSend()
+		case c.isSendOverdue(now):
+			candidate = c.evictedFirst(candidate)
+		case c.pendingReplies > 0, c.hasProtectedCommand(now):
 		case c.isClosing:
 			if closing++; c.hasPartialCommand {
 				c.requestClose() // It was allowed to complete its command while there was spare capacity.
 			}
-		case candidate == nil, c.isEvictedBefore(candidate):
-			candidate = c
+		default:
+			candidate = c.evictedFirst(candidate)
 		}
 	}
 	if candidate != nil && !l.hasSpareCapacity(len(l.clients)-closing) {
 		candidate.requestClose()
+		if candidate.isSendOverdue(now) {
+			candidate.interruptSend()
+		}
 	}
 }
 
+// evictedFirst returns which of two clients is to be evicted first; the other may be nil. The caller must hold
+// listener.mu.
+func (c *Client) evictedFirst(other *Client) *Client {
+	if other == nil || c.isEvictedBefore(other) {
+		return c
+	}
+	return other
+}
+
 // isEvictedBefore reports whether the client is to be evicted before the other. The caller must hold listener.mu.
 func (c *Client) isEvictedBefore(other *Client) bool {
 	rank, otherRank := c.evictionRank(), other.evictionRank()
@@ -113,9 +132,43 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recoverLimit(time.Now())
+	if l.isAwaitingCapacity {
+		l.evictOverdue()
+	}
 	for c := range l.clients {
-		if c.pendingReplies == 0 && !c.isClosing && !c.hasPartialCommand && time.Since(c.idleSince) > c.idleTimeout() {
+		if c.pendingReplies == 0 && !c.isClosing && !c.hasPartialCommand && !c.isLingering && time.Since(c.idleSince) > c.idleTimeout() {
 			c.requestClose()
 		}
 	}
 }
+
+// evictOverdue evicts as many clients as the reserve has places, of those that have become evictable by the passage of
+// time alone. The caller must hold l.mu.
+func (l *Listener) evictOverdue() {
+	for range max(1, l.limit/spareDivisor) {
+		l.evictIdle()
+	}
+}
+
+// transferTimeout returns how long a small command or reply may take before its client may be evicted. The caller must
+// hold l.mu.
+func (l *Listener) transferTimeout() time.Duration {
+	if l.isDraining {
+		return drainTransferTimeout
+	}
+	return transferTimeout
+}
+
+// hasProtectedCommand reports whether the client is in the middle of a command that it may complete even when its place
+// is needed: it has sent a valid command before, and does not take too long. The caller must hold listener.mu.
+func (c *Client) hasProtectedCommand(now time.Time) bool {
+	return c.hasPartialCommand && c.validCommands > 0 && !c.partial.isOverdue(now, c.listener.transferTimeout())
+}
+
+// isSendOverdue reports whether the client takes too long to read a reply. The caller must hold listener.mu.
+func (c *Client) isSendOverdue(now time.Time) bool {
+	return c.sending.isOverdue(now, c.listener.transferTimeout())
+}
+
+// interruptSend ends a blocked write, after which the connection is closed.
+func (c *Client) interruptSend() { c.SetWriteDeadline(time.Unix(1, 0)) }
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -40,6 +40,7 @@
 	Stalls              *StallClock     // records when the process did not run; if nil, it is assumed to run always
 	FirstCommandTimeout time.Duration   // time from a client's connect until its first command must be complete
 	CommandTimeout      time.Duration   // time from the first byte of each later command until it must be complete
+	StallTimeout        time.Duration   // longest pause in the middle of a later command
 	listener            net.Listener
 	openedAt            time.Time      // when the socket was opened: connections may have arrived since
 	isShared            bool           // other processes accept from the same socket
@@ -50,6 +51,7 @@
 	capacityChanged     sync.Cond      // on mu: a client has closed or is between commands, or the limit has changed
 	isClosed            bool           // no more connections are accepted
 	isDraining          bool           // each client is closed after its next reply
+	isAwaitingCapacity  bool           // Serve waits for the client limit
 	clients             map[*Client]bool
 
 	configuredLimit int       // clients, as configured
@@ -125,7 +127,7 @@
 func newListener(inner net.Listener, limit int, openedAt time.Time) *Listener {
 	l := &Listener{listener: inner, openedAt: openedAt, configuredLimit: limit, limit: limit, minLimit: max(1, limit/2),
 		clients: map[*Client]bool{}, OnAcceptError: func(error) {}, AdmissionWatchdog: noWatchdog{},
-		FirstCommandTimeout: defaultFirstCommandTimeout, CommandTimeout: defaultCommandTimeout}
+		FirstCommandTimeout: defaultFirstCommandTimeout, CommandTimeout: defaultCommandTimeout, StallTimeout: defaultStallTimeout}
 	l.capacityChanged.L = &l.mu
 	l.serving.Add(1) // Serve is counted as well: Close must wait for a client that is being accepted.
 	return l
--- /dev/null
+++ b/transport/transfer_test.go
@@ -0,0 +1,217 @@
+package transport
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// overdueByte begins a command that counts as begun long ago.
+const overdueByte = 'o'
+
+// startFilling returns a listener for so many clients that reads whatever they send, and counts a valid command for each
+// at once. Each client is sent to the first channel once it is served, and to the second when it ends.
+func startFilling(t *testing.T, limit int, change func(*Listener)) (l *Listener, served, ended chan *Client) {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0", limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change(l)
+	t.Cleanup(func() { l.Close(time.Now()); l.ResetAll(time.Second) })
+	served, ended = make(chan *Client, 100), make(chan *Client, 100)
+	go l.Serve(func(c *Client) {
+		c.CountValidCommand()
+		served <- c
+		for startedAt := (time.Time{}); c.Fill(startedAt) == Open; {
+			if startedAt.IsZero() {
+				startedAt = time.Now()
+			}
+			if c.Unread()[0] == overdueByte {
+				startedAt = time.Now().Add(-2 * transferTimeout)
+			}
+		}
+		ended <- c
+	})
+	return l, served, ended
+}
+
+func dialListener(t *testing.T, l *Listener, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Address())
+	if err == nil {
+		_, err = io.WriteString(c, text)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func receiveClient(t *testing.T, from <-chan *Client, what string) *Client {
+	t.Helper()
+	select {
+	case c := <-from:
+		return c
+	case <-time.After(time.Until(testDeadline())):
+		t.Fatal("timed out waiting for " + what)
+		return nil
+	}
+}
+
+// A client that has sent a valid command stops in the middle of the next one and stays: it would keep its place for all
+// of CommandTimeout. One that goes on, slowly, is kept.
+func TestClientThatStopsMidCommandIsClosedSoon(t *testing.T) {
+	const stall = 200 * time.Millisecond
+	l, served, ended := startFilling(t, 4, func(l *Listener) { l.StallTimeout, l.CommandTimeout = stall, time.Minute })
+	slow := dialListener(t, l, "h")
+	receiveClient(t, served, "the slow client")
+	begun := time.Now()
+	dialListener(t, l, "h")
+	stopped := receiveClient(t, served, "the client that stops")
+	ticker := time.NewTicker(stall / 10)
+	defer ticker.Stop()
+	for {
+		select {
+		case c := <-ended:
+			if c != stopped {
+				t.Fatal("a client that goes on sending is closed")
+			}
+			if took := time.Since(begun); took < stall {
+				t.Errorf("a client is closed %v after it stopped, allowed are %v", took, stall)
+			}
+			for range 20 { // Twice the allowed pause, in small pieces.
+				<-ticker.C
+				io.WriteString(slow, "h")
+			}
+			if len(ended) > 0 {
+				t.Error("a client that goes on sending is closed")
+			}
+			return
+		case <-ticker.C:
+			io.WriteString(slow, "h")
+		case <-time.After(time.Until(testDeadline())):
+			t.Fatal("a client that stopped in the middle of a command is kept")
+		}
+	}
+}
+
+// The default for a pause has to allow the two seconds that honest clients may take, and end within the three seconds
+// that a client is owed.
+func TestStallTimeoutIsBetweenSlowAndStopped(t *testing.T) {
+	const slowest, owed = 2 * time.Second, 3 * time.Second
+	for _, timeout := range []time.Duration{defaultStallTimeout, transferTimeout} {
+		if timeout < slowest+500*time.Millisecond || timeout > owed-200*time.Millisecond {
+			t.Errorf("a client may pause for %v, want between %v and %v, with some room", timeout, slowest, owed)
+		}
+	}
+}
+
+// All places are taken by clients that send a byte of a command now and then, after one valid command each. They must
+// make room for a new client once they have taken too long, and not before.
+func TestTricklingClientMakesRoom(t *testing.T) {
+	for text, makesRoom := range map[string]bool{"h": false, string(overdueByte): true} {
+		l, served, ended := startFilling(t, 2, func(l *Listener) { l.StallTimeout = time.Minute })
+		dialListener(t, l, "h")
+		fresh := receiveClient(t, served, "a client that may complete its command")
+		dialListener(t, l, text)
+		other := receiveClient(t, served, "the other client")
+		l.awaitPartial(fresh, other)
+		dialListener(t, l, "x")
+		if !makesRoom {
+			l.awaitSaturation()
+			l.Sweep()
+			l.mu.Lock()
+			isClosing := fresh.isClosing || other.isClosing
+			l.mu.Unlock()
+			if isClosing || len(ended) > 0 || len(served) > 0 {
+				t.Error("a client is closed while it may still complete its command")
+			}
+			continue
+		}
+		if closed := receiveClient(t, ended, "the client that took too long"); closed != other {
+			t.Error("another client than the one that took too long is closed")
+		}
+		receiveClient(t, served, "the new client")
+	}
+}
+
+// All places are taken by clients that do not read their replies. They must make room for a new client once they have
+// taken too long, even if the deadline of each write is far away.
+func TestClientThatDoesNotReadMakesRoom(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(time.Now()); l.ResetAll(time.Second) })
+	served, ended := make(chan *Client, 2), make(chan *Client, 2)
+	go l.Serve(func(c *Client) {
+		served <- c
+		c.BeginReply()
+		var sent ReplyProgress
+		for end := Open; end == Open; {
+			sent, end = c.SendReply(make([]byte, MaxBuffer), sent, time.Now().Add(time.Hour))
+		}
+		c.EndReply()
+		ended <- c
+	})
+	dialListener(t, l, "x")
+	silent := receiveClient(t, served, "the client that does not read")
+	dialListener(t, l, "x")
+	l.awaitSaturation()
+	if l.Sweep(); len(ended) > 0 {
+		t.Fatal("a client is closed while it may still read its reply")
+	}
+	for end := testDeadline(); len(ended) == 0 && time.Now().Before(end); l.Sweep() {
+		l.mu.Lock()
+		if silent.sending.bytes > 0 {
+			silent.sending = transfer{startedAt: time.Now().Add(-time.Hour)}
+		}
+		l.mu.Unlock()
+	}
+	if closed := receiveClient(t, ended, "the end of the client that does not read"); closed != silent {
+		t.Error("another client is closed")
+	}
+	receiveClient(t, served, "the new client")
+}
+
+// The time that a transfer may take grows with its bytes and not with its progress alone.
+func TestTransferIsOverdue(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		took      time.Duration
+		bytes     int
+		isOverdue bool
+	}{{0, 0, false}, {transferTimeout, 0, false}, {transferTimeout + 10*time.Millisecond, 1, true},
+		{transferTimeout + 900*time.Millisecond, minTransferRate, false}, {transferTimeout + 1100*time.Millisecond, minTransferRate, true}} {
+		transfer := transfer{startedAt: now.Add(-c.took), bytes: c.bytes}
+		if got := transfer.isOverdue(now, transferTimeout); got != c.isOverdue {
+			t.Errorf("%d bytes in %v: overdue %v", c.bytes, c.took, got)
+		}
+	}
+	if (transfer{}).isOverdue(now, transferTimeout) {
+		t.Error("no transfer is overdue")
+	}
+}
+
+// awaitPartial waits until the readers of clients wait for the rest of a command.
+func (l *Listener) awaitPartial(clients ...*Client) {
+	for _, c := range clients {
+		for isPartial := false; !isPartial; {
+			l.mu.Lock()
+			isPartial = c.hasPartialCommand
+			l.mu.Unlock()
+		}
+	}
+}
+
+// awaitSaturation waits until a new client waits for the limit.
+func (l *Listener) awaitSaturation() {
+	for isWaiting := false; !isWaiting; {
+		l.mu.Lock()
+		isWaiting = l.isAwaitingCapacity
+		l.mu.Unlock()
+	}
+}
