--- a/transport/client.go
+++ b/transport/client.go
@@ -274,26 +274,32 @@
 	if c.closeIfIdle() {
 		return ClosedIdle, 0
 	}
-	deadline := c.commandDeadline()
+	deadline, now := c.commandDeadline(), time.Now()
+	isLate := !deadline.IsZero() && !now.Before(deadline)
+	if isLate && !c.hasArrived() {
+		return TimedOutBeforeSent, c.pendingReplies
+	}
 	end = c.ensureSpace(KeepFree(c.memory, c.pendingReplies))
-	if now := time.Now(); end == LocalShortage || !deadline.IsZero() && !now.Before(deadline) {
+	if isLate || end == LocalShortage {
 		deadline = now.Add(memoryRetryInterval)
 	}
 	c.SetReadDeadline(deadline)
 	return end, c.pendingReplies
 }
 
-// isPastDeadline reports whether the time for the current command is over and nothing of it is left to be read. After a
-// wait for the client limit or a stall of the process, its rest may have arrived in time.
+// isPastDeadline reports whether the time for the current command is over and nothing of it is left to be read.
 func (c *Client) isPastDeadline() bool {
 	c.listener.mu.Lock()
 	deadline := c.commandDeadline()
 	c.listener.mu.Unlock()
-	if deadline.IsZero() || time.Now().Before(deadline) {
-		return false
-	}
+	return !deadline.IsZero() && !time.Now().Before(deadline) && !c.hasArrived()
+}
+
+// hasArrived reports whether more of the client's command can be read without waiting. After a wait for the client limit
+// or a stall of the process, its rest may have arrived in time although that is over now.
+func (c *Client) hasArrived() bool {
 	hasBytes, _ := c.peek()
-	return !hasBytes
+	return hasBytes
 }
 
 // awaitMemory waits until the read deadline, after which memory is to be tried again (TimedOutBeforeSent). A client to
--- a/transport/transfer_test.go
+++ b/transport/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -98,6 +99,52 @@
 	}
 }
 
+// A client without a valid command sends a byte every few milliseconds, so that there is always one soon. Its time must
+// end all the same; a command that has arrived in full by then is read.
+func TestTimeOfFirstCommandEndsThoughBytesFollow(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	l, err := Listen("127.0.0.1:0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.FirstCommandTimeout = timeout
+	t.Cleanup(func() { l.Close(time.Now()); l.ResetAll(time.Second) })
+	read, ended := make(chan int, 2), make(chan End, 2)
+	go l.Serve(func(c *Client) {
+		<-time.After(time.Until(c.connectedAt.Add(2 * timeout))) // As after a wait for the client limit.
+		startedAt, end := time.Time{}, Open
+		for len(c.Unread()) < 2*initialBuffer {
+			if end = c.Fill(startedAt); end != Open {
+				break
+			}
+			startedAt = c.connectedAt
+		}
+		read <- len(c.Unread())
+		ended <- end
+	})
+	dialListener(t, l, strings.Repeat("h", 2*initialBuffer))
+	if n, end := <-read, <-ended; n != 2*initialBuffer || end != Open {
+		t.Errorf("%d bytes of a command that had arrived are read, then %v", n, end)
+	}
+	trickling := dialListener(t, l, "h")
+	ticker := time.NewTicker(memoryRetryInterval / 2)
+	defer ticker.Stop()
+	for limit := time.After(time.Until(testDeadline())); ; {
+		select {
+		case <-ticker.C:
+			io.WriteString(trickling, "h")
+			continue
+		case end := <-ended:
+			if end != TimedOutBeforeSent {
+				t.Errorf("the client that sends slowly ended by %v", end)
+			}
+		case <-limit:
+			t.Error("a client that sends a byte now and then is kept")
+		}
+		return
+	}
+}
+
 // The default for a pause has to allow the two seconds that honest clients may take, and end within the three seconds
 // that a client is owed.
 func TestStallTimeoutIsBetweenSlowAndStopped(t *testing.T) {
