--- a/transport/transfer_test.go
+++ b/transport/transfer_test.go
@@ -127,9 +127,9 @@
 		t.Errorf("%d bytes of a command that had arrived are read, then %v", n, end)
 	}
 	trickling := dialListener(t, l, "h")
-	ticker := time.NewTicker(memoryRetryInterval / 2)
+	ticker := time.NewTicker(memoryRetryInterval / 10)
 	defer ticker.Stop()
-	for limit := time.After(time.Until(testDeadline())); ; {
+	for limit := time.After(2*timeout + time.Second); ; {
 		select {
 		case <-ticker.C:
 			io.WriteString(trickling, "h")
