--- a/transport/conn.go
+++ b/transport/conn.go
@@ -4,7 +4,11 @@
 // A client's connection: Listener.Serve accepts it, waits until the limit of clients admits it (limit.go) and runs the
 // given function in a new goroutine, the only one that reads the connection. That function calls Client.Fill until the
 // connection ends; BeginReply and EndReply bracket each reply that is owed. A client between commands may be evicted:
-// its reader is woken and closes the connection itself, so that nothing that was read is lost.
+// its reader is woken and closes the connection itself, so that nothing that was read is lost. So may one that takes too
+// long for a command or a reply, while others wait (transfer.go).
+//
+// What clients make the process hold is counted in one MemoryAccount, before it is held: connections and buffers here,
+// requests and responses by the caller.
 //
 // A server's connection: Pool.NewConn begins an attempt, Connect takes an idle connection or dials one, Send writes the
 // request, Fill reads the response, Release gives the connection back. Cancel and CancelUnsent cancel the attempt from
--- a/transport/limit.go
+++ b/transport/limit.go
@@ -169,6 +169,3 @@
 func (c *Client) isSendOverdue(now time.Time) bool {
 	return c.sending.isOverdue(now, c.listener.transferTimeout())
 }
-
-// interruptSend ends a blocked write, after which the connection is closed.
-func (c *Client) interruptSend() { c.SetWriteDeadline(time.Unix(1, 0)) }
