Make room for waiting clients during a shutdown too

Callers saw (by the new test): clients that stopped in the middle of a command hold all places, SIGTERM comes, and a request on a connection that the kernel has accepted is reset without an answer.

Now the listener looks itself, every 50 ms while it waits for a place.

--- a/server/stopped_test.go
+++ b/server/stopped_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -51,6 +52,27 @@
 	}
 }
 
+// Clients that stop in the middle of a command hold all places when the process is told to end. The request of another,
+// on a connection that the kernel has accepted, is answered before the process ends.
+func TestClientsThatStopMidCommandMakeRoomAtShutdown(t *testing.T) {
+	t.Parallel()
+	at := startValueHost(t, 0, 1)
+	p := startProgram(t, endpointList(0, true, listEntry("s", at, "Ready")), map[string]any{
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 256}})
+	stopping := stoppingClients{closed: make(chan time.Duration, 100*stoppedClients)}
+	stopping.run(t, p.address, func(id string) string { return encodeCommand("C.GET", "k", id, "c=read,t=acme,d=1500") })
+	other := p.connect()
+	other.send("C.GET", "k", "other", "c=read,t=acme,d=1500")
+	begun := time.Now()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	other.expectReply("v")
+	t.Logf("the other client was served after %v", time.Since(begun))
+	if err := receive(t, p.exited, "the end"); err != nil {
+		t.Error(err)
+	}
+	stopping.all.Wait()
+}
+
 // stoppingClients are clients that are served once, stop in the middle of the next command, and come again if they are
 // closed while they gather.
 type stoppingClients struct {
--- a/transport/limit.go
+++ b/transport/limit.go
@@ -12,6 +12,9 @@
 	limitRecoveryInterval = time.Second / 2
 	limitRecoverySteps    = 8
 
+	// evictionInterval is how often clients that take too long are looked for while a new client waits.
+	evictionInterval = 50 * time.Millisecond
+
 	// spareDivisor sets how much of the limit is kept free: clients are evicted once less than a 16th is free, so that
 	// new clients don't have to wait while evicted ones close.
 	spareDivisor = 16
@@ -68,10 +71,21 @@
 // reply and is evicted, or when one has taken too long for a command or a reply. The caller must hold l.mu.
 func (l *Listener) awaitCapacity() {
 	for ; len(l.clients) >= l.limit && !l.isClosed; l.evictIdle() {
-		l.isAwaitingCapacity = true
+		retry := time.AfterFunc(evictionInterval, l.evictOverdue)
 		l.capacityChanged.Wait()
+		retry.Stop()
 	}
-	l.isAwaitingCapacity = false
+}
+
+// evictOverdue evicts as many clients as the reserve has places, of those that have become evictable by the passage of
+// time alone, and wakes awaitCapacity.
+func (l *Listener) evictOverdue() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for range max(1, l.limit/spareDivisor) {
+		l.evictIdle()
+	}
+	l.capacityChanged.Broadcast()
 }
 
 // hasSpareCapacity reports whether this number of clients leaves the reserve set by spareDivisor free. The caller must
@@ -132,9 +146,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recoverLimit(time.Now())
-	if l.isAwaitingCapacity {
-		l.evictOverdue()
-	}
 	for c := range l.clients {
 		if c.pendingReplies == 0 && !c.isClosing && !c.hasPartialCommand && !c.isLingering && time.Since(c.idleSince) > c.idleTimeout() {
 			c.requestClose()
@@ -142,14 +153,6 @@
 	}
 }
 
-// evictOverdue evicts as many clients as the reserve has places, of those that have become evictable by the passage of
-// time alone. The caller must hold l.mu.
-func (l *Listener) evictOverdue() {
-	for range max(1, l.limit/spareDivisor) {
-		l.evictIdle()
-	}
-}
-
 // transferTimeout returns how long a small command or reply may take before its client may be evicted. The caller must
 // hold l.mu.
 func (l *Listener) transferTimeout() time.Duration {
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -51,7 +51,6 @@
 	capacityChanged     sync.Cond      // on mu: a client has closed or is between commands, or the limit has changed
 	isClosed            bool           // no more connections are accepted
 	isDraining          bool           // each client is closed after its next reply
-	isAwaitingCapacity  bool           // Serve waits for the client limit
 	clients             map[*Client]bool
 
 	configuredLimit int       // clients, as configured
--- a/transport/transfer_test.go
+++ b/transport/transfer_test.go
@@ -160,7 +160,8 @@
 // make room for a new client once they have taken too long, and not before.
 func TestTricklingClientMakesRoom(t *testing.T) {
 	for text, makesRoom := range map[string]bool{"h": false, string(overdueByte): true} {
-		l, served, ended := startFilling(t, 2, func(l *Listener) { l.StallTimeout = time.Minute })
+		saturated := make(saturation, 1)
+		l, served, ended := startFilling(t, 2, func(l *Listener) { l.StallTimeout, l.AdmissionWatchdog = time.Minute, saturated })
 		dialListener(t, l, "h")
 		fresh := receiveClient(t, served, "a client that may complete its command")
 		dialListener(t, l, text)
@@ -168,8 +169,8 @@
 		l.awaitPartial(fresh, other)
 		dialListener(t, l, "x")
 		if !makesRoom {
-			l.awaitSaturation()
-			l.Sweep()
+			<-saturated
+			l.evictOverdue()
 			l.mu.Lock()
 			isClosing := fresh.isClosing || other.isClosing
 			l.mu.Unlock()
@@ -193,6 +194,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close(time.Now()); l.ResetAll(time.Second) })
+	saturated := make(saturation, 1)
+	l.AdmissionWatchdog = saturated
 	served, ended := make(chan *Client, 2), make(chan *Client, 2)
 	go l.Serve(func(c *Client) {
 		served <- c
@@ -207,11 +210,11 @@
 	dialListener(t, l, "x")
 	silent := receiveClient(t, served, "the client that does not read")
 	dialListener(t, l, "x")
-	l.awaitSaturation()
-	if l.Sweep(); len(ended) > 0 {
+	<-saturated
+	if l.evictOverdue(); len(ended) > 0 {
 		t.Fatal("a client is closed while it may still read its reply")
 	}
-	for end := testDeadline(); len(ended) == 0 && time.Now().Before(end); l.Sweep() {
+	for end := testDeadline(); len(ended) == 0 && time.Now().Before(end); l.evictOverdue() {
 		l.mu.Lock()
 		if silent.sending.bytes > 0 {
 			silent.sending = transfer{startedAt: time.Now().Add(-time.Hour)}
@@ -254,11 +257,8 @@
 	}
 }
 
-// awaitSaturation waits until a new client waits for the limit.
-func (l *Listener) awaitSaturation() {
-	for isWaiting := false; !isWaiting; {
-		l.mu.Lock()
-		isWaiting = l.isAwaitingCapacity
-		l.mu.Unlock()
-	}
-}
+// saturation is a Watchdog that tells when a new client waits for the limit.
+type saturation chan struct{}
+
+func (s saturation) Begin() { s <- struct{}{} }
+func (s saturation) End()   {}
