Read small commands when memory is short, and keep a quarter of it from buffers

Cause: with more in use than the limit, MemoryAccount.Reserve refused even the 0 bytes that a first buffer takes beyond what its connection counts. And buffers could take all of the account, of which admission wants an eighth free: requests of others would be rejected while a flood lasts.

Change: no growth asks for no memory; buffers, large ones too, leave a quarter of the account free.

--- a/transport/await.go
+++ b/transport/await.go
@@ -22,7 +22,7 @@
 			c.Skip(len(c.Unread()))
 			c.EnlargeEmptyBuffer()
 		}
-		isFull, until := c.ensureSpace(KeepFree(c.memory, c.pendingReplies)) != Open, time.Time{}
+		isFull, until := c.ensureSpace(c.bufferKeepFree()) != Open, time.Time{}
 		if isFull {
 			until = c.markOverfull().Add(overfullTimeout)
 		}
--- a/transport/budget.go
+++ b/transport/budget.go
@@ -36,7 +36,7 @@
 		b.available.Add(int64(size))
 		return nil, 0
 	}
-	if !b.Memory.Reserve(int64(size), 0) {
+	if !b.Memory.Reserve(int64(size), bufferReserve(b.Memory)) {
 		b.available.Add(int64(size))
 		return nil, 0
 	}
--- a/transport/client.go
+++ b/transport/client.go
@@ -71,6 +71,12 @@
 	return memory.Limit() / 2 * int64(min(pendingReplies, maxPipelineReserve)) / maxPipelineReserve
 }
 
+// bufferKeepFree returns how many bytes of memory are to stay free when a client's buffer grows. The caller must hold
+// listener.mu.
+func (c *Client) bufferKeepFree() int64 {
+	return bufferReserve(c.memory) + KeepFree(c.memory, c.pendingReplies)/2
+}
+
 // idleTimeout returns how long the client may stay between commands. The short timeouts protect descriptors and memory
 // from clients that connect and send nothing, or send one command and stay connected; established clients keep their
 // connections for longer. While many clients are connected, those with one command are closed sooner: clients that
--- a/transport/clientread.go
+++ b/transport/clientread.go
@@ -59,7 +59,7 @@
 	if isLate && !c.hasArrived() {
 		return TimedOutBeforeSent, c.pendingReplies
 	}
-	end = c.ensureSpace(KeepFree(c.memory, c.pendingReplies))
+	end = c.ensureSpace(c.bufferKeepFree())
 	if isLate || end == LocalShortage {
 		deadline = now.Add(memoryRetryInterval)
 	}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -128,6 +128,9 @@
 // whether it did. The first initialBuffer bytes are part of what a connection takes. It leaves keepFree bytes free.
 func (c *Conn) reserveBuffer(size int, keepFree int64) bool {
 	more := int64(max(0, size-initialBuffer)) - c.reservedBytes
+	if more == 0 {
+		return true // Even if more than the limit is in use: a small command needs no memory of its own.
+	}
 	if !c.memory.Reserve(more, keepFree) {
 		return false
 	}
--- a/transport/memory.go
+++ b/transport/memory.go
@@ -2,6 +2,9 @@
 
 import "sync/atomic"
 
+// bufferReserveDivisor sets the part of the memory that clients' buffers leave free.
+const bufferReserveDivisor = 4
+
 // MemoryAccount bounds the memory that clients make the process hold: their connections, what is read from them, the
 // requests in flight, and the responses that wait to be written. Holders reserve bytes before they allocate, and release
 // them afterwards. It is safe for concurrent use. A nil MemoryAccount has no limit and counts nothing.
@@ -67,6 +70,10 @@
 	return a.limit.Load()
 }
 
+// bufferReserve returns how many bytes of memory clients' buffers leave free, so that commands that were read completely
+// and the responses to them find some, however much other clients send.
+func bufferReserve(a *MemoryAccount) int64 { return a.Limit() / bufferReserveDivisor }
+
 // isScarce reports whether more than half of the memory is in use: buffers that are only kept for reuse are released
 // then.
 func (a *MemoryAccount) isScarce() bool { return a != nil && a.InUse() > a.Limit()/2 }
