--- a/routing/overflow.go
+++ b/routing/overflow.go
@@ -35,14 +35,14 @@
 }
 
 // writeTo writes the run's replies in batches. It returns false if a write to the client fails.
-func (r *rejectionRun) writeTo(w *replyWriter) bool {
+func (r *rejectionRun) writeTo(c *transport.Client) bool {
 	if r == nil {
 		return true
 	}
 	answer := protocol.AppendRejected(nil, 0)
 	for remaining := r.close(); remaining > 0; {
 		batch := min(remaining, pieceSize/len(answer))
-		if w.write(bytes.Repeat(answer, batch)) != transport.Open {
+		if writePart(c, bytes.Repeat(answer, batch)) != transport.Open {
 			return false
 		}
 		remaining -= batch
--- a/routing/reply.go
+++ b/routing/reply.go
@@ -78,44 +78,36 @@
 
 // writeTo writes the reply to the client.
 func (r reply) writeTo(c *transport.Client) delivery {
-	w := replyWriter{client: c}
-	switch end := w.write(r.bytes); {
+	switch end := writePart(c, r.bytes); {
 	case end == transport.TimedOutBeforeSent:
 		return writeTimedOut
 	case end != transport.Open:
 		return clientClosed
-	case !w.copyValue(r.value):
+	case !copyValue(c, r.value):
 		return valueIncomplete
-	case !r.rejected.writeTo(&w):
+	case !r.rejected.writeTo(c):
 		return clientClosed
 	}
 	return delivered
 }
 
-// replyWriter writes one reply to a client in parts.
-type replyWriter struct {
-	client *transport.Client
-	sent   transport.ReplyProgress
-}
-
-// write writes the next part of the reply.
-func (w *replyWriter) write(part []byte) (end transport.End) {
+// writePart writes the next part of a reply to the client.
+func writePart(c *transport.Client, part []byte) transport.End {
 	if len(part) == 0 {
 		return transport.Open
 	}
-	w.sent, end = w.client.SendReply(part, w.sent, time.Now().Add(writeTimeout))
-	return end
+	return c.SendReply(part, time.Now().Add(writeTimeout))
 }
 
 // copyValue streams a large value to the client, and reports whether all of it was written.
-func (w *replyWriter) copyValue(value *io.PipeReader) bool {
+func copyValue(c *transport.Client, value *io.PipeReader) bool {
 	if value == nil {
 		return true
 	}
 	defer func() { _ = value.Close() }() // Further writes by the attempt fail.
 	for piece := make([]byte, pieceSize); ; {
 		n, err := value.Read(piece)
-		if w.write(piece[:n]) != transport.Open {
+		if writePart(c, piece[:n]) != transport.Open {
 			return false
 		}
 		if err != nil {
--- a/transport/transfer.go
+++ b/transport/transfer.go
@@ -12,7 +12,7 @@
 	transferTimeout = 2700 * time.Millisecond
 )
 
-// transfer is the progress of a message that a client sends or reads.
+// transfer is the progress of a command that a client sends, or of a part of a reply that is written to it.
 type transfer struct {
 	startedAt  time.Time // zero if there is no transfer
 	progressAt time.Time // when the last byte was transferred
