Give slow clients their two seconds at a shutdown too

The shorter time is gone; places are free 2.7 s after their clients stopped.

TestClientsThatStopMidCommandMakeRoomAtShutdown therefore gives the waiting request 3 s in place of 1.5.

--- a/transport/limit.go
+++ b/transport/limit.go
@@ -153,22 +153,13 @@
 	}
 }
 
-// transferTimeout returns how long a small command or reply may take before its client may be evicted. The caller must
-// hold l.mu.
-func (l *Listener) transferTimeout() time.Duration {
-	if l.isDraining {
-		return drainTransferTimeout
-	}
-	return transferTimeout
-}
-
 // hasProtectedCommand reports whether the client is in the middle of a command that it may complete even when its place
 // is needed: it has sent a valid command before, and does not take too long. The caller must hold listener.mu.
 func (c *Client) hasProtectedCommand(now time.Time) bool {
-	return c.hasPartialCommand && c.validCommands > 0 && !c.partial.isOverdue(now, c.listener.transferTimeout())
+	return c.hasPartialCommand && c.validCommands > 0 && !c.partial.isOverdue(now)
 }
 
 // isSendOverdue reports whether the client takes too long to read a reply. The caller must hold listener.mu.
 func (c *Client) isSendOverdue(now time.Time) bool {
-	return c.sending.isOverdue(now, c.listener.transferTimeout())
+	return c.sending.isOverdue(now)
 }
--- a/transport/transfer.go
+++ b/transport/transfer.go
@@ -5,10 +5,8 @@
 const (
 	// minTransferRate is the rate, in bytes per second, with which the time that a transfer may take grows.
 	minTransferRate = 256 << 10
-	// drainTransferTimeout is transferTimeout while the listener drains: the process ends soon, and new clients have to
-	// be served before.
-	drainTransferTimeout = 500 * time.Millisecond
-	// transferTimeout is how long a small transfer may take before the client may be closed in favor of others.
+	// transferTimeout is how long a small transfer may take before the client may be closed in favor of others. Slow clients
+	// may take two seconds for a command.
 	transferTimeout = 2700 * time.Millisecond
 )
 
@@ -21,7 +19,7 @@
 
 // isOverdue reports whether the transfer has taken longer than any client that goes on needs. The time grows with what
 // was transferred, so that a client can't extend it with a byte now and then.
-func (t transfer) isOverdue(now time.Time, timeout time.Duration) bool {
-	allowed := timeout + time.Duration(t.bytes)*time.Second/minTransferRate
+func (t transfer) isOverdue(now time.Time) bool {
+	allowed := transferTimeout + time.Duration(t.bytes)*time.Second/minTransferRate
 	return !t.startedAt.IsZero() && now.Sub(t.startedAt) > allowed
 }
