Names that tell limits of memory from what one client, request or connection counts

clientMemory, requestMemory and largeValueMemory stood twice, once for a limit (server) and once for a single one (transport, routing). No behaviour changed.

--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -213,8 +213,8 @@
 		return false
 	}
 	slot.isFinal = true
-	b.requests.bytes += largeValueMemory
-	x.bytes += largeValueMemory
+	b.requests.bytes += memoryPerLargeValue
+	x.bytes += memoryPerLargeValue
 	b.policy.HandleResponseStarted(x.slot, number)
 	return true
 }
--- a/routing/largevalue.go
+++ b/routing/largevalue.go
@@ -33,7 +33,7 @@
 // streamValue streams a large value to the client as it arrives, so that little of it is in memory, and reads the rest
 // of the reply. It returns how that ended, and whether the connection may be reused.
 func (x *exchange) streamValue(conn *transport.PooledConn, size int, deadline time.Time, result *attemptResult) (end transport.End, isReusable bool) {
-	if end := x.awaitResponseMemory(conn, largeValueMemory, deadline, result); end != transport.Open {
+	if end := x.awaitResponseMemory(conn, memoryPerLargeValue, deadline, result); end != transport.Open {
 		return end, false
 	}
 	body, writer := io.Pipe()
--- a/routing/memory.go
+++ b/routing/memory.go
@@ -8,22 +8,22 @@
 )
 
 const (
-	// requestMemory is what an admitted request takes besides its command and its response, in bytes: the stacks of its
+	// memoryPerRequest is what an admitted request takes besides its command and its response, in bytes: the stacks of its
 	// goroutine and of those of its attempts, its channels, the policy's state, and a small response.
-	requestMemory = 12 << 10
-	// smallResponse is the length in bytes up to which a response is part of requestMemory.
+	memoryPerRequest = 12 << 10
+	// smallResponse is the length in bytes up to which a response is part of memoryPerRequest.
 	smallResponse = 2 << 10
-	// largeValueMemory is what streaming a large value takes, in bytes: one piece is read while another is written.
-	largeValueMemory = 2 * pieceSize
+	// memoryPerLargeValue is what streaming a large value takes, in bytes: one piece is read while another is written.
+	memoryPerLargeValue = 2 * pieceSize
 
 	// memoryRetryInterval is how often an attempt that waits for memory tries again.
 	memoryRetryInterval = 5 * time.Millisecond
 
-	// admissionReserve: a part of the memory is kept free when a request is admitted, so that the responses of those that
-	// were admitted before find some.
+	// admissionReserveDivisor sets the part of the memory that is kept free when a request is admitted, so that the
+	// responses of those that were admitted before find some.
 	admissionReserveDivisor = 8
-	// queuedResponseReserve: a part of the memory is kept free of responses that cannot be written yet, since others of
-	// their clients come before. Otherwise these could find none, and all would wait for one another.
+	// queuedResponseReserveDivisor sets the part of the memory that a response leaves free if it can't be written yet,
+	// since others of its client come before. Otherwise these could find none, and all would wait for one another.
 	queuedResponseReserveDivisor = 4
 )
 
@@ -31,9 +31,9 @@
 // while it is sent. A large value comes with memory of its own and is sent without a copy.
 func (x *exchange) commandMemory() int64 {
 	if protocol.HasLargeValue(x.arguments) {
-		return requestMemory
+		return memoryPerRequest
 	}
-	return requestMemory + 2*x.bytes
+	return memoryPerRequest + 2*x.bytes
 }
 
 // hasMemory reports whether there is memory for the request. A client to which many replies are owed gets less than
--- a/routing/memory_test.go
+++ b/routing/memory_test.go
@@ -87,8 +87,8 @@
 // One client has many requests in flight. It must not take the memory that the first request of another needs.
 func TestPipeliningClientLeavesMemoryToOthers(t *testing.T) {
 	b := newTestBalancer(t, 1<<20)
-	b.memory = transport.NewMemoryAccount(100 * requestMemory)
-	b.memory.Add(60 * requestMemory)
+	b.memory = transport.NewMemoryAccount(100 * memoryPerRequest)
+	b.memory.Add(60 * memoryPerRequest)
 	for position, hasMemory := range map[int]bool{0: true, 1: true, maxPipelined - 1: false} {
 		x := b.newExchange(requestArguments("c=read,d=100"), false, client{repliesBefore: func() int { return position }})
 		if x.hasMemory() != hasMemory {
--- a/routing/overflow.go
+++ b/routing/overflow.go
@@ -51,8 +51,9 @@
 }
 
 // overflow rejects the commands that one client sends beyond the capacity of its buffer while maxPipelined commands are
-// in flight, and those for which there is no memory. A disconnect has to be detected soon, but is read only after all that the client sent before it. So
-// everything is read, and no more of it is kept than fits into the buffer.
+// in flight. A disconnect has to be detected soon, but is read only after all that the client sent before it. So
+// everything is read, and no more of it is kept than fits into the buffer. commandReader uses it for commands without
+// memory too.
 type overflow struct {
 	client  *transport.Client
 	replies chan<- *pendingReply
--- a/server/resources.go
+++ b/server/resources.go
@@ -60,14 +60,14 @@
 // collectorPercent is GOGC by the memory, in its MB: a small machine collects sooner.
 func collectorPercent(memory int64) int { return int(min(400, max(50, memory>>20))) }
 
-// clientMemory is how much clients may make the process hold, in all: connections, buffers, requests and responses.
-func clientMemory(memory int64) int64 { return memory / 2 }
+// clientMemoryLimit is how much clients may make the process hold, in all: connections, buffers, requests and responses.
+func clientMemoryLimit(memory int64) int64 { return memory / 2 }
 
-// largeValueMemory is how much of that the buffers of clients' large values may hold.
-func largeValueMemory(memory int64) int64 { return memory / 3 }
+// largeValueLimit is how much of that the buffers of clients' large values may hold.
+func largeValueLimit(memory int64) int64 { return memory / 3 }
 
-// requestMemory is how much of that the commands in flight and their responses may hold.
-func requestMemory(memory int64) int64 { return memory / 6 }
+// requestMemoryLimit is how much of that the commands in flight and their responses may hold.
+func requestMemoryLimit(memory int64) int64 { return memory / 6 }
 
 // resourceLimits lays limits on what takes a process's resources. Each of its parts has locks of its own.
 type resourceLimits struct {
@@ -89,9 +89,9 @@
 // set sets what this process may use from now on, and which share of the balancer's attempts it sends. It returns the
 // numbers of connections.
 func (l resourceLimits) set(allowed siblings.Resources, attemptShare float64) (clients, endpoints int) {
-	l.listener.Memory.SetLimit(clientMemory(allowed.MemoryBytes))
-	l.listener.Budget.SetTotal(largeValueMemory(allowed.MemoryBytes))
-	l.balancer.SetLimits(requestMemory(allowed.MemoryBytes), attemptShare)
+	l.listener.Memory.SetLimit(clientMemoryLimit(allowed.MemoryBytes))
+	l.listener.Budget.SetTotal(largeValueLimit(allowed.MemoryBytes))
+	l.balancer.SetLimits(requestMemoryLimit(allowed.MemoryBytes), attemptShare)
 	return l.setConnectionLimits(int(allowed.ClientConnections), int(allowed.EndpointConnections))
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -108,7 +108,7 @@
 	s.applyCapacity()
 	s.log, s.logWrites, s.flushLog = newLogger(s.settings, s.configuration.Name)
 	s.pool = transport.NewPool(s.maxEndpointConnections, s.configuration.idleTimeout(), s.configuration.dialTimeout())
-	s.pool.Memory = transport.NewMemoryAccount(clientMemory(s.capacity.memoryBytes))
+	s.pool.Memory = transport.NewMemoryAccount(clientMemoryLimit(s.capacity.memoryBytes))
 	s.openStateDirectory()
 	if err := s.startBalancer(); err != nil {
 		return err
@@ -179,7 +179,7 @@
 
 func (s *Server) startBalancer() (err error) {
 	c := s.configuration
-	s.balancer, err = routing.New(c.Settings, c.EndpointList, c.DiscoveryAddress, c.Seed, s.pool, requestMemory(s.capacity.memoryBytes),
+	s.balancer, err = routing.New(c.Settings, c.EndpointList, c.DiscoveryAddress, c.Seed, s.pool, requestMemoryLimit(s.capacity.memoryBytes),
 		s.ejectionsPath, s.restored, s.log)
 	if err != nil {
 		return fmt.Errorf("%s: known: %w", c.File, err)
@@ -198,7 +198,7 @@
 		return fmt.Errorf("%s: listen: %w", c.File, err)
 	}
 	s.listener.Memory = s.pool.Memory
-	s.listener.Budget = transport.NewBudget(largeValueMemory(s.capacity.memoryBytes))
+	s.listener.Budget = transport.NewBudget(largeValueLimit(s.capacity.memoryBytes))
 	s.listener.Budget.Memory = s.pool.Memory
 	s.listener.Stalls = stallClock
 	s.listener.OnAcceptError = s.handleAcceptError
--- a/transport/client.go
+++ b/transport/client.go
@@ -31,13 +31,13 @@
 	memoryWaitTimeout   = 250 * time.Millisecond
 	memoryRetryInterval = 5 * time.Millisecond
 
-	// clientMemory is what a connected client takes, in bytes: the stacks of its two goroutines, its first buffer, and
+	// memoryPerClient is what a connected client takes, in bytes: the stacks of its two goroutines, its first buffer, and
 	// the replies that are queued for it.
-	clientMemory = 16 << 10
+	memoryPerClient = 16 << 10
 
-	// maxPipelineReserve: a client to which this many replies are owed, or more, has to leave half of the memory free when
-	// its buffer grows; one with fewer, less. So clients that send much at once do not hold up the others.
-	maxPipelineReserve = 64
+	// fullReserveReplies is the number of owed replies from which on a client leaves the largest part of the memory to
+	// others (KeepFree).
+	fullReserveReplies = 64
 
 	// firstCommandGrace is how long a new client is protected from eviction, so that it can send a first command.
 	firstCommandGrace = 500 * time.Millisecond
@@ -66,9 +66,9 @@
 }
 
 // KeepFree returns how many bytes of memory are to stay free when this many replies are owed to a client and more is to
-// be held for it.
+// be held for it: from none to half of the limit, so that clients that send much at once do not hold up the others.
 func KeepFree(memory *MemoryAccount, pendingReplies int) int64 {
-	return memory.Limit() / 2 * int64(min(pendingReplies, maxPipelineReserve)) / maxPipelineReserve
+	return memory.Limit() / 2 * int64(min(pendingReplies, fullReserveReplies)) / fullReserveReplies
 }
 
 // bufferKeepFree returns how many bytes of memory are to stay free when a client's buffer grows. The caller must hold
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -230,7 +230,7 @@
 	c.arrivalTimes = newArrivalTimes(l.Stalls, pendingSince, time.Now())
 	l.clients[c] = true
 	l.mu.Unlock()
-	l.Memory.Add(clientMemory)
+	l.Memory.Add(memoryPerClient)
 	l.serving.Add(1)
 	go l.serveClient(c, serve)
 }
@@ -242,7 +242,7 @@
 	serve(c)
 	c.Close()
 	c.releaseBuffer()
-	l.Memory.Release(clientMemory)
+	l.Memory.Release(memoryPerClient)
 	l.mu.Lock()
 	delete(l.clients, c)
 	l.capacityChanged.Signal()
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -22,7 +22,7 @@
 	// enough for an immediate second request for the same key to find one.
 	briefIdleTimeout = 500 * time.Millisecond
 
-	pooledConnMemory = 4 << 10 // bytes that an open connection takes, with a first buffer
+	memoryPerPooledConn = 4 << 10 // bytes that an open connection takes, with a first buffer
 )
 
 // Peer identifies a server by its index and address. The address alone is not enough: a new server may take over the
@@ -100,7 +100,7 @@
 		return false
 	}
 	p.open++
-	p.Memory.Add(pooledConnMemory)
+	p.Memory.Add(memoryPerPooledConn)
 	return true
 }
 
@@ -120,7 +120,7 @@
 // countClosed stops counting a connection. The caller must hold p.mu.
 func (p *Pool) countClosed() {
 	p.open--
-	p.Memory.Release(pooledConnMemory)
+	p.Memory.Release(memoryPerPooledConn)
 }
 
 // closeOldestIdle closes the connection that has been idle longest, and returns false if none is idle. The caller must
