--- a/routing/memory.go
+++ b/routing/memory.go
@@ -13,6 +13,8 @@
 	memoryPerRequest = 12 << 10
 	// smallResponse is the length in bytes up to which a response is part of memoryPerRequest.
 	smallResponse = 2 << 10
+	// responseTail is how many bytes of a response are expected behind its value: the cache result and a load report.
+	responseTail = 512
 	// memoryPerLargeValue is what streaming a large value takes, in bytes: one piece is read while another is written.
 	memoryPerLargeValue = 2 * pieceSize
 
@@ -82,10 +84,12 @@
 	}
 	size := conn.NextBuffer()
 	if result.reservedMemory == 0 {
-		for expected := protocol.MinResponseLength(conn.Unread()); size < min(expected, transport.MaxBuffer); {
-			size *= 2
+		size = max(size, protocol.MinResponseLength(conn.Unread())+responseTail)
+		if end := x.awaitResponseMemory(conn, readMemory(size), deadline, result); end != transport.Open {
+			return end
 		}
-		return x.awaitResponseMemory(conn, readMemory(size), deadline, result)
+		conn.Enlarge(size)
+		return transport.Open
 	}
 	if more := readMemory(size) - result.reservedMemory; more > 0 {
 		x.balancer.memory.Add(more)
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -116,6 +116,15 @@
 	return min(MaxBuffer, max(initialBuffer, 2*len(c.buffer)))
 }
 
+// Enlarge makes an ordinary buffer at least size bytes long, for a message whose length is known and whose memory the
+// caller has reserved.
+func (c *Conn) Enlarge(size int) {
+	if size = min(size, MaxBuffer); size > len(c.buffer) {
+		grown := make([]byte, size)
+		c.start, c.end, c.buffer = 0, copy(grown, c.Unread()), grown
+	}
+}
+
 // EnlargeEmptyBuffer grows an empty buffer to maxIdleBuffer, for a caller that is about to read and discard many bytes.
 // It does nothing while memory is scarce.
 func (c *Conn) EnlargeEmptyBuffer() {
