--- a/routing/memory_test.go
+++ b/routing/memory_test.go
@@ -91,8 +91,8 @@
 	b.memory.Add(60 * memoryPerRequest)
 	for position, hasMemory := range map[int]bool{0: true, 1: true, maxPipelined - 1: false} {
 		x := b.newExchange(requestArguments("c=read,d=100"), false, client{repliesBefore: func() int { return position }})
-		if x.hasMemory() != hasMemory {
-			t.Errorf("%d replies are owed to the client: memory for one more request is %v", position, !hasMemory)
+		if got := x.hasMemory(); got != hasMemory {
+			t.Errorf("%d replies are owed to the client: there is memory for one more request: %v, want %v", position, got, hasMemory)
 		}
 	}
 }
--- a/server/stopped_test.go
+++ b/server/stopped_test.go
@@ -46,7 +46,7 @@
 		longest = max(longest, after)
 	}
 	if longest > owedClose || longest < owedClose/2 {
-		t.Fatalf("the longest that a client that stopped in the middle of a command was kept is %v", longest)
+		t.Fatalf("of the clients that stopped in the middle of a command one was kept for %v, want between %v and %v", longest, owedClose/2, owedClose)
 	}
 }
 
--- a/transport/transfer_test.go
+++ b/transport/transfer_test.go
@@ -262,7 +262,7 @@
 		{transferTimeout + 900*time.Millisecond, minTransferRate, false}, {transferTimeout + 1100*time.Millisecond, minTransferRate, true}} {
 		transfer := transfer{startedAt: now.Add(-c.took), bytes: c.bytes}
 		if got := transfer.isOverdue(now); got != c.isOverdue {
-			t.Errorf("%d bytes in %v: overdue %v", c.bytes, c.took, got)
+			t.Errorf("%d bytes in %v: overdue %v, want %v", c.bytes, c.took, got, c.isOverdue)
 		}
 	}
 	if (transfer{}).isOverdue(now) {
