--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -28,7 +28,7 @@
 func (x *exchange) runAttempt(conn *transport.PooledConn, a attempt) {
 	result := attemptResult{attempt: a}
 	deadline := x.balancer.timeAt(a.deadline)
-	end, isUnused := x.connectAndSend(conn, a, deadline)
+	end, isUnused := x.connectAndSend(conn, deadline, &result)
 	isReusable := false
 	if end == transport.Open {
 		end, isReusable = x.readAnswer(conn, deadline, &result)
@@ -41,20 +41,20 @@
 
 // connectAndSend connects to the endpoint and sends the request. It returns Open once the last byte was sent. isUnused
 // reports that the request was not sent, nothing was written to the connection, and it may be reused.
-func (x *exchange) connectAndSend(conn *transport.PooledConn, a attempt, deadline time.Time) (end transport.End, isUnused bool) {
+func (x *exchange) connectAndSend(conn *transport.PooledConn, deadline time.Time, result *attemptResult) (end transport.End, isUnused bool) {
 	if end := x.checkConnected(); end != transport.Open {
 		return end, false
 	}
-	if end := conn.Connect(transport.Peer{Server: a.endpoint, Address: a.address}, deadline); end != transport.Open {
+	if end := conn.Connect(transport.Peer{Server: result.endpoint, Address: result.address}, deadline); end != transport.Open {
 		return end, false
 	}
-	if x.balancer.isDraining(a.endpoint) {
+	if x.balancer.isDraining(result.endpoint) {
 		return transport.CancelledBeforeSent, false // The drain was listed while the connection was being established.
 	}
 	if end := x.checkConnected(); end != transport.Open {
 		return end, true
 	}
-	return x.writeRequest(conn, deadline), false
+	return x.writeRequest(conn, deadline, result), false
 }
 
 // checkConnected returns Open if the client is still connected. Otherwise it returns CancelledBeforeSent and tells the
@@ -72,9 +72,10 @@
 }
 
 // writeRequest writes the request to a server's connection. It returns Open once the last byte was sent.
-func (x *exchange) writeRequest(conn *transport.PooledConn, deadline time.Time) transport.End {
+func (x *exchange) writeRequest(conn *transport.PooledConn, deadline time.Time, result *attemptResult) transport.End {
 	b := x.balancer
 	startedAt := b.now()
+	result.firstByteAt = time.Now()
 	remaining := time.Until(deadline)
 	statedTimeout, sendDeadline := remaining, earlier(deadline, time.Now().Add(maxSendTime))
 	if protocol.HasLargeValue(x.arguments) {
@@ -95,6 +96,7 @@
 		end = conn.Send(message, sendDeadline)
 	}
 	if end == transport.Open {
+		result.lastByteAt = time.Now()
 		x.countSent(startedAt)
 	}
 	return end
--- a/routing/events.go
+++ b/routing/events.go
@@ -1,6 +1,10 @@
 package routing
 
-import "hollylever/transport"
+import (
+	"time"
+
+	"hollylever/transport"
+)
 
 // event is sent to an exchange: a decision of the policy, or the progress of one of its attempts. The request's
 // goroutine handles its events one at a time.
@@ -40,6 +44,8 @@
 type attemptResult struct {
 	attempt
 	end            transport.End
+	firstByteAt    time.Time   // when its first byte was about to be handed to the kernel; zero: not at all
+	lastByteAt     time.Time   // when its last byte had been handed to the kernel; zero: not at all
 	answer         []byte      // for the client; nil without one
 	reservedMemory int64       // bytes of the memory account that the attempt still holds
 	value          *largeValue // nil unless a large value began
--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -236,7 +236,7 @@
 	if latency == 0 {
 		latency = now - r.startedAt
 	}
-	x.record.attempts[r.number].end, x.record.attempts[r.number].took = r.end, time.Duration(latency)
+	x.recordAttempt(r, time.Duration(latency))
 	slot := &b.requests.slots[x.slot]
 	isFinal = outcome == policy.OK && !slot.isFinal
 	if isFinal {
@@ -265,6 +265,18 @@
 	return isFinal
 }
 
+// recordAttempt notes for the request log how an attempt went.
+func (x *exchange) recordAttempt(r attemptResult, took time.Duration) {
+	record := &x.record.attempts[r.number]
+	record.end, record.took = r.end, took
+	if !r.firstByteAt.IsZero() {
+		record.firstByte = r.firstByteAt.Sub(x.client.receivedAt)
+	}
+	if !r.lastByteAt.IsZero() {
+		record.lastByte = r.lastByteAt.Sub(x.client.receivedAt)
+	}
+}
+
 // outcomeOf returns the outcome of an attempt that the policy is told. The caller holds Balancer.mu.
 func (x *exchange) outcomeOf(r attemptResult) policy.Outcome {
 	outcome := outcomeByEnd[r.end]
--- a/routing/requestlog.go
+++ b/routing/requestlog.go
@@ -23,9 +23,12 @@
 // attemptRecord is what the request log states about an attempt.
 type attemptRecord struct {
 	server string
-	sent   time.Duration // since the request was received
+	sent   time.Duration // when it was decided on, since the request was received
 	took   time.Duration
-	end    transport.End // Open until it has ended
+	// firstByte and lastByte are when its first byte was about to be handed to the kernel, and when its last byte had
+	// been, since the request was received; 0: not at all.
+	firstByte, lastByte time.Duration
+	end                 transport.End // Open until it has ended
 }
 
 // requestRecord is what the request log states about a request. Only the request's goroutine writes it.
@@ -37,15 +40,30 @@
 	attempts []attemptRecord
 }
 
-// String lists the attempts, each with its server, when it was started, how it ended and how long it took.
+// String lists the attempts, each with its server, when it was started, when its first and last byte were sent, how it
+// ended and how long it took.
 func (r *requestRecord) String() string {
 	var all []string
 	for _, a := range r.attempts {
-		all = append(all, a.server+" +"+a.sent.Round(time.Millisecond).String()+" "+a.end.String()+" "+a.took.Round(time.Millisecond).String())
+		all = append(all, a.String())
 	}
 	return strings.Join(all, "; ")
 }
 
+func (a attemptRecord) String() string {
+	text := a.server + " +" + milliseconds(a.sent)
+	if a.firstByte > 0 {
+		text += " first byte +" + milliseconds(a.firstByte)
+	}
+	if a.lastByte > 0 {
+		text += " last byte +" + milliseconds(a.lastByte)
+	}
+	return text + " " + a.end.String() + " " + milliseconds(a.took)
+}
+
+// milliseconds returns a duration rounded to milliseconds, with its unit.
+func milliseconds(d time.Duration) string { return d.Round(time.Millisecond).String() }
+
 // warnings limits the rate of warn lines to maxWarningsPerSecond.
 type warnings struct {
 	mu          sync.Mutex // guards the fields below
