Discard what the kernel holds of an attempt that is given up

What callers saw: a write that had been answered, rejected or given up ran on a cache host later: the host got the rest of it from the balancer's kernel after the balancer had closed the connection, and where it had got the copy that won over dedupWindow before, it ran the write a second time.

Cause: write() returns when the kernel has taken the bytes (up to 4 MB), and a usual close goes on delivering them. Cancel, CancelUnsent and Release closed so.

Change: an attempt that ends otherwise than with its whole answer asks the kernel (SIOCOUTQ) whether bytes are unacknowledged, and if so closes with a linger time of 0: the kernel discards them and resets the connection. Why it works: without its last byte a server does not begin a request. What the server's kernel has acknowledged has come and is not recalled. No system call more for an attempt that is answered.

--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -164,7 +164,7 @@
 		pc.cancelDial()
 	}
 	if pc.Conn != nil {
-		pc.Conn.Close()
+		pc.Conn.abort()
 	}
 }
 
@@ -180,7 +180,7 @@
 	if isClean && !pc.isCancelled && len(pc.Unread()) == 0 {
 		pc.pool.putIdle(pc.Conn)
 	} else {
-		pc.Conn.Close()
+		pc.Conn.abort()
 		pc.pool.release()
 	}
 	pc.Conn = nil
--- a/transport/rawconn.go
+++ b/transport/rawconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"os"
 	"syscall"
 
@@ -53,6 +54,29 @@
 	return ended || err != nil
 }
 
+// unacknowledgedBytes returns how many bytes the kernel holds that have not been acknowledged by the peer's, sent or
+// not; 0 if that is not known.
+func (c *Conn) unacknowledgedBytes() (length int) {
+	raw := rawConn(c.Conn)
+	if raw == nil {
+		return 0
+	}
+	var ioctlErr error
+	if err := raw.Control(func(fd uintptr) { length, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil || ioctlErr != nil {
+		return 0
+	}
+	return length
+}
+
+// abort closes the connection. A usual close lets the kernel go on sending what it still holds, so that a peer that
+// reads slowly could complete a request long after it was given up; abort discards it.
+func (c *Conn) abort() {
+	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP && c.unacknowledgedBytes() > 0 {
+		_ = tcp.SetLinger(0) // Fails only if the connection is closed.
+	}
+	c.Close()
+}
+
 // peek reports, without blocking or consuming anything, whether bytes can be read and whether the connection has ended.
 func (c *Conn) peek() (hasBytes, hasEnded bool) {
 	raw := rawConn(c.Conn)
