Hold every copy of a stamped write to dedupWindow right before its last byte

Cause: willDeduplicate judged the window when the copy was decided on, with room for a dial and a stall. Then came the writing (342 ms for 4 MiB, up to half of the time left) and the kernel, which had taken the last byte at +743 ms and got it read at +1771 (first copy: +3 ms, window 1.5 s). The other order fails as well: a first attempt that is late itself comes after its copy has been forgotten.

Change: repeatWindow (routing) holds all attempts of a request that may have run to one span, whichever comes first, right before the last byte: dedupWindow less the margin for a stall that the policy had already (Balancer.RepeatWindow). For a message over one segment the last byte waits until the kernel has sent the others (SIOCOUTQNSD), and the host's pace while the kernel drained tells when it will have read them. What comes too late ends as out_of_window: its last byte was never sent, so it has not run. At the window's end an attempt whose bytes the host's kernel has not acknowledged is given up if another may have run. Why it works: a host does not begin a request before its last byte, and that byte is the only one held, so a good write waits for nothing that it did not wait for before. The decision to send a copy is unchanged.

--- a/policy/eligibility.go
+++ b/policy/eligibility.go
@@ -61,11 +61,11 @@
 	return true
 }
 
-// willDeduplicate reports whether target is in the group of endpoints that know of an earlier attempt, and will still
-// remember it when a further attempt arrives. That may take up to the dial timeout plus a stall of the process.
+// willDeduplicate reports whether target is in the group of endpoints that know of an earlier attempt, and is expected
+// to remember it when a further attempt arrives. That may take up to the dial timeout plus a stall of the process. How
+// long sending takes is not known yet: the caller holds each attempt to RepeatWindow right before its last byte.
 func (b *Balancer) willDeduplicate(now int64, class *requestClass, earlier *attempt, target *endpointState) bool {
-	margin := max(class.dedupWindow/dedupMargin, maxStall)
-	if now-earlier.sentAt >= class.dedupWindow-margin-b.settings.dialTimeout {
+	if now-earlier.sentAt >= class.repeatWindow()-b.settings.dialTimeout {
 		return false
 	}
 	switch class.dedupGroup {
@@ -77,6 +77,20 @@
 	return true
 }
 
+// repeatWindow returns for how long, in nanoseconds, after the last byte of an attempt that of another attempt of the
+// same request may be sent, so that it arrives within the deduplication window even if the process stalls.
+func (c *requestClass) repeatWindow() int64 {
+	return c.dedupWindow - max(c.dedupWindow/dedupMargin, maxStall)
+}
+
+// RepeatWindow returns for how long, in nanoseconds, after the last byte of an attempt of a request that of another
+// attempt may be sent. isLimited is false for a class whose requests may run any number of times, or only once. It
+// depends on the settings only and is safe for concurrent use.
+func (b *Balancer) RepeatWindow(class int) (window int64, isLimited bool) {
+	c := &b.settings.classes[class]
+	return c.repeatWindow(), c.effect == Idempotent
+}
+
 // canReject reports whether a request may be answered as rejected. A rejection promises the client that sending the
 // request again does no harm.
 func (b *Balancer) canReject(request *requestState) bool {
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -42,6 +42,7 @@
 	b.mu.Lock()
 	a := x.assess(attributes.Workload, remaining)
 	x.workload = a.workload
+	x.repeatWindow = x.balancer.newRepeatWindow(a.workload)
 	if rejection := b.rejectionReply(a); rejection != nil {
 		b.mu.Unlock()
 		return rejection
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -8,20 +8,9 @@
 	"hollylever/transport"
 )
 
-const (
-	// maxSendTime bounds the time from when an attempt states its timeout to the server until its last byte is sent. The
-	// protocol allows the stated timeout to exceed the remaining time by 150 ms. Sending a large value takes longer: such
-	// an attempt states half of the remaining time and may spend the other half on sending.
-	maxSendTime = 100 * time.Millisecond
-
-	// nextPieceTimeout bounds the wait for the next part of a reply that has begun, so that a server that stops halfway
-	// leaves enough time for a retry.
-	nextPieceTimeout = 250 * time.Millisecond
-
-	// sentAfterDisconnectTolerance, in ns, is how long after its client's disconnect an attempt may begin to be sent
-	// before it is counted as sent after the disconnect. Within it, the two may simply have crossed.
-	sentAfterDisconnectTolerance = int64(50 * time.Millisecond)
-)
+// nextPieceTimeout bounds the wait for the next part of a reply that has begun, so that a server that stops halfway
+// leaves enough time for a retry.
+const nextPieceTimeout = 250 * time.Millisecond
 
 // runAttempt sends a request to an endpoint once and reports to the exchange how that ended. It avoids, as far as
 // possible, sending requests of which it is then unknown whether the server ran them.
@@ -36,6 +25,9 @@
 	}
 	conn.Release(isUnused || isReusable && end <= transport.Rejected)
 	result.end = end
+	if end.ProvesNotRun() {
+		x.repeatWindow.forget(a.number)
+	}
 	x.events <- attemptEnded{result}
 }
 
@@ -71,56 +63,6 @@
 	return transport.CancelledBeforeSent
 }
 
-// writeRequest writes the request to a server's connection. It returns Open once the last byte was sent.
-func (x *exchange) writeRequest(conn *transport.PooledConn, deadline time.Time, result *attemptResult) transport.End {
-	b := x.balancer
-	startedAt := b.now()
-	result.firstByteAt = time.Now()
-	remaining := time.Until(deadline)
-	statedTimeout, sendDeadline := remaining, earlier(deadline, time.Now().Add(maxSendTime))
-	if protocol.HasLargeValue(x.arguments) {
-		statedTimeout = remaining / 2
-		sendDeadline = deadline.Add(-statedTimeout)
-	}
-	message, rest := protocol.AppendRequest(nil, x.arguments, int64(statedTimeout))
-	if rest != nil {
-		if end := conn.SendPart(message, sendDeadline); end != transport.Open {
-			return end
-		}
-		message = rest
-	}
-	var end transport.End
-	if b.catalog.isSingleShot[x.workload] {
-		end = conn.SendHoldingLastByte(message, sendDeadline, x.client.hasDisconnected)
-	} else {
-		end = conn.Send(message, sendDeadline)
-	}
-	if end == transport.Open {
-		result.lastByteAt = time.Now()
-		x.countSent(startedAt)
-	}
-	return end
-}
-
-// countSent counts an attempt whose last byte was sent. It counts separately one whose sending began more than
-// sentAfterDisconnectTolerance after the client's disconnect.
-func (x *exchange) countSent(startedAt int64) {
-	b := x.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.counters.increment(counterAttemptsSent)
-	if disconnectedAt := b.requests.slots[x.slot].disconnectedAt; disconnectedAt > 0 && startedAt > disconnectedAt+sentAfterDisconnectTolerance {
-		b.counters.increment(counterSentAfterDisconnect)
-	}
-}
-
-func earlier(one, other time.Time) time.Time {
-	if one.Before(other) {
-		return one
-	}
-	return other
-}
-
 // readAnswer reads the server's reply into the result. isReusable reports that nothing but whole replies arrived on the
 // connection.
 func (x *exchange) readAnswer(conn *transport.PooledConn, deadline time.Time, result *attemptResult) (end transport.End, isReusable bool) {
@@ -136,7 +78,7 @@
 			if end := x.reserveRead(conn, deadline, result); end != transport.Open {
 				return end, false
 			}
-			if end := readMore(conn, deadline); end != transport.Open {
+			if end := x.readMore(conn, deadline); end != transport.Open {
 				return end, true
 			}
 			continue
@@ -151,18 +93,39 @@
 }
 
 // readMore reads the next part of a reply. A reply that has begun must go on within nextPieceTimeout.
-func readMore(conn *transport.PooledConn, deadline time.Time) transport.End {
+func (x *exchange) readMore(conn *transport.PooledConn, deadline time.Time) transport.End {
 	hasBegun := len(conn.Unread()) > 0
 	if hasBegun && time.Until(deadline) > nextPieceTimeout {
 		deadline = time.Now().Add(nextPieceTimeout)
 	}
-	end := conn.Fill(deadline)
+	end := x.fillWithinRepeatWindow(conn, deadline)
 	if end == transport.ResponseTimedOut && hasBegun {
 		return transport.Malformed
 	}
 	return end
 }
 
+// fillWithinRepeatWindow is conn.Fill. At the end of the repeat window it cancels an attempt that has not arrived at the
+// server, if another attempt may have run: it could arrive when the server no longer drops it as a duplicate.
+func (x *exchange) fillWithinRepeatWindow(conn *transport.PooledConn, deadline time.Time) transport.End {
+	windowEnd := x.repeatWindow.end()
+	for !windowEnd.IsZero() && windowEnd.Before(deadline) {
+		if end := conn.Fill(windowEnd); end != transport.ResponseTimedOut {
+			return end
+		}
+		checked := windowEnd
+		if windowEnd = x.repeatWindow.end(); windowEnd.After(checked) {
+			continue // The first attempt has proved not to have run.
+		}
+		if x.repeatWindow.isShared() && !conn.HasArrived() {
+			conn.Cancel()
+			return transport.CancelledAfterSent
+		}
+		break
+	}
+	return conn.Fill(deadline)
+}
+
 // parseReport parses a server's load report. It returns nil if there is none.
 func (b *Balancer) parseReport(text []byte) []float64 {
 	if load := make([]float64, len(b.catalog.reportFields)); settings.ParseReport(text, "=", b.catalog.reportFields, load) {
--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -8,8 +8,8 @@
 	"hollylever/transport"
 )
 
-// outcomeByEnd maps the end of an attempt to the outcome that the policy is told. The ends from Rejected to
-// CancelledBeforeSent prove that the server did not run the request: it rejected it, or its last byte was not sent.
+// outcomeByEnd maps the end of an attempt to the outcome that the policy is told. Where End.ProvesNotRun, the outcome
+// does too.
 var outcomeByEnd = map[transport.End]policy.Outcome{
 	transport.Succeeded:           policy.OK,
 	transport.Failed:              policy.Errored,
@@ -20,6 +20,7 @@
 	transport.BrokenBeforeSent:    policy.ConnectFailed,
 	transport.TimedOutBeforeSent:  policy.ConnectFailed,
 	transport.CancelledBeforeSent: policy.NotSent,
+	transport.TooLateToRepeat:     policy.NotSent,
 	transport.BrokenAfterSent:     policy.Reset,
 	transport.ResponseTimedOut:    policy.TimedOut,
 	transport.CancelledAfterSent:  policy.Cancelled,
@@ -65,6 +66,7 @@
 	bytes          int64                   // of the request and its reply
 	reservedMemory int64                   // bytes of the memory account that are held until the release
 	connections    []*transport.PooledConn // the connection of each attempt
+	repeatWindow   *repeatWindow           // nil: attempts may be sent at any time
 	attemptsEnded  int
 	isAnswered     bool // it has its final reply, or its client has disconnected and gets none
 	isDisconnected bool
--- a/transport/end.go
+++ b/transport/end.go
@@ -42,6 +42,9 @@
 	TimedOutBeforeSent
 	// CancelledBeforeSent: cancelled before the last byte was handed over; the peer did not begin the request.
 	CancelledBeforeSent
+	// TooLateToRepeat: another attempt may have run, and servers may no longer have dropped this one as its duplicate when
+	// its last byte was about to be handed over; the peer did not begin the request.
+	TooLateToRepeat
 
 	// BrokenAfterSent: the connection broke or was closed after the last byte was handed over; the peer may have run
 	// the request.
@@ -77,6 +80,7 @@
 	BrokenBeforeSent:    "cut_short",
 	TimedOutBeforeSent:  "stuck",
 	CancelledBeforeSent: "withdrawn",
+	TooLateToRepeat:     "out_of_window",
 	BrokenAfterSent:     "broken",
 	ResponseTimedOut:    "silent",
 	CancelledAfterSent:  "called_off",
@@ -89,6 +93,9 @@
 // String returns the name of the end at /metrics and in logs.
 func (e End) String() string { return endNames[e] }
 
+// ProvesNotRun reports whether the peer has not begun the request: it rejected it, or its last byte was not sent.
+func (e End) ProvesNotRun() bool { return e >= Rejected && e <= TooLateToRepeat }
+
 // ClientEnds are the possible ends of a client's connection, in their order at /metrics.
 var ClientEnds = [...]End{ClientDisconnected, ClosedIdle, Malformed, TimedOutBeforeSent, BrokenBeforeSent}
 
--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -13,6 +13,9 @@
 	// maxSlowDialHoldback bounds the part that depends on the dial, which may be slow for other reasons than the
 	// round-trip time.
 	maxSlowDialHoldback = 25 * time.Millisecond
+
+	// sendQueuePollInterval is how often SendHoldingQueued looks whether the kernel has sent what it holds.
+	sendQueuePollInterval = 2 * time.Millisecond
 )
 
 // PooledConn is the use of a pooled connection to a server by one attempt. The attempt's goroutine calls Connect, then
@@ -115,6 +118,71 @@
 	}
 }
 
+// LastByte decides about the last byte of a message, before which the server does not begin the request.
+type LastByte interface {
+	// Deadline returns the time by which it has to be sent. It may become earlier while the message is being sent.
+	Deadline() time.Time
+	// Admit is called right before it is sent. It returns Open, or how the attempt ends without it. The server is expected
+	// to read it at arrival.
+	Admit(arrival time.Time) End
+}
+
+// SendHoldingQueued is Send for a request that must not be completed late. The kernel may hold a message for a server that
+// reads slowly long after the write has returned, so all bytes but the last are written by the deadline, and the last one
+// only once the kernel has sent the others.
+func (pc *PooledConn) SendHoldingQueued(message []byte, deadline time.Time, lastByte LastByte) End {
+	last, began := len(message)-1, time.Now()
+	if end := pc.Conn.Send(message[:last], deadline); end != Open {
+		return pc.orCancelled(end)
+	}
+	queued, queuedAt := pc.Conn.unsentBytes(), time.Now()
+	if end := pc.awaitSent(lastByte); end != Open {
+		return pc.orCancelled(end)
+	}
+	if end := lastByte.Admit(expectedArrival(began, queuedAt, last, queued)); end != Open {
+		return pc.orCancelled(end)
+	}
+	return pc.Send(message[last:], lastByte.Deadline())
+}
+
+// expectedArrival returns when a server is expected to have read a message of a length whose sending began at a time, and
+// of which the kernel held so many bytes at queuedAt and has sent them all now. What the server's kernel holds cannot be
+// seen, but while that is full the server reads as fast as this kernel sends.
+func expectedArrival(began, queuedAt time.Time, length, queued int) time.Time {
+	now := time.Now()
+	drained := now.Sub(queuedAt) - sendQueuePollInterval // The queue may have been empty for that long.
+	if queued == 0 || drained <= 0 {
+		return now
+	}
+	arrival := began.Add(time.Duration(float64(drained) * float64(length) / float64(queued)))
+	if arrival.Before(now) {
+		return now
+	}
+	return arrival
+}
+
+// awaitSent waits until the kernel has sent what was written, or the server has responded already. At the deadline of the
+// last byte it returns Open as well: Admit decides.
+func (pc *PooledConn) awaitSent(lastByte LastByte) End {
+	for pc.Conn.unsentBytes() > 0 {
+		now, deadline := time.Now(), lastByte.Deadline()
+		if !now.Before(deadline) {
+			return Open
+		}
+		switch pc.Conn.Fill(now.Add(min(sendQueuePollInterval, deadline.Sub(now))), false) {
+		case TimedOutBeforeSent:
+		case Open:
+			return Open
+		default:
+			return BrokenBeforeSent
+		}
+	}
+	return Open
+}
+
+// HasArrived reports whether the server's kernel has acknowledged all bytes that were sent.
+func (pc *PooledConn) HasArrived() bool { return pc.Conn.unacknowledgedBytes() == 0 }
+
 // Fill reads more of the response.
 func (pc *PooledConn) Fill(deadline time.Time) End {
 	return pc.orCancelled(pc.Conn.Fill(deadline, true))
--- a/transport/rawconn.go
+++ b/transport/rawconn.go
@@ -54,15 +54,22 @@
 	return ended || err != nil
 }
 
+// unsentBytes returns how many bytes the kernel holds that it has not sent yet, because the peer does not read them; 0 if
+// that is not known.
+func (c *Conn) unsentBytes() int { return c.queueLength(unix.SIOCOUTQNSD) }
+
 // unacknowledgedBytes returns how many bytes the kernel holds that have not been acknowledged by the peer's, sent or
 // not; 0 if that is not known.
-func (c *Conn) unacknowledgedBytes() (length int) {
+func (c *Conn) unacknowledgedBytes() int { return c.queueLength(unix.SIOCOUTQ) }
+
+// queueLength returns the result of an ioctl request about the send queue, or 0 if it fails.
+func (c *Conn) queueLength(request uint) (length int) {
 	raw := rawConn(c.Conn)
 	if raw == nil {
 		return 0
 	}
 	var ioctlErr error
-	if err := raw.Control(func(fd uintptr) { length, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil || ioctlErr != nil {
+	if err := raw.Control(func(fd uintptr) { length, ioctlErr = unix.IoctlGetInt(int(fd), request) }); err != nil || ioctlErr != nil {
 		return 0
 	}
 	return length
--- a/transport/sendqueue_test.go
+++ b/transport/sendqueue_test.go
@@ -44,3 +44,95 @@
 		})
 	}
 }
+
+// testLastByte admits the last byte until its deadline, and then ends the attempt.
+type testLastByte struct {
+	deadline time.Time
+	admitted chan time.Time // receives the expected arrival
+}
+
+func (l testLastByte) Deadline() time.Time { return l.deadline }
+
+func (l testLastByte) Admit(arrival time.Time) End {
+	if !time.Now().Before(l.deadline) {
+		return TooLateToRepeat
+	}
+	l.admitted <- arrival
+	return Open
+}
+
+// The kernel took a whole request that its server read a second later. The last byte waits until the kernel has sent the
+// others, and is not sent at all after its deadline.
+func TestLastByteWaitsForTheKernelsQueue(t *testing.T) {
+	conn, peer := connectToSlowPeer(t)
+	last := testLastByte{testDeadline(), make(chan time.Time, 1)}
+	ended := make(chan End, 1)
+	go func() { ended <- conn.SendHoldingQueued(make([]byte, queuedMessage), last.deadline, last) }()
+	if _, err := io.CopyN(io.Discard, peer, queuedMessage/2); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-last.admitted:
+		t.Error("the last byte is sent while the kernel holds others")
+	default:
+	}
+	if _, err := io.CopyN(io.Discard, peer, queuedMessage/2); err != nil {
+		t.Fatal(err)
+	}
+	if end := <-ended; end != Open {
+		t.Errorf("got %v after all was read, want open", end)
+	}
+
+	conn, peer = connectToSlowPeer(t)
+	late := testLastByte{time.Now().Add(20 * time.Millisecond), nil}
+	if end := conn.SendHoldingQueued(make([]byte, queuedMessage), testDeadline(), late); end != TooLateToRepeat {
+		t.Errorf("got %v at the deadline, want %v", end, TooLateToRepeat)
+	}
+	conn.Release(false)
+	if got, _ := io.Copy(io.Discard, peer); got >= queuedMessage {
+		t.Errorf("the peer gets all %d bytes", got)
+	}
+}
+
+// A server that closes, or responds, before the last byte is told from one that reads slowly.
+func TestServerThatEndsBeforeTheLastByteIsNoticed(t *testing.T) {
+	for name, c := range map[string]struct {
+		act  func(peer *net.TCPConn)
+		want End
+	}{
+		"close":    {func(peer *net.TCPConn) { peer.CloseWrite() }, BrokenBeforeSent},
+		"reset":    {func(peer *net.TCPConn) { peer.SetLinger(0); peer.Close() }, BrokenBeforeSent},
+		"response": {func(peer *net.TCPConn) { io.WriteString(peer, "-BUSY\r\n") }, Open},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, peer := connectToSlowPeer(t)
+			c.act(peer)
+			last := testLastByte{testDeadline(), make(chan time.Time, 1)}
+			if end := conn.SendHoldingQueued(make([]byte, queuedMessage), last.deadline, last); end != c.want {
+				t.Errorf("got %v, want %v", end, c.want)
+			}
+		})
+	}
+}
+
+// A server's buffer may take the rest of a message long before the server reads it, at the pace of the first part.
+func TestExpectedArrivalFollowsTheServersPace(t *testing.T) {
+	const length = 1000
+	now := time.Now()
+	for name, c := range map[string]struct {
+		began, queuedAt time.Duration // before now
+		queued          int
+		want            time.Duration // after now; 0: now
+	}{
+		"nothing was queued":        {time.Second, time.Second, 0, 0},
+		"read as fast as sent":      {time.Second, time.Second + sendQueuePollInterval, length, 0},
+		"half of it was taken":      {time.Second, time.Second + sendQueuePollInterval, length / 2, time.Second},
+		"within a look":             {time.Second, sendQueuePollInterval / 2, 1, 0},
+		"most was read long before": {time.Second, 100*time.Millisecond + sendQueuePollInterval, length / 2, 0},
+	} {
+		got := expectedArrival(now.Add(-c.began), now.Add(-c.queuedAt), length, c.queued).Sub(now)
+		if got < c.want || got > c.want+100*time.Millisecond {
+			t.Errorf("%s: got %v from now, want %v", name, got, c.want)
+		}
+	}
+}
