--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -91,6 +91,11 @@
 // elapsed since.
 func (b *Balancer) now() int64 { return b.startedAt.UnixNano() + int64(time.Since(b.startedAt)) }
 
+// clockAt converts a time.Time to the time by the policy's clock.
+func (b *Balancer) clockAt(t time.Time) int64 {
+	return b.startedAt.UnixNano() + int64(t.Sub(b.startedAt))
+}
+
 // timeAt converts a time of the policy's clock to a time.Time.
 func (b *Balancer) timeAt(clock int64) time.Time {
 	return b.startedAt.Add(time.Duration(clock - b.startedAt.UnixNano()))
@@ -118,7 +123,7 @@
 // to meet its latency objective before the deadline is rejected at once; an admitted request whose own deadline is
 // later fails at the shutdown deadline.
 func (b *Balancer) ExpireAt(at time.Time) {
-	b.answerBy.Store(b.startedAt.UnixNano() + int64(at.Sub(b.startedAt)))
+	b.answerBy.Store(b.clockAt(at))
 	time.AfterFunc(time.Until(at), b.expireOpenRequests)
 }
 
--- a/routing/send.go
+++ b/routing/send.go
@@ -24,11 +24,10 @@
 
 // writeRequest writes the request to a server's connection. It returns Open once the last byte was sent.
 func (x *exchange) writeRequest(conn *transport.PooledConn, deadline time.Time, result *attemptResult) transport.End {
-	b := x.balancer
-	startedAt := b.now()
-	result.firstByteAt = time.Now()
-	remaining := time.Until(deadline)
-	statedTimeout, sendDeadline := remaining, earlier(deadline, time.Now().Add(maxSendTime))
+	now := time.Now()
+	result.firstByteAt = now
+	remaining := deadline.Sub(now)
+	statedTimeout, sendDeadline := remaining, earlier(deadline, now.Add(maxSendTime))
 	if protocol.HasLargeValue(x.arguments) {
 		statedTimeout = remaining / 2
 		sendDeadline = deadline.Add(-statedTimeout)
@@ -43,7 +42,7 @@
 	end := x.writeToLastByte(conn, message, sendDeadline, lastByte{x.repeatWindow, result.number, deadline})
 	if end == transport.Open {
 		result.lastByteAt = time.Now()
-		x.countSent(startedAt)
+		x.countSent(result.firstByteAt)
 	}
 	return end
 }
@@ -58,7 +57,7 @@
 	case len(message) > maxSingleSegment:
 		return conn.SendHoldingQueued(message, sendDeadline, last)
 	}
-	if end := last.Admit(time.Now()); end != transport.Open {
+	if end := last.Admit(time.Time{}); end != transport.Open {
 		return end
 	}
 	return conn.Send(message, sendDeadline)
@@ -81,9 +80,12 @@
 	return l.deadline
 }
 
-// Admit reports whether the last byte may be sent now, to arrive at a time.
+// Admit reports whether the last byte may be sent now, to arrive at a time or at once.
 func (l lastByte) Admit(arrival time.Time) transport.End {
 	now := time.Now()
+	if arrival.Before(now) {
+		arrival = now
+	}
 	switch {
 	case !now.Before(l.deadline):
 		return transport.TimedOutBeforeSent
@@ -95,8 +97,9 @@
 
 // countSent counts an attempt whose last byte was sent. It counts separately one whose sending began more than
 // sentAfterDisconnectTolerance after the client's disconnect.
-func (x *exchange) countSent(startedAt int64) {
+func (x *exchange) countSent(firstByteAt time.Time) {
 	b := x.balancer
+	startedAt := b.clockAt(firstByteAt)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counters.increment(counterAttemptsSent)
--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -123,7 +123,7 @@
 	// Deadline returns the time by which it has to be sent. It may become earlier while the message is being sent.
 	Deadline() time.Time
 	// Admit is called right before it is sent. It returns Open, or how the attempt ends without it. The server is expected
-	// to read it at arrival.
+	// to read it at arrival, or at once if that is over.
 	Admit(arrival time.Time) End
 }
 
