Don't reuse a connection on which the kernel still holds the last message

The response is whole, so the connection went back to the pool, with up to 4 MB in the kernel. A short stamped write that is sent on it next waits behind them, long after its window was looked at.

TestConnectionWithQueuedBytesIsNotReused: before, the connection is kept and the peer gets all; now it is closed and the rest discarded. Only after a message of over one segment is the kernel asked, so a short request has no system call more. Packages transport and routing pass.

--- a/routing/send.go
+++ b/routing/send.go
@@ -13,10 +13,6 @@
 	// attempt states half of the remaining time and may spend the other half on writing.
 	maxSendTime = 100 * time.Millisecond
 
-	// maxSingleSegment is a length in bytes that fits into one segment on any usual path. The kernel sends such a message
-	// at once on a connection that has been idle.
-	maxSingleSegment = 1200
-
 	// sentAfterDisconnectTolerance, in ns, is how long after its client's disconnect an attempt may begin to be sent
 	// before it is counted as sent after the disconnect. Within it, the two may simply have crossed.
 	sentAfterDisconnectTolerance = int64(50 * time.Millisecond)
@@ -54,7 +50,7 @@
 		return conn.SendHoldingLastByte(message, sendDeadline, x.client.hasDisconnected)
 	case x.repeatWindow == nil:
 		return conn.Send(message, sendDeadline)
-	case len(message) > maxSingleSegment:
+	case len(message) > transport.MaxSingleSegment:
 		return conn.SendHoldingQueued(message, sendDeadline, last)
 	}
 	if end := last.Admit(time.Time{}); end != transport.Open {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -47,6 +47,7 @@
 	peer          Peer           // pooled connections only: the server
 	idleAt        time.Time      // pooled connections only: when it became idle
 	dialDuration  time.Duration  // pooled connections only: how long the dial took
+	sentBytes     int            // pooled connections only: written since it was idle
 }
 
 // Unread returns the bytes that were read and not skipped. The slice is valid until the next Fill or Skip.
@@ -200,6 +201,7 @@
 		return endOfError(err, false)
 	}
 	n, err := c.Write(message)
+	c.sentBytes += n
 	if n == len(message) {
 		return Open
 	}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -87,7 +87,7 @@
 	if len(c.buffer) > initialBuffer {
 		c.releaseBuffer()
 	}
-	c.idleAt = time.Now()
+	c.idleAt, c.sentBytes = time.Now(), 0
 	p.idle[c.peer] = append(p.idle[c.peer], c)
 }
 
--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// MaxSingleSegment is a length in bytes that fits into one segment on any usual path. The kernel sends such a message at
+// once on a connection that has been idle.
+const MaxSingleSegment = 1200
+
 const (
 	// SendHoldingLastByte holds the last byte back for minHoldback plus twice the time that the dial took: a close by
 	// the server that is already in flight takes about one round trip to arrive.
@@ -245,7 +249,7 @@
 	if pc.Conn == nil {
 		return
 	}
-	if isClean && !pc.isCancelled && len(pc.Unread()) == 0 {
+	if isClean && !pc.isCancelled && len(pc.Unread()) == 0 && !pc.Conn.hasQueuedMessage() {
 		pc.pool.putIdle(pc.Conn)
 	} else {
 		pc.Conn.abort()
--- a/transport/rawconn.go
+++ b/transport/rawconn.go
@@ -62,6 +62,10 @@
 // not; 0 if that is not known.
 func (c *Conn) unacknowledgedBytes() int { return c.queueLength(unix.SIOCOUTQ) }
 
+// hasQueuedMessage reports whether the kernel still holds a part of the last message, because the server has responded
+// before it read all. The next message would wait behind it. A message of one segment is not held.
+func (c *Conn) hasQueuedMessage() bool { return c.sentBytes > MaxSingleSegment && c.unsentBytes() > 0 }
+
 // queueLength returns the result of an ioctl request about the send queue, or 0 if it fails.
 func (c *Conn) queueLength(request uint) (length int) {
 	raw := rawConn(c.Conn)
--- a/transport/sendqueue_test.go
+++ b/transport/sendqueue_test.go
@@ -45,6 +45,24 @@
 	}
 }
 
+// A server may reject a long write before it has read all of it. The next request on that connection would wait in the
+// kernel behind the rest, so the connection is not used again.
+func TestConnectionWithQueuedBytesIsNotReused(t *testing.T) {
+	conn, peer := connectToSlowPeer(t)
+	if end := conn.SendPart(make([]byte, queuedMessage), testDeadline()); end != Open {
+		t.Fatalf("got %v, want the message in the kernel", end)
+	}
+	pool := conn.pool
+	conn.Release(true)
+	if n := pool.Count(); n != 0 {
+		t.Errorf("%d connections are kept, want none", n)
+	}
+	peer.SetReadDeadline(testDeadline())
+	if got, _ := io.Copy(io.Discard, peer); got >= queuedMessage {
+		t.Errorf("the peer gets all %d bytes", got)
+	}
+}
+
 // testLastByte admits the last byte until its deadline, and then ends the attempt.
 type testLastByte struct {
 	deadline time.Time
