--- a/routing/doc.go
+++ b/routing/doc.go
@@ -21,7 +21,8 @@
 //	    v  | attemptEnded
 //	attempt        one goroutine each: connect, send, read the reply
 //	    |          ended by: the server's reply, the attempt's deadline, a broken connection, cancellation (by the
-//	    |          policy, another attempt's large value, the client's disconnect), the server's drain before it is sent
+//	    |          policy, another attempt's large value, the client's disconnect), the server's drain before it is sent,
+//	    |          the end of the request's repeatWindow
 //	    v
 //	release        once the final reply is written, or cannot be, and each attempt has ended: memory, slot and the
 //	               endpoints of the attempts are released
@@ -31,6 +32,7 @@
 // Balancer.mu guards the policy and all tables of the balancer: requests, endpoints, ejections, the state of the
 // endpoint list and the counters. Nothing that can block happens while it is held. An exchange's own state belongs to
 // the request's goroutine alone; the policy reaches it through the request's event channel, whose buffer holds all
-// events that a request can ever have, so that sending one never blocks. The file of manual ejections has its own lock
+// events that a request can ever have, so that sending one never blocks. Its attempts share its repeatWindow, which has
+// its own lock, acquired last. The file of manual ejections has its own lock
 // (ejectionFile.mu), which is acquired before Balancer.mu and never while Balancer.mu is held.
 package routing
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -10,9 +10,9 @@
 // What clients make the process hold is counted in one MemoryAccount, before it is held: connections and buffers here,
 // requests and responses by the caller.
 //
-// A server's connection: Pool.NewConn begins an attempt, Connect takes an idle connection or dials one, Send writes the
-// request, Fill reads the response, Release gives the connection back. Cancel and CancelUnsent cancel the attempt from
-// any goroutine.
+// A server's connection: Pool.NewConn begins an attempt, Connect takes an idle connection or dials one, Send or one of
+// its variants writes the request, Fill reads the response, Release gives the connection back. Cancel and CancelUnsent
+// cancel the attempt from any goroutine.
 //
 // An End says how a connection or an attempt ended, and with it what may have reached the peer; callers decide by it
 // whether to retry.
