--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -156,7 +156,7 @@
 func (e attemptStarted) handle(x *exchange) {
 	conn := x.balancer.pool.NewConn()
 	x.connections = append(x.connections, conn)
-	x.record.attempts = append(x.record.attempts, attemptRecord{server: e.name, sent: time.Since(x.client.receivedAt)})
+	x.record.attempts = append(x.record.attempts, attemptRecord{server: e.name, decided: time.Since(x.client.receivedAt)})
 	if x.isAnswered {
 		conn.Cancel() // The client disconnected after the policy decided on this attempt.
 	}
--- a/routing/requestlog.go
+++ b/routing/requestlog.go
@@ -22,9 +22,9 @@
 
 // attemptRecord is what the request log states about an attempt.
 type attemptRecord struct {
-	server string
-	sent   time.Duration // when it was decided on, since the request was received
-	took   time.Duration
+	server  string
+	decided time.Duration // since the request was received
+	took    time.Duration
 	// firstByte and lastByte are when its first byte was about to be handed to the kernel, and when its last byte had
 	// been, since the request was received; 0: not at all.
 	firstByte, lastByte time.Duration
@@ -40,7 +40,7 @@
 	attempts []attemptRecord
 }
 
-// String lists the attempts, each with its server, when it was started, when its first and last byte were sent, how it
+// String lists the attempts, each with its server, when it was decided on, when its first and last byte were sent, how it
 // ended and how long it took.
 func (r *requestRecord) String() string {
 	var all []string
@@ -51,7 +51,7 @@
 }
 
 func (a attemptRecord) String() string {
-	text := a.server + " +" + milliseconds(a.sent)
+	text := a.server + " +" + milliseconds(a.decided)
 	if a.firstByte > 0 {
 		text += " first byte +" + milliseconds(a.firstByte)
 	}
--- a/routing/send.go
+++ b/routing/send.go
@@ -76,7 +76,7 @@
 	return l.deadline
 }
 
-// Admit reports whether the last byte may be sent now, to arrive at a time or at once.
+// Admit returns Open if the last byte may be sent now. An arrival in the past means at once.
 func (l lastByte) Admit(arrival time.Time) transport.End {
 	now := time.Now()
 	if arrival.Before(now) {
--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -126,8 +126,8 @@
 type LastByte interface {
 	// Deadline returns the time by which it has to be sent. It may become earlier while the message is being sent.
 	Deadline() time.Time
-	// Admit is called right before it is sent. It returns Open, or how the attempt ends without it. The server is expected
-	// to read it at arrival, or at once if that is over.
+	// Admit is called right before it is sent. It returns Open, or how the attempt ends without it. arrival is when the
+	// server is expected to read it; a time in the past means at once.
 	Admit(arrival time.Time) End
 }
 
--- a/transport/rawconn.go
+++ b/transport/rawconn.go
@@ -54,8 +54,8 @@
 	return ended || err != nil
 }
 
-// unsentBytes returns how many bytes the kernel holds that it has not sent yet, because the peer does not read them; 0 if
-// that is not known.
+// unsentBytes returns how many bytes the kernel holds that it has not sent yet, because the peer or the network is slow; 0
+// if that is not known.
 func (c *Conn) unsentBytes() int { return c.queueLength(unix.SIOCOUTQNSD) }
 
 // unacknowledgedBytes returns how many bytes the kernel holds that have not been acknowledged by the peer's, sent or
