Take a server's pace from half of the message or more, not from what little is left

What callers saw: a copy that would have come in time was refused.

Change: where under half is left after the writing, the pace counts from the moment half was written.

--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -136,10 +136,18 @@
 // only once the kernel has sent the others.
 func (pc *PooledConn) SendHoldingQueued(message []byte, deadline time.Time, lastByte LastByte) End {
 	last, began := len(message)-1, time.Now()
-	if end := pc.Conn.Send(message[:last], deadline); end != Open {
+	half := last / 2
+	if end := pc.Conn.Send(message[:half], deadline); end != Open {
+		return pc.orCancelled(end)
+	}
+	queued, queuedAt := last-half+pc.Conn.unsentBytes(), time.Now()
+	if end := pc.Conn.Send(message[half:last], deadline); end != Open {
 		return pc.orCancelled(end)
 	}
-	queued, queuedAt := pc.Conn.unsentBytes(), time.Now()
+	unsent := pc.Conn.unsentBytes()
+	if unsent == 0 || unsent >= half {
+		queued, queuedAt = unsent, time.Now() // Otherwise too little is left to tell the server's pace from a pause.
+	}
 	if end := pc.awaitSent(lastByte); end != Open {
 		return pc.orCancelled(end)
 	}
@@ -150,7 +158,7 @@
 }
 
 // expectedArrival returns when a server is expected to have read a message of a length whose sending began at a time, and
-// of which the kernel held so many bytes at queuedAt and has sent them all now. What the server's kernel holds cannot be
+// of which so many bytes were not sent yet at queuedAt and all are now. What the server's kernel holds cannot be
 // seen, but while that is full the server reads as fast as this kernel sends.
 func expectedArrival(began, queuedAt time.Time, length, queued int) time.Time {
 	now := time.Now()
--- a/transport/sendqueue_test.go
+++ b/transport/sendqueue_test.go
@@ -154,3 +154,28 @@
 		}
 	}
 }
+
+// A copy was refused because its server paused while the kernel held little of it. The pace is taken from half of the
+// message or more, so that a pause at its end does not count many times.
+func TestPauseAtTheEndIsNotTakenForTheServersPace(t *testing.T) {
+	const (
+		length      = 4 << 20
+		pause       = 60 * time.Millisecond
+		maxExpected = 10 * pause // after the last byte; the pause times length over what the kernel holds is far more
+	)
+	conn, peer := connectToSlowPeer(t)
+	conn.Conn.Conn.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+	last := testLastByte{testDeadline(), make(chan time.Time, 1)}
+	go func() {
+		io.CopyN(io.Discard, peer, length-2*smallBuffer)
+		time.Sleep(pause)
+		io.Copy(io.Discard, peer)
+	}()
+	if end := conn.SendHoldingQueued(make([]byte, length), last.deadline, last); end != Open {
+		t.Fatalf("got %v, want open", end)
+	}
+	if ahead := time.Until(<-last.admitted); ahead > maxExpected {
+		t.Errorf("the server is expected to read all in %v, want %v at the most", ahead, maxExpected)
+	}
+	conn.Release(false)
+}
