--- a/review/second/stand.go
+++ b/review/second/stand.go
@@ -488,8 +488,25 @@
 	return l.Addr().String()
 }
 
-// begin starts a process, and waits until it is ready.
+// begin starts a process, and waits until it is ready. Where another program has taken a free port in between it tries again.
 func (p *platform) begin(name string) *process {
+	for try := 1; ; try++ {
+		q, err := p.tryBegin(name)
+		if err == nil {
+			return q
+		}
+		if try == 5 || !strings.Contains(err.Error(), "address already in use") {
+			panic(err)
+		}
+		if p.socket == nil {
+			p.listen = freeAddress()
+			p.configuration["listen"] = p.listen
+			p.write()
+		}
+	}
+}
+
+func (p *platform) tryBegin(name string) (*process, error) {
 	q := &process{s: p.s, name: name, mgmt: freeAddress(), ended: make(chan struct{})}
 	q.cmd = exec.Command("/bin/sh", "-c", p.run)
 	q.cmd.Dir = p.s.root
@@ -499,10 +516,16 @@
 		q.cmd.Env = append(q.cmd.Env, "LB_LISTEN_FD=3")
 	}
 	log, err := os.Create(filepath.Join(p.s.folder, name+".log"))
-	check(err, "make a log")
+	if err != nil {
+		return nil, err
+	}
 	q.cmd.Stdout, q.cmd.Stderr = log, log
-	check(q.cmd.Start(), "start the balancer")
+	if err := q.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start the balancer: %w", err)
+	}
+	p.s.mu.Lock()
 	p.s.processes = append(p.s.processes, q)
+	p.s.mu.Unlock()
 	p.s.say("platform: started process %s", name)
 	go func() {
 		q.cmd.Wait()
@@ -511,24 +534,19 @@
 		close(q.ended)
 	}()
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if answer, err := client.Get("http://" + q.mgmt + "/ready"); err == nil {
 			answer.Body.Close()
 			if answer.StatusCode == http.StatusOK {
 				p.s.say("platform: process %s says that it is ready", name)
-				return q
+				return q, nil
 			}
 		}
-		select {
-		case <-q.ended:
-			text, _ := os.ReadFile(filepath.Join(p.s.folder, name+".log"))
-			panic(fmt.Errorf("process %s has ended: %s", name, text))
-		default:
-		}
-		if time.Now().After(end) {
-			panic(fmt.Errorf("process %s is not ready", name))
+		if q.hasEnded() {
+			return nil, fmt.Errorf("process %s has ended: %s", name, q.log())
 		}
 	}
+	return nil, fmt.Errorf("process %s is not ready", name)
 }
 
 // call sends an operators' call and returns whether the answer is yes.
