--- a/review/second/address.go
+++ b/review/second/address.go
@@ -26,7 +26,7 @@
 	p := s.newPlatform(rigaSettings(), d.whole(), d.address, false)
 	p.begin("one")
 	s.awaitPong(p.listen)
-	stop := s.load(p.listen, 8, 25*time.Millisecond, "match-read", 1200*time.Millisecond)
+	stop := s.load(p.listen, 8, 100*time.Millisecond, "match-read", 1200*time.Millisecond)
 	time.Sleep(2 * time.Second)
 
 	hosts[0].stop()
