--- a/review/second/openid.go
+++ b/review/second/openid.go
@@ -8,7 +8,7 @@
 
 func init() { cases["7"] = openID }
 
-// openID: a bad client sends the id of another client's open request, with another value, key of repeats and tenant. Without the
+// openID: a bad client sends the id of another client's open request, with another value and tenant. Without the
 // disruption it sends an id of its own.
 func openID(s *stage) int {
 	var hosts []*host
