Hold a large value until it is whole: a cut one no longer takes others' replies along

Cause: streamValue passed on a value's beginning as soon as its length was known. From then on only the end of the client's connection can tell that the value is not whole, and with the connection go the replies behind it. Excluded: when the others were sent (also 30 and 120 ms later), the size (66 KiB to 4 MiB), the way the host ends (reset, close, silence), the place of the cut.

Change: routing/heldvalue.go holds a value until it is whole, in a buffer from a budget that is reserved before it is read; an attempt that breaks before is retried or answered with an error. The hold ends 25 ms before the deadline, after 1.75 s, or without memory; then the value is streamed as before, and its header goes out with its first bytes. While bytes arrive the attempt is not overdue. The request log tells with cut_off that the balancer closed a connection with replies owed.

TestLargeValuesAreStreamed: its first client has asked once and was idle for over 5 s now that three values before are held for 1.75 s each, so the last part uses a new connection; what it checks is unchanged.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -171,6 +171,31 @@
 	b.addInFlight(request, request.attempts[attempt].endpoint, -1)
 }
 
+// HandleResponseContinued handles a part of a response that is held back until it is whole. While the response goes on, its
+// attempt is not overdue.
+func (b *Balancer) HandleResponseContinued(index, attempt int) {
+	if request := &b.requests[index]; request.isLastInFlight(attempt) {
+		request.timerAt = 0
+	}
+}
+
+// HandleResponseStalled handles a response that has begun, is held back and does not go on: its attempt may be overdue, as
+// before it began.
+func (b *Balancer) HandleResponseStalled(now int64, index, attempt int) {
+	b.advanceClock(now)
+	request := &b.requests[index]
+	if !request.isLastInFlight(attempt) || request.attempts[attempt].endpoint == b.origin {
+		return
+	}
+	overdueAt := b.overdueAt(request.attempts[attempt].sentAt, request)
+	if overdueAt <= now {
+		b.hedge(now, index)
+		return
+	}
+	request.timerAt = overdueAt
+	b.executor.SetTimer(timerRequest+index, overdueAt-now)
+}
+
 // AttemptResult describes how an attempt ended.
 type AttemptResult struct {
 	Attempt     int // number of the attempt: its position among the request's Sends, from 0
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -89,6 +89,11 @@
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.endpoint == endpoint })
 }
 
+// isLastInFlight reports whether an attempt is the request's most recent one, and may still answer it.
+func (r *requestState) isLastInFlight(attempt int) bool {
+	return r.isOpen && !r.isStreaming() && attempt == len(r.attempts)-1 && r.attempts[attempt].state == inFlight
+}
+
 // dispatch sends a request to an endpoint, has it wait, or gives it its final answer. None of its attempts may be in
 // flight.
 func (b *Balancer) dispatch(now int64, index int) {
--- a/policy/dispatch_test.go
+++ b/policy/dispatch_test.go
@@ -159,3 +159,25 @@
 		}
 	}
 }
+
+// A large value that is held back until it is whole may take long. It is hedged only while it stands still: its endpoint would
+// count as unresponsive although it responds.
+func TestHeldResponseIsHedgedOnlyWhileItStalls(t *testing.T) {
+	h := newHarness(t, 1, 8, map[string]any{"allowed.secondCopies": true})
+	for range 50 {
+		i := h.request(Safe, h.balancer.random.uint64(), second)
+		h.advance(20 * ms)
+		h.endAttempt(i, 0, OK)
+	}
+	i := h.request(Safe, 7, 1500*ms)
+	h.balancer.HandleResponseContinued(i, 0)
+	h.advance(400 * ms) // The objective is 600 ms.
+	if n := len(h.requests[i].attempts); n != 1 {
+		t.Fatalf("%d attempts while the response goes on, want 1", n)
+	}
+	h.balancer.HandleResponseStalled(h.now, i, 0)
+	h.advance(2 * ms)
+	if n := len(h.requests[i].attempts); n != 2 {
+		t.Fatalf("%d attempts once the response stalls, want 2", n)
+	}
+}
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -75,8 +75,7 @@
 	for {
 		if size, start := protocol.ParseLargeValueHeader(conn.Unread()); size > 0 {
 			result.latency = x.balancer.now() - result.startedAt
-			conn.Skip(start)
-			return x.streamValue(conn, size, deadline, result)
+			return x.readLargeValue(conn, largeResponse{size: size, start: start}, deadline, result)
 		}
 		response := protocol.ParseResponse(conn.Unread())
 		result.cacheResult = int(response.CacheResult)
--- a/routing/catalog.go
+++ b/routing/catalog.go
@@ -18,6 +18,7 @@
 	expectedTimes     []int64      // latency objectives in ns, by workload
 	isSingleShot      map[int]bool // workloads whose requests must not run twice
 	hasEffect         map[int]bool // workloads whose requests may not run any number of times
+	isWorthlessLate   map[int]bool // workloads whose answers have no value after the latency objective
 	tenants           map[string]int
 	machineTypes      map[string]int
 	machineTypeNames  []string // by index
@@ -33,10 +34,12 @@
 		workloads:    settings.NameIndices(values, "workloads", ".name"),
 		isSingleShot: map[int]bool{},
 		hasEffect:    map[int]bool{},
-		tenants:      settings.NameIndices(values, "tenants", ".name"),
-		machineTypes: settings.NameIndices(values, "hostTypes", ""),
-		zones:        settings.NameIndices(values, "zones", ""),
-		reportFields: settings.NameIndices(values, "report.fields", ""),
+
+		isWorthlessLate: map[int]bool{},
+		tenants:         settings.NameIndices(values, "tenants", ".name"),
+		machineTypes:    settings.NameIndices(values, "hostTypes", ""),
+		zones:           settings.NameIndices(values, "zones", ""),
+		reportFields:    settings.NameIndices(values, "report.fields", ""),
 	}
 	c.machineTypeNames, c.zoneNames = namesByIndex(c.machineTypes), namesByIndex(c.zones)
 	for _, w := range c.workloads {
@@ -45,6 +48,7 @@
 		c.hasEffect[w] = effect == effectSingleShot || effect == effectIdempotent
 	}
 	for w := range len(c.workloads) {
+		c.isWorthlessLate[w] = settingNumber(values, "workloads."+strconv.Itoa(w)+".tardyValue") == 0
 		c.expectedTimes = append(c.expectedTimes, int64(settingNumber(values, "workloads."+strconv.Itoa(w)+".expectedTime")*1e6))
 	}
 	c.onlyDrainingBinds, _ = values["invariants.onlyDrainingBinds"].(bool)
--- a/routing/clientconn.go
+++ b/routing/clientconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"hollylever/protocol"
@@ -25,11 +26,12 @@
 func (b *Balancer) Serve(c *transport.Client) {
 	disconnected, written := make(chan struct{}), make(chan struct{})
 	replies := make(chan *pendingReply, maxPipelined+extraReplies)
+	closedByUs := new(atomic.Bool)
 	go func() {
 		defer close(written)
-		writeReplies(c, replies, disconnected)
+		writeReplies(c, replies, disconnected, closedByUs)
 	}()
-	reader := commandReader{balancer: b, client: c, replies: replies, disconnected: disconnected, overflow: overflow{client: c, replies: replies}}
+	reader := commandReader{balancer: b, client: c, replies: replies, disconnected: disconnected, closedByUs: closedByUs, overflow: overflow{client: c, replies: replies}}
 	end := reader.run()
 	// After a command that breaks the protocol, or a partial one that is too slow, the earlier commands still get their
 	// replies, as long as the client stays connected.
@@ -52,6 +54,7 @@
 	client       *transport.Client
 	replies      chan<- *pendingReply
 	disconnected <-chan struct{}
+	closedByUs   *atomic.Bool
 	partialSince time.Time // when a partial command was first seen; zero between commands
 	discarding   int       // bytes of a rejected command that are still to be read and discarded
 	overflow     overflow
@@ -162,8 +165,8 @@
 func (r *commandReader) startRequest(arguments [][]byte, length int, isWrite bool, replyNumber int) {
 	c := r.client
 	x := r.balancer.newExchange(arguments, isWrite, client{receivedAt: c.ArrivedAt(length),
-		repliesBefore: func() int { return c.RepliesBefore(replyNumber) },
-		onAdmitted:    c.CountValidCommand, disconnected: r.disconnected, hasEnded: c.HasEnded, mayHaveEnded: c.MayHaveEnded})
+		repliesBefore: func() int { return c.RepliesBefore(replyNumber) }, repliesOwed: c.RepliesOwed, closedByUs: r.closedByUs,
+		onAdmitted: c.CountValidCommand, disconnected: r.disconnected, hasEnded: c.HasEnded, mayHaveEnded: c.MayHaveEnded})
 	if rejection := x.admit(); rejection != nil {
 		r.queueReply(rejection)
 		c.Skip(length)
@@ -199,14 +202,16 @@
 	r.replies <- immediateReply(reply{bytes: content})
 }
 
-// writeReplies writes the replies to the client in command order, until replies is closed.
-func writeReplies(c *transport.Client, replies <-chan *pendingReply, disconnected <-chan struct{}) {
+// writeReplies writes the replies to the client in command order, until replies is closed. It sets closedByUs before it closes
+// the connection of a client that has not.
+func writeReplies(c *transport.Client, replies <-chan *pendingReply, disconnected <-chan struct{}, closedByUs *atomic.Bool) {
 	for pending := range replies {
 		result := clientClosed
 		if r, ok := pending.await(disconnected); ok {
 			result = r.writeTo(c)
 		}
 		if result != delivered {
+			closedByUs.Store(closedByUs.Load() || result != clientClosed)
 			c.Conn.Close() // The commandReader sees that and cancels what is in flight for the client.
 		}
 		pending.reportDelivery(result)
--- a/routing/counters.go
+++ b/routing/counters.go
@@ -25,7 +25,7 @@
 	counterNotAdmitted         = "sent_back"           // requests rejected at admission, by workload
 	counterMalformed           = "sent_back_wrong"     // requests answered with an error at admission
 	counterLate                = "requests_late"       // the final answer was sent after the client's timeout
-	counterUnanswered          = "requests_unanswered" // the client stayed connected, but did not read its final answer
+	counterUnanswered          = "requests_unanswered" // the client stayed connected and did not get its final answer: it did not read, or its connection was cut off
 	counterExpired             = "requests_expired"    // ended before their deadline by the shutdown of the process
 	counterWithheld            = "attempts_withheld"   // not sent, as a check found the client disconnected
 	counterClosedPrefix        = "closed_"             // client connections, by how they ended
--- a/routing/events.go
+++ b/routing/events.go
@@ -52,7 +52,8 @@
 	lastByteAt     time.Time   // when its last byte had been handed to the kernel; zero: not at all
 	answer         []byte      // for the client; nil without one
 	reservedMemory int64       // bytes of the memory account that the attempt still holds
-	value          *largeValue // nil unless a large value began
+	value          *largeValue // nil unless a large value is streamed
+	held           *heldValue  // nil unless a large value was held until it was whole
 	latency        int64       // in ns, until a large value began; 0 otherwise: then measured when the event is handled
 	cacheResult    int         // as stated by the server
 	load           []float64   // the server's load report; nil without one
--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sync/atomic"
 	"time"
 
 	"hollylever/policy"
@@ -32,6 +33,8 @@
 type client struct {
 	receivedAt    time.Time       // when the request's last byte arrived at this machine; its timeout counts from then
 	repliesBefore func() int      // returns how many replies are owed to it before the request's own; nil: none ever
+	repliesOwed   func() int      // returns how many replies are owed to it, with the request's own; nil: no other ever
+	closedByUs    *atomic.Bool    // set before the balancer cuts its connection off with replies still owed; nil: never
 	onAdmitted    func()          // called once the request is admitted
 	disconnected  <-chan struct{} // closed once the client's disconnect has been read; nil if it never disconnects
 	hasEnded      func() bool     // checks the connection itself; nil if there is no connection
@@ -54,6 +57,12 @@
 	return c.repliesBefore()
 }
 
+// othersWait reports whether replies to other commands of the client wait beside the request's own.
+func (c client) othersWait() bool { return c.repliesOwed != nil && c.repliesOwed() > 1 }
+
+// wasCutOff reports whether the balancer has closed the client's connection with replies still owed.
+func (c client) wasCutOff() bool { return c.closedByUs != nil && c.closedByUs.Load() }
+
 // exchange handles one request from its arguments through its attempts to its single final reply, and on until its last
 // attempt has ended. The client's reading goroutine admits it; from then on the goroutine that calls run owns it.
 // Attempts read only fields that are set before they start.
@@ -83,6 +92,7 @@
 	isAnswered     bool // it has its final reply, or its client has disconnected and gets none
 	isDisconnected bool
 	largeReply     *largeValue // the large value that is streamed to the client; nil if none
+	heldReply      *heldValue  // the large value that the client gets whole; nil if none
 	record         requestRecord
 }
 
@@ -102,6 +112,7 @@
 		x.resolveResult()
 	}
 	delivery := <-x.reply.delivery // Until then its reply occupies memory.
+	x.heldReply.release()
 	x.record.answered = time.Since(x.client.receivedAt)
 	x.logEnd(delivery)
 	if isRegistered {
@@ -221,7 +232,10 @@
 }
 
 // finish sends the final reply, unless the request already has one.
-func (x *exchange) finish(answer []byte, outcome string) {
+func (x *exchange) finish(answer []byte, outcome string) { x.finishWith(reply{bytes: answer}, outcome) }
+
+// finishWith is finish for a reply of any kind.
+func (x *exchange) finishWith(final reply, outcome string) {
 	if x.isAnswered {
 		return
 	}
@@ -233,7 +247,7 @@
 	delete(b.requests.openIDs, x.id)
 	b.counters.incrementFor(outcome, x.workload)
 	b.mu.Unlock()
-	x.reply.reply <- reply{bytes: answer}
+	x.reply.reply <- final
 }
 
 // handle streams a large value to the client, unless the request already has its final reply. The request is counted as
@@ -249,7 +263,7 @@
 			conn.Cancel()
 		}
 	}
-	x.reply.reply <- reply{bytes: protocol.AppendLargeValueHeader(nil, x.largeReply.size), value: x.largeReply}
+	x.reply.reply <- reply{value: x.largeReply}
 }
 
 // acceptLargeValue makes an attempt's large value the final reply. It returns false if there already is one.
@@ -272,7 +286,14 @@
 // handle passes an attempt's end to the policy. The first value that arrives is the final reply.
 func (e attemptEnded) handle(x *exchange) {
 	x.attemptsEnded++
-	if isFinal := x.recordResult(e.attemptResult); isFinal {
+	isFinal := x.recordResult(e.attemptResult)
+	switch {
+	case !isFinal:
+		e.held.release()
+	case e.held != nil:
+		x.heldReply = e.held
+		x.finishWith(reply{bytes: protocol.AppendLargeValueHeader(nil, e.held.size()), held: e.held}, outcomeAnswered)
+	default:
 		x.finish(e.answer, outcomeAnswered)
 	}
 }
@@ -288,7 +309,7 @@
 	}
 	x.recordAttempt(r, time.Duration(latency))
 	x.mayHaveRun = x.mayHaveRun || !r.end.ProvesNotRun()
-	if r.end == transport.Succeeded && r.value == nil {
+	if r.end == transport.Succeeded && r.value == nil && r.held == nil {
 		b.results.resolve(x.result, siblings.ResultAnswer, r.answer)
 	}
 	slot := &b.requests.slots[x.slot]
--- /dev/null
+++ b/routing/heldvalue.go
@@ -0,0 +1,226 @@
+package routing
+
+import (
+	"time"
+
+	"hollylever/transport"
+)
+
+// A large value is held until all of it has arrived. Once its first byte is passed on, only the end of the client's
+// connection can tell that the rest will not come, and with the connection go the replies to all commands behind it. An
+// attempt whose value breaks before that is like any other that fails: the request is retried, or answered with an error.
+//
+// A value is passed on before it is whole, as streamValue does, where its time or the memory ends.
+
+const (
+	// maxHoldTime bounds how long the beginning of a large value is held. Clients take a value that is held back for 2 s
+	// as lost.
+	maxHoldTime = 1750 * time.Millisecond
+	// maxHoldReserve is the longest time by which a hold ends before the attempt's deadline, so that the first bytes of the
+	// value reach the client in time.
+	maxHoldReserve = 25 * time.Millisecond
+	// holdReserveDivisor: an attempt's remaining time divided by this is reserved for the first bytes, up to maxHoldReserve.
+	holdReserveDivisor = 8
+
+	// heldValueReserveDivisor sets the part of the memory that a held value leaves free while replies to other commands
+	// wait beside it, and the loneValue constants the part of the memory within which any other value is held.
+	heldValueReserveDivisor = 2
+	loneValueNumerator      = 3
+	loneValueDenominator    = 8
+)
+
+// largeResponse is what the beginning of a response tells of its large value.
+type largeResponse struct {
+	size  int // of the value, in bytes
+	start int // offset of the value in the response
+}
+
+// valueEnd is the offset of the first byte behind the value and its terminator.
+func (r largeResponse) valueEnd() int { return r.start + r.size + len(valueTerminator) }
+
+// bufferSize is how many bytes a buffer for the whole response needs. Anything over transport.MaxBuffer comes from a budget.
+func (r largeResponse) bufferSize() int {
+	return max(r.valueEnd()+responseTail, transport.MaxBuffer+1)
+}
+
+// heldValue is a large value that has arrived completely, in a buffer of a budget. A nil heldValue is none.
+type heldValue struct {
+	value         []byte // with its terminator
+	releaseBuffer func()
+}
+
+// size returns the length of the value in bytes.
+func (v *heldValue) size() int { return len(v.value) - len(valueTerminator) }
+
+// release returns the buffer to its budget. It must be called exactly once.
+func (v *heldValue) release() {
+	if v != nil {
+		v.releaseBuffer()
+	}
+}
+
+// writeTo writes the value to the client. A client that reads slowly has writeTimeout for each piece.
+func (v *heldValue) writeTo(c *transport.Client) transport.End {
+	for rest := v.value; len(rest) > 0; {
+		piece := rest[:min(len(rest), maxPieceSize)]
+		if end := writePart(c, piece); end != transport.Open {
+			return end
+		}
+		rest = rest[len(piece):]
+	}
+	return transport.Open
+}
+
+// readLargeValue reads a large value whose beginning is unread: as a whole, or else as a stream.
+func (x *exchange) readLargeValue(conn *transport.PooledConn, response largeResponse, deadline time.Time, result *attemptResult) (end transport.End, isReusable bool) {
+	pieceSize, end := x.awaitLargeValueMemory(conn, deadline, result)
+	if end != transport.Open {
+		return end, false
+	}
+	h := x.newValueHold(conn, response, deadline, result)
+	end, isWhole := h.fill()
+	switch {
+	case end != transport.Open:
+		return end, false
+	case isWhole:
+		return transport.Succeeded, h.take()
+	}
+	conn.Skip(response.start)
+	return x.streamValue(conn, response.size, pieceSize, result)
+}
+
+// valueHold is the hold of one large value by an attempt.
+type valueHold struct {
+	exchange *exchange
+	conn     *transport.PooledConn
+	response largeResponse
+	deadline time.Time // of the attempt
+	end      time.Time // of the hold
+	result   *attemptResult
+
+	progressAt time.Time // when the last bytes arrived
+	isStalled  bool      // nothing has arrived for nextPieceTimeout since
+}
+
+func (x *exchange) newValueHold(conn *transport.PooledConn, response largeResponse, deadline time.Time, result *attemptResult) *valueHold {
+	now, b := time.Now(), x.balancer
+	useful := deadline
+	if b.catalog.isWorthlessLate[x.workload] {
+		useful = earlier(useful, x.client.receivedAt.Add(time.Duration(b.catalog.expectedTimes[x.workload])))
+	}
+	remaining := max(0, useful.Sub(now))
+	return &valueHold{exchange: x, conn: conn, response: response, deadline: deadline, result: result, progressAt: now,
+		end: earlier(now.Add(maxHoldTime), useful.Add(-min(maxHoldReserve, remaining/holdReserveDivisor)))}
+}
+
+// fill reads the response until its value is whole. It returns Open and false if the value is to be passed on before that, and
+// how the attempt ended if it did.
+func (h *valueHold) fill() (end transport.End, isWhole bool) {
+	h.reportContinued()
+	if end, hasMemory := h.awaitBuffer(); end != transport.Open || !hasMemory {
+		return end, false
+	}
+	for len(h.conn.Unread()) < h.response.valueEnd() {
+		if !time.Now().Before(h.end) {
+			return h.endIncomplete(), false
+		}
+		if end := h.readMore(); end != transport.Open {
+			return end, false
+		}
+	}
+	value := h.conn.Unread()[h.response.start:h.response.valueEnd()]
+	if string(value[h.response.size:]) != valueTerminator {
+		return transport.Malformed, false
+	}
+	return transport.Open, true
+}
+
+// awaitBuffer takes a buffer for the whole response. It waits for one until the end of the hold if replies to other commands
+// would be lost with the value; a value alone is passed on at once.
+func (h *valueHold) awaitBuffer() (end transport.End, hasBuffer bool) {
+	size, budget := h.response.bufferSize(), h.exchange.balancer.pool.Budget
+	for h.conn.GrowLeaving(size, h.memoryForOthers()) != transport.Open {
+		if !budget.MayEverGrant(size) || !h.exchange.client.othersWait() || !time.Now().Before(h.end) {
+			return transport.Open, false
+		}
+		if end := h.exchange.awaitMemoryRetry(h.conn, h.end); end != transport.Open && end != transport.ResponseTimedOut {
+			return end, false
+		}
+	}
+	return transport.Open, true
+}
+
+// memoryForOthers returns how many bytes of memory a held value leaves free. A client that reads slowly occupies it for long.
+func (h *valueHold) memoryForOthers() int64 {
+	limit := h.exchange.balancer.memory.Limit()
+	if h.exchange.client.othersWait() {
+		return limit / heldValueReserveDivisor
+	}
+	return limit - limit*loneValueNumerator/loneValueDenominator
+}
+
+// readMore reads once, until the end of the hold. It tells the policy if nothing arrives for nextPieceTimeout, and if the value
+// goes on after that.
+func (h *valueHold) readMore() transport.End {
+	stalledAt := h.progressAt.Add(nextPieceTimeout)
+	if h.isStalled {
+		stalledAt = h.end
+	}
+	switch end := h.conn.Fill(earlier(stalledAt, h.end)); end {
+	case transport.Open:
+		h.progressAt = time.Now()
+		if h.isStalled {
+			h.reportContinued()
+		}
+		return transport.Open
+	case transport.ResponseTimedOut:
+		if !h.isStalled && !time.Now().Before(stalledAt) {
+			h.reportStalled()
+		}
+		return transport.Open
+	default:
+		return end
+	}
+}
+
+// reportStalled tells the policy that the value does not go on.
+func (h *valueHold) reportStalled() {
+	h.isStalled = true
+	b := h.exchange.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.policy.HandleResponseStalled(b.now(), h.exchange.slot, h.result.number)
+}
+
+// reportContinued tells the policy that the value goes on.
+func (h *valueHold) reportContinued() {
+	h.isStalled = false
+	b := h.exchange.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.policy.HandleResponseContinued(h.exchange.slot, h.result.number)
+}
+
+// endIncomplete decides what becomes of a value that is not whole at the end of the hold. It returns Open if it is to be
+// passed on. One that does not go on ends the attempt if replies to other commands would be lost with it.
+func (h *valueHold) endIncomplete() transport.End {
+	switch {
+	case !h.isStalled || !h.exchange.client.othersWait():
+		return transport.Open
+	case time.Until(h.deadline) > maxHoldReserve:
+		return transport.Malformed // There is time for a retry.
+	default:
+		return transport.ResponseTimedOut
+	}
+}
+
+// take takes the value out of the connection's buffer as the attempt's result, with what the rest of the response tells. It
+// returns whether the connection may be reused.
+func (h *valueHold) take() (isReusable bool) {
+	value := h.response.valueEnd()
+	trailer, isReusable := h.exchange.balancer.readValueTrailer(h.conn, value, earlier(h.deadline, time.Now().Add(nextPieceTimeout)), h.result)
+	length := len(h.conn.Unread())
+	response, release := h.conn.Take(length)
+	h.result.held = &heldValue{value: response[h.response.start:value], releaseBuffer: release}
+	return isReusable && length == value+trailer
+}
--- a/routing/largevalue.go
+++ b/routing/largevalue.go
@@ -24,8 +24,8 @@
 // errTruncated tells the reader of a large value that the rest of the value will not arrive.
 var errTruncated = errors.New("large value was not received completely")
 
-// largeValue is a large value whose beginning an attempt has received. The exchange accepts it as the final reply or
-// refuses it.
+// largeValue is a large value that is streamed: its beginning is passed on before all of it has arrived. The exchange accepts
+// it as the final reply or refuses it.
 type largeValue struct {
 	size       int // in bytes
 	pieceSize  int // in bytes, of what is in memory at once
@@ -35,11 +35,7 @@
 
 // streamValue streams a large value to the client as it arrives, so that little of it is in memory, and reads the rest
 // of the reply. It returns how that ended, and whether the connection may be reused.
-func (x *exchange) streamValue(conn *transport.PooledConn, size int, deadline time.Time, result *attemptResult) (end transport.End, isReusable bool) {
-	pieceSize, end := x.awaitLargeValueMemory(conn, deadline, result)
-	if end != transport.Open {
-		return end, false
-	}
+func (x *exchange) streamValue(conn *transport.PooledConn, size, pieceSize int, result *attemptResult) (end transport.End, isReusable bool) {
 	body, writer := io.Pipe()
 	result.value = &largeValue{size: size, pieceSize: pieceSize, body: body, isAccepted: make(chan bool, 1)}
 	x.events <- responseStarted{result.number, result.value}
@@ -55,7 +51,28 @@
 	}
 	_, _ = writer.Write([]byte(valueTerminator)) // Fails if the client has disconnected, which does not matter to the attempt.
 	_ = writer.Close()
-	return x.balancer.readValueTrailer(conn, result)
+	length, isWhole := x.balancer.readValueTrailer(conn, 0, time.Now().Add(nextPieceTimeout), result)
+	conn.Skip(length)
+	return transport.Succeeded, isWhole
+}
+
+// writeTo streams the value to the client. Its header is written with its first bytes: until then a value that breaks can
+// still be answered with an error.
+func (v *largeValue) writeTo(c *transport.Client) delivery {
+	defer func() { _ = v.body.Close() }() // Further writes by the attempt fail.
+	piece := make([]byte, v.pieceSize)
+	n, err := v.body.Read(piece)
+	if err != nil {
+		return deliveryOfWrite(writePart(c, protocol.AppendFailed(nil)))
+	}
+	end := writePart(c, protocol.AppendLargeValueHeader(nil, v.size))
+	for ; err == nil && end == transport.Open; n, err = v.body.Read(piece) {
+		end = writePart(c, piece[:n])
+	}
+	if end == transport.Open && !errors.Is(err, io.EOF) {
+		return valueIncomplete
+	}
+	return deliveryOfWrite(end)
 }
 
 // copyBody copies a large value from the server's connection to the writer. It returns Open once all is copied.
@@ -102,19 +119,18 @@
 	return conn.Fill(time.Now().Add(nextLargePieceTimeout))
 }
 
-// readValueTrailer reads the rest of the reply after a large value. The attempt has succeeded even if that fails, since
-// the value was complete.
-func (b *Balancer) readValueTrailer(conn *transport.PooledConn, result *attemptResult) (end transport.End, isReusable bool) {
-	deadline := time.Now().Add(nextPieceTimeout) // For the whole trailer: one that trickles in must not keep the request's slot.
+// readValueTrailer reads the rest of the response behind the first offset unread bytes, which are its large value. It returns
+// the length of that rest, and whether it is whole. The attempt has succeeded without, since the value was complete. The
+// deadline is for the whole trailer: one that trickles in must not keep the request's slot.
+func (b *Balancer) readValueTrailer(conn *transport.PooledConn, offset int, deadline time.Time, result *attemptResult) (length int, isWhole bool) {
 	for {
-		trailer := protocol.ParseResponseTail(conn.Unread())
+		trailer := protocol.ParseResponseTail(conn.Unread()[offset:])
 		if trailer.End == transport.Succeeded {
 			result.cacheResult, result.load = int(trailer.CacheResult), b.parseReport(trailer.Report)
-			conn.Skip(trailer.Length)
-			return transport.Succeeded, true
+			return trailer.Length, true
 		}
 		if trailer.End != transport.Open || conn.Fill(deadline) != transport.Open {
-			return transport.Succeeded, false
+			return 0, false
 		}
 	}
 }
--- a/routing/overflow.go
+++ b/routing/overflow.go
@@ -34,20 +34,20 @@
 	return r.count
 }
 
-// writeTo writes the run's replies in batches. It returns false if a write to the client fails.
-func (r *rejectionRun) writeTo(c *transport.Client) bool {
+// writeTo writes the run's replies in batches. It returns Open once all are written.
+func (r *rejectionRun) writeTo(c *transport.Client) transport.End {
 	if r == nil {
-		return true
+		return transport.Open
 	}
 	answer := protocol.AppendRejected(nil, 0)
 	for remaining := r.close(); remaining > 0; {
 		batch := min(remaining, maxPieceSize/len(answer))
-		if writePart(c, bytes.Repeat(answer, batch)) != transport.Open {
-			return false
+		if end := writePart(c, bytes.Repeat(answer, batch)); end != transport.Open {
+			return end
 		}
 		remaining -= batch
 	}
-	return true
+	return transport.Open
 }
 
 // overflow rejects the commands that one client sends beyond the capacity of its buffer while maxPipelined commands are
--- a/routing/reply.go
+++ b/routing/reply.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"errors"
-	"io"
 	"time"
 
 	"hollylever/transport"
@@ -65,30 +63,43 @@
 	delivered       delivery = iota
 	clientClosed             // the client closed the connection, or disconnected before there was a reply
 	writeTimedOut            // the client did not read for writeTimeout
-	valueIncomplete          // a large value could not be streamed completely
+	valueIncomplete          // a large value had begun to be streamed and could not be completed
 )
 
-// reply is what a client is sent for one command: bytes, followed by a large value if there is one. It may instead be
-// the replies to a run of rejected commands.
+// reply is what a client is sent for one command: bytes, followed by a held value if there is one. It may instead be a large
+// value that is streamed, or the replies to a run of rejected commands.
 type reply struct {
 	bytes    []byte
-	value    *largeValue   // nil if there is no large value
+	held     *heldValue    // nil if there is none
+	value    *largeValue   // nil if no large value is streamed
 	rejected *rejectionRun // nil if this is not a run of rejections
 }
 
 // writeTo writes the reply to the client.
 func (r reply) writeTo(c *transport.Client) delivery {
-	switch end := writePart(c, r.bytes); {
-	case end == transport.TimedOutBeforeSent:
+	if r.value != nil {
+		return r.value.writeTo(c)
+	}
+	end := writePart(c, r.bytes)
+	switch {
+	case end == transport.Open && r.held != nil:
+		end = r.held.writeTo(c)
+	case end == transport.Open:
+		end = r.rejected.writeTo(c)
+	}
+	return deliveryOfWrite(end)
+}
+
+// deliveryOfWrite returns how a delivery ended whose last write ended so.
+func deliveryOfWrite(end transport.End) delivery {
+	switch end {
+	case transport.Open:
+		return delivered
+	case transport.TimedOutBeforeSent:
 		return writeTimedOut
-	case end != transport.Open:
-		return clientClosed
-	case !copyValue(c, r.value):
-		return valueIncomplete
-	case !r.rejected.writeTo(c):
+	default:
 		return clientClosed
 	}
-	return delivered
 }
 
 // writePart writes the next part of a reply to the client.
@@ -99,20 +110,3 @@
 	c.AwaitSendTurn()
 	return c.SendReply(part, time.Now().Add(writeTimeout))
 }
-
-// copyValue streams a large value to the client, and reports whether all of it was written.
-func copyValue(c *transport.Client, value *largeValue) bool {
-	if value == nil {
-		return true
-	}
-	defer func() { _ = value.body.Close() }() // Further writes by the attempt fail.
-	for piece := make([]byte, value.pieceSize); ; {
-		n, err := value.body.Read(piece)
-		if writePart(c, piece[:n]) != transport.Open {
-			return false
-		}
-		if err != nil {
-			return errors.Is(err, io.EOF)
-		}
-	}
-}
--- a/routing/requestlog.go
+++ b/routing/requestlog.go
@@ -110,10 +110,11 @@
 func (x *exchange) problem(result delivery) string {
 	record := &x.record
 	switch {
-	case record.outcome == outcomeDisconnected:
-	case result == writeTimedOut:
+	case result == valueIncomplete:
+	case result != delivered && x.client.wasCutOff():
 		return counterUnanswered
-	case result == delivered && record.answered > record.timeout+lateTolerance && record.timeout > 0 && x.largeReply == nil:
+	case record.outcome == outcomeDisconnected:
+	case result == delivered && record.answered > record.timeout+lateTolerance && record.timeout > 0 && x.largeReply == nil && x.heldReply == nil:
 		return counterLate
 	}
 	return ""
@@ -121,6 +122,9 @@
 
 func (x *exchange) describe(event *zerolog.Event) *zerolog.Event {
 	record := &x.record
+	if x.client.wasCutOff() {
+		event = event.Bool("cut_off", true)
+	}
 	return event.Str("id", x.id).Int("workload", x.workload).Str("outcome", record.outcome).Int64("timeout_ms", record.timeout.Milliseconds()).
 		Int64("waited_ms", record.waited.Milliseconds()).Int64("answered_ms", record.answered.Milliseconds()).Str("attempts", record.String())
 }
--- a/server/large_test.go
+++ b/server/large_test.go
@@ -60,7 +60,7 @@
 		p.waitForMetric("replies.read.error", n+1)
 	}
 	expectNoCommand(t, came)
-	c.send("C.GET", "k", "pieces", "c=read,d=3000")
+	c = p.connect().send("C.GET", "k", "pieces", "c=read,d=3000")
 	h = receive(t, came, "the retrieval")
 	pieces := time.NewTicker(150 * time.Millisecond)
 	defer pieces.Stop()
--- a/server/resources.go
+++ b/server/resources.go
@@ -63,7 +63,7 @@
 // clientMemoryLimit is how much clients may make the process hold, in all: connections, buffers, requests and responses.
 func clientMemoryLimit(memory int64) int64 { return memory / 2 }
 
-// largeValueLimit is how much of that the buffers of clients' large values may hold.
+// largeValueLimit is how much of that the buffers of clients' large values may hold, and as much those of servers' large values.
 func largeValueLimit(memory int64) int64 { return memory / 3 }
 
 // requestMemoryLimit is how much of that the commands in flight and their responses may hold.
@@ -91,6 +91,7 @@
 func (l resourceLimits) set(allowed siblings.Resources, attemptShare float64) (clients, endpoints int) {
 	l.listener.Memory.SetLimit(clientMemoryLimit(allowed.MemoryBytes))
 	l.listener.Budget.SetTotal(largeValueLimit(allowed.MemoryBytes))
+	l.pool.Budget.SetTotal(largeValueLimit(allowed.MemoryBytes))
 	l.balancer.SetLimits(requestMemoryLimit(allowed.MemoryBytes), attemptShare)
 	return l.setConnectionLimits(int(allowed.ClientConnections), int(allowed.EndpointConnections))
 }
--- a/server/server.go
+++ b/server/server.go
@@ -109,6 +109,7 @@
 	s.log, s.logWrites, s.flushLog = newLogger(s.settings, s.configuration.Name)
 	s.pool = transport.NewPool(s.maxEndpointConnections, s.configuration.idleTimeout(), s.configuration.dialTimeout())
 	s.pool.Memory = transport.NewMemoryAccount(clientMemoryLimit(s.capacity.memoryBytes))
+	s.pool.Budget = s.newLargeValueBudget()
 	s.openStateDirectory()
 	if err := s.startBalancer(); err != nil {
 		return err
@@ -212,13 +213,19 @@
 		return fmt.Errorf("%s: listen: %w", c.File, err)
 	}
 	s.listener.Memory = s.pool.Memory
-	s.listener.Budget = transport.NewBudget(largeValueLimit(s.capacity.memoryBytes))
-	s.listener.Budget.Memory = s.pool.Memory
+	s.listener.Budget = s.newLargeValueBudget()
 	s.listener.Stalls = stallClock
 	s.listener.OnAcceptError = s.handleAcceptError
 	return nil
 }
 
+// newLargeValueBudget returns a budget for the buffers of large values of one side.
+func (s *Server) newLargeValueBudget() *transport.Budget {
+	budget := transport.NewBudget(largeValueLimit(s.capacity.memoryBytes))
+	budget.Memory = s.pool.Memory
+	return budget
+}
+
 // handleAcceptError lowers the limits on connections if the system has fewer descriptors than at the start. The
 // listener's goroutine calls it.
 func (s *Server) handleAcceptError(err error) {
--- a/transport/budget.go
+++ b/transport/budget.go
@@ -25,10 +25,21 @@
 // SetTotal sets the budget's size in bytes. Buffers in use are kept even if they take more than the new size.
 func (b *Budget) SetTotal(bytes int64) { b.available.Add(bytes - b.total.Swap(bytes)) }
 
+// MayEverGrant reports whether the budget is large enough for a buffer of n bytes while no other is in use.
+func (b *Budget) MayEverGrant(n int) bool { return b != nil && int64(n) <= b.total.Load()/2 }
+
+// memory returns the account that bounds all memory; nil if there is none.
+func (b *Budget) memory() *MemoryAccount {
+	if b == nil {
+		return nil
+	}
+	return b.Memory
+}
+
 // acquire returns a buffer of n bytes and the number of bytes that it takes from the budget, or nil if the budget does
-// not suffice. A single buffer may take at most half of the budget, so that one client can't exclude all others.
-func (b *Budget) acquire(n int) (buffer []byte, size int) {
-	if b == nil || int64(n) > b.total.Load()/2 {
+// not suffice or less than keepFree bytes of the memory would stay free. A single buffer may take at most half of the budget, so that one client can't exclude all others.
+func (b *Budget) acquire(n int, keepFree int64) (buffer []byte, size int) {
+	if !b.MayEverGrant(n) {
 		return nil, 0
 	}
 	size = roundedSize(n)
@@ -36,7 +47,7 @@
 		b.available.Add(int64(size))
 		return nil, 0
 	}
-	if !b.Memory.Reserve(int64(size), bufferReserve(b.Memory)) {
+	if !b.Memory.Reserve(int64(size), keepFree) {
 		b.available.Add(int64(size))
 		return nil, 0
 	}
--- a/transport/client.go
+++ b/transport/client.go
@@ -166,6 +166,13 @@
 	return max(0, number-1-c.repliesEnded)
 }
 
+// RepliesOwed returns how many replies are owed to the client.
+func (c *Client) RepliesOwed() int {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.pendingReplies
+}
+
 // CountValidCommand records that the client has sent a valid command.
 func (c *Client) CountValidCommand() {
 	c.listener.mu.Lock()
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -87,14 +87,17 @@
 }
 
 // Grow makes the buffer large enough for a message of n bytes. It returns LocalShortage if the budget does not suffice.
-func (c *Conn) Grow(n int) End {
+func (c *Conn) Grow(n int) End { return c.GrowLeaving(n, bufferReserve(c.budget.memory())) }
+
+// GrowLeaving is Grow where at least keepFree bytes of the memory are to stay free.
+func (c *Conn) GrowLeaving(n int, keepFree int64) End {
 	if n <= MaxBuffer || n <= len(c.buffer) {
 		return Open
 	}
 	if c.budgetedBytes > 0 {
 		return LocalShortage
 	}
-	grown, size := c.budget.acquire(min(n, MaxMessage))
+	grown, size := c.budget.acquire(min(n, MaxMessage), keepFree)
 	if grown == nil {
 		return LocalShortage
 	}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -36,9 +36,10 @@
 // Pool keeps idle connections by server and address, and limits how many are open. A connection carries one attempt at
 // a time, so that cancelling an attempt, which closes its connection, affects no other. The pool itself sends nothing.
 //
-// Memory must be set before the first connection is opened.
+// Memory and Budget must be set before the first connection is opened.
 type Pool struct {
 	Memory       *MemoryAccount // for open connections; if nil, unlimited
+	Budget       *Budget        // for large values of servers; if nil, none can be buffered
 	dialer       net.Dialer
 	minReuseIdle time.Duration // the constant minReuseIdle, except in tests
 	holdback     time.Duration // minHoldback, except in tests
--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -74,7 +74,7 @@
 	began := time.Now()
 	inner, err := pc.pool.dialer.DialContext(ctx, "tcp", peer.Address)
 	if err == nil {
-		return &Conn{Conn: inner, peer: peer, dialDuration: time.Since(began)}, Open
+		return &Conn{Conn: inner, peer: peer, budget: pc.pool.Budget, dialDuration: time.Since(began)}, Open
 	}
 	pc.pool.release()
 	pc.mu.Lock()
@@ -261,6 +261,7 @@
 		pc.pool.putIdle(pc.Conn)
 	} else {
 		pc.Conn.abort()
+		pc.Conn.releaseBuffer()
 		pc.pool.release()
 	}
 	pc.Conn = nil
