A booking whose client leaves as its last byte is written keeps its result

Cause: PooledConn.Send set isSent after the write had returned. The server may have the last byte before that, and CancelUnsent, which spares what was sent, cancelled the attempt.

Change: SendHoldingLastByte marks the attempt as sent before it writes the one last byte (beginLastByte).

Evidence: TestCancelUnsentSparesAnAttemptWhoseLastByteIsBeingWritten failed before (called_off, want open) and passes.

--- a/transport/pooledconn.go
+++ b/transport/pooledconn.go
@@ -111,7 +111,7 @@
 	holdback := pc.pool.holdback + min(maxSlowDialHoldback, 2*pc.Conn.dialDuration)
 	switch pc.Conn.Fill(time.Now().Add(holdback), false) {
 	case TimedOutBeforeSent: // The server sent nothing and has not closed, as expected.
-		if isUnwanted() {
+		if isUnwanted() || !pc.beginLastByte() {
 			return pc.orCancelled(CancelledBeforeSent)
 		}
 		return pc.Send(message[last:], deadline)
@@ -122,6 +122,15 @@
 	}
 }
 
+// beginLastByte marks the message as sent before its last byte is written, unless the attempt was cancelled. The server may have
+// the byte before the write returns, and CancelUnsent must not cancel the attempt then.
+func (pc *PooledConn) beginLastByte() bool {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.isSent = !pc.isCancelled
+	return pc.isSent
+}
+
 // LastByte decides about the last byte of a message, before which the server does not begin the request.
 type LastByte interface {
 	// Deadline returns the time by which it has to be sent. It may become earlier while the message is being sent.
--- a/transport/pooledconn_test.go
+++ b/transport/pooledconn_test.go
@@ -154,3 +154,37 @@
 		t.Fatal(end)
 	}
 }
+
+// leavingConn is a connection whose client leaves while a write is under way: the server has its bytes already.
+type leavingConn struct {
+	*net.TCPConn
+	leave func(written []byte)
+}
+
+// Write implements net.Conn.
+func (c leavingConn) Write(message []byte) (int, error) {
+	n, err := c.TCPConn.Write(message)
+	c.leave(message)
+	return n, err
+}
+
+// A client leaves between the moment in which the server has the last byte of its booking and the end of the write: the booking
+// runs, and its result was lost, as the attempt was cancelled for not being sent.
+func TestCancelUnsentSparesAnAttemptWhoseLastByteIsBeingWritten(t *testing.T) {
+	address, accepted := startPeer(t)
+	conn := connect(t, NewPool(4, time.Minute, time.Second), address)
+	server := <-accepted
+	defer server.Close()
+	conn.Conn.Conn = leavingConn{conn.Conn.Conn.(*net.TCPConn), func(written []byte) {
+		if string(written) == "b" {
+			conn.CancelUnsent()
+		}
+	}}
+	if end := conn.SendHoldingLastByte([]byte("ab"), testDeadline(), neverWithdrawn); end != Open {
+		t.Errorf("SendHoldingLastByte: %v, want %v", end, Open)
+	}
+	server.Write([]byte("y"))
+	if end := conn.Fill(testDeadline()); end != Open || string(conn.Unread()) != "y" {
+		t.Errorf("the response is read with %v, want %v", end, Open)
+	}
+}
