An id of another client's open request gets an error, and no other request's result

Verb, key, id and class were taken for the whole request, and nobody asked whether the first client had left.

Change: two questions. One that differs gets an error. Has the first client left (resultowner.go): while it waits, another one waits for its end, 0.5 s at most, and then shares the result or gets an error. Processes tell one another of the client, and of open ids, in records of the same size. The id of a read whose client has closed is free at once, that of a booking whose client has left is in use until it has ended.

--- a/protocol/command.go
+++ b/protocol/command.go
@@ -29,6 +29,9 @@
 	fnvPrime  = 1099511628211
 )
 
+// AttributesIndex is the index of the attribute list among a request's arguments.
+const AttributesIndex = argumentAttributes
+
 // Indexes of a request's arguments: verb, key, ID, attributes and, for VerbSet only, the value.
 const (
 	argumentKey        = 1
@@ -133,6 +136,20 @@
 	return err
 }
 
+// AppendLastingAttributes appends those pairs of an attribute list that a request has in common with its repeat by the same
+// client: all but the timeout and the mark of a retry.
+func AppendLastingAttributes(out, list []byte) []byte {
+	for len(list) > 0 {
+		var pair []byte
+		pair, list, _ = bytes.Cut(list, []byte{','})
+		name, _, _ := bytes.Cut(pair, []byte{'='})
+		if string(name) != attributeTimeout && string(name) != attributeRetry {
+			out = append(append(out, pair...), ',')
+		}
+	}
+	return out
+}
+
 // parseTime parses a decimal number, optionally with a fraction, of units that are unit nanoseconds long, and returns
 // nanoseconds. It rejects the other formats that strconv accepts, such as inf or 0x1p4, and times over maxTimeNanos,
 // which are longer than any client waits and which servers would reject.
--- a/protocol/words.go
+++ b/protocol/words.go
@@ -15,6 +15,7 @@
 	attributeTenant    = "t"
 	attributeTimeout   = "d" // in milliseconds
 	attributePredicted = "h" // the client's estimate of the work, in microseconds
+	attributeRetry     = "r" // marks a client's retry
 
 	wordBusy            = "BUSY"         // error: in a response, rejected before it began; in a reply, not served
 	wordFailed          = "ERR failed"   // error in a response: the request failed on the server
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -18,7 +18,7 @@
 type admission struct {
 	workload        int
 	isKnownWorkload bool
-	isDuplicate     bool // an earlier request with this ID has no final reply yet
+	isDuplicate     bool // another request of this ID is in use
 	isFull          bool
 	isUnread        bool  // the client may have disconnected for too long, unseen behind bytes that wait to be read
 	isTooLate       bool  // no reply is expected before the process ends
@@ -39,6 +39,7 @@
 	x.record.timeout = time.Duration(attributes.TimeoutNanos)
 	x.record.waited = time.Since(x.client.receivedAt)
 	x.id = string(x.arguments[2])
+	x.identify(attributes.Workload)
 	isUnread := x.client.isUnread()
 	b := x.balancer
 	b.mu.Lock()
@@ -55,18 +56,18 @@
 	b := x.balancer
 	a := x.assess(attributes.Workload, max(0, attributes.TimeoutNanos-int64(x.record.waited)))
 	x.workload, a.isUnread = a.workload, isUnread
-	earlier, repeated := x.findEarlier(a, attributes.Workload)
-	if earlier == nil {
-		if rejection := b.rejectionReply(a); rejection != nil && repeated != nil {
-			return protocol.AppendFailed(nil) // A rejection promises that it has not run.
-		} else if rejection != nil {
-			return rejection
-		}
-		earlier = x.beginResult(repeated)
+	repeated := x.findEarlier(a)
+	if repeated != nil && !x.mayRunAgain(repeated) {
+		return x.join(repeated, a)
 	}
-	if earlier != nil {
-		x.share(earlier, a)
-		return nil
+	a.isDuplicate = a.isDuplicate || b.results.isIDInUse(x.identity)
+	if rejection := b.rejectionReply(a); rejection != nil && repeated != nil {
+		return protocol.AppendFailed(nil) // A rejection promises that it has not run.
+	} else if rejection != nil {
+		return rejection
+	}
+	if earlier := x.beginResult(repeated); earlier != nil {
+		return x.join(earlier, a)
 	}
 	x.register(a, policy.RequestInfo{
 		Remaining:     a.remaining,
@@ -83,7 +84,7 @@
 // assess collects the input to the admission decision. The caller holds Balancer.mu.
 func (x *exchange) assess(workload []byte, remaining int64) admission {
 	b := x.balancer
-	a := admission{remaining: remaining, isDuplicate: b.requests.openIDs[x.id], isFull: b.requests.isFull(x.bytes, b.leaseCheck != nil) || !x.hasMemory()}
+	a := admission{remaining: remaining, isDuplicate: b.requests.isIDInUse(x), isFull: b.requests.isFull(x.bytes, b.leaseCheck != nil) || !x.hasMemory()}
 	a.workload, a.isKnownWorkload = b.catalog.workloads[string(workload)]
 	if answerBy := b.answerBy.Load(); answerBy > 0 && a.isKnownWorkload {
 		// Clients may go on sending requests on busy connections during a shutdown, and these connections have to end.
@@ -101,9 +102,9 @@
 	case !a.isKnownWorkload:
 		b.counters.increment(counterMalformed)
 		return protocol.AppendError(nil, "unknown workload")
-	case a.isDuplicate: // A server treats requests with the same ID as one and could answer either of them.
+	case a.isDuplicate:
 		b.counters.incrementFor(counterMalformed, a.workload)
-		return protocol.AppendError(nil, "a retrieval of this id is open")
+		return protocol.AppendError(nil, errorIDOpen)
 	case a.isFull: // Bounds memory; the request has not been started.
 		b.counters.increment(counterRejectedMemory)
 	case a.isUnread:
@@ -120,7 +121,7 @@
 // register enters an admitted request into the request table and hands it to the policy. The caller holds Balancer.mu.
 func (x *exchange) register(a admission, request policy.RequestInfo) {
 	b := x.balancer
-	b.requests.openIDs[x.id] = true
+	b.requests.openIDs[x.id] = x
 	b.requests.bytes += x.bytes
 	x.reservedMemory = x.commandMemory()
 	b.memory.Add(x.reservedMemory)
--- a/routing/benchmark_test.go
+++ b/routing/benchmark_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -50,3 +51,15 @@
 		b.ReportMetric(float64(held)/float64(b.N), "ns/held")
 	})
 }
+
+// BenchmarkRequestIdentity measures what is computed of each request with an effect.
+func BenchmarkRequestIdentity(b *testing.B) {
+	for _, size := range []int{64, 64 << 10, 4 << 20} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			arguments := append(requestArguments("c=book,t=acme,d=500"), make([]byte, size))
+			for b.Loop() {
+				newRequestIdentity([]byte("book"), arguments)
+			}
+		})
+	}
+}
--- a/routing/clientconn.go
+++ b/routing/clientconn.go
@@ -208,6 +208,7 @@
 	for pending := range replies {
 		result := clientClosed
 		if r, ok := pending.await(disconnected); ok {
+			pending.beginDelivery()
 			result = r.writeTo(c)
 		}
 		if result != delivered {
--- a/routing/counters.go
+++ b/routing/counters.go
@@ -15,6 +15,7 @@
 const (
 	counterRequests            = "retrievals"          // admitted
 	counterRepeated            = "repeated_ids"        // of these, the ones that get the result of an earlier one of their ID
+	counterContested           = "contested_ids"       // requests whose ID a request has whose client still waits
 	counterAttempts            = "trips"               // started
 	counterAttemptsSent        = "handed"              // attempts sent completely
 	counterAttemptPrefix       = "trip_"               // attempts without a reply, by how their connection ended
@@ -40,6 +41,7 @@
 	outcomeRejected     = "dismissed"
 	outcomeFailed       = "given_up"
 	outcomeDisconnected = "left"
+	outcomeMalformed    = "malformed"
 )
 
 // Counters of requests that the policy rejected or failed, by reason.
--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -77,17 +77,21 @@
 	workload       int
 	slot           int // in the request table
 	events         chan event
-	bytes          int64                   // of the request and its reply
-	reservedMemory int64                   // bytes of the memory account that are held until the release
-	connections    []*transport.PooledConn // the connection of each attempt
-	repeatWindow   *repeatWindow           // nil: attempts may be sent at any time
-	windowBase     int                     // number of the first attempt in repeatWindow
-	digest         siblings.RequestDigest  // of a request with an effect
-	result         *requestResult          // of a request with an effect; nil: none
-	earlier        *requestResult          // of an earlier request of the same ID, which it gets; nil: it runs itself
-	remaining      time.Duration           // until its deadline, if it gets the result of an earlier one
-	mayHaveRun     bool                    // an attempt of it may have run
-	hasEarlierRun  bool                    // an earlier request of its ID may have run
+	bytes          int64                    // of the request and its reply
+	reservedMemory int64                    // bytes of the memory account that are held until the release
+	connections    []*transport.PooledConn  // the connection of each attempt
+	repeatWindow   *repeatWindow            // nil: attempts may be sent at any time
+	windowBase     int                      // number of the first attempt in repeatWindow
+	identity       siblings.RequestIdentity // of a request with an effect; zero: none
+	result         *requestResult           // of a request with an effect; nil: none
+	earlier        *requestResult           // of an earlier request of the same ID, which it gets; nil: it runs itself
+	contested      *requestResult           // of an earlier request of the same ID, for which another client waits; nil: none
+	contestedOwner *resultOwner             // that client; nil: it is another process's
+	owner          *resultOwner             // its own client, while the reply of owned is owed to that
+	owned          *requestResult
+	remaining      time.Duration // until its deadline, if it gets the result of an earlier one
+	mayHaveRun     bool          // an attempt of it may have run
+	hasEarlierRun  bool          // an earlier request of its ID may have run
 	attemptsEnded  int
 	isAnswered     bool // it has its final reply, or its client has disconnected and gets none
 	isDisconnected bool
@@ -103,9 +107,9 @@
 
 // run handles an admitted request until it is released.
 func (x *exchange) run() {
-	isRegistered := x.earlier == nil
-	for !isRegistered && !x.runShared() && x.admitAnew() {
-		isRegistered = x.earlier == nil
+	isRegistered := x.isRegistered()
+	for !isRegistered && !x.runUnregistered() && x.admitAnew() {
+		isRegistered = x.isRegistered()
 	}
 	if isRegistered {
 		x.handleEvents()
@@ -113,6 +117,7 @@
 	}
 	delivery := <-x.reply.delivery // Until then its reply occupies memory.
 	x.heldReply.release()
+	x.disown(delivery)
 	x.record.answered = time.Since(x.client.receivedAt)
 	x.logEnd(delivery)
 	if isRegistered {
@@ -122,6 +127,17 @@
 	}
 }
 
+// isRegistered reports whether the admitted request runs itself.
+func (x *exchange) isRegistered() bool { return x.earlier == nil && x.contested == nil }
+
+// runUnregistered handles a request that does not run itself. It returns false if it is to be admitted anew.
+func (x *exchange) runUnregistered() bool {
+	if x.contested != nil {
+		return x.runContested()
+	}
+	return x.runShared()
+}
+
 // handleEvents returns once the request has its final reply and each attempt has ended.
 func (x *exchange) handleEvents() {
 	disconnected := x.client.disconnected
@@ -167,7 +183,11 @@
 	b := x.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.requests.openIDs, x.id)
+	b.requests.closeID(x)
+	if x.result != nil {
+		b.requests.abandonID(x)
+	}
+	x.disownLeft()
 	slot := &b.requests.slots[x.slot]
 	if !slot.isFinal {
 		slot.isFinal = true
@@ -244,7 +264,7 @@
 	x.cancelUnsent()
 	b := x.balancer
 	b.mu.Lock()
-	delete(b.requests.openIDs, x.id)
+	b.requests.closeID(x)
 	b.counters.incrementFor(outcome, x.workload)
 	b.mu.Unlock()
 	x.reply.reply <- final
@@ -368,7 +388,7 @@
 // countLargeValue counts the final reply of a request whose client is sent a large value. The caller holds Balancer.mu.
 func (x *exchange) countLargeValue(outcome policy.Outcome) {
 	b := x.balancer
-	delete(b.requests.openIDs, x.id)
+	b.requests.closeID(x)
 	if outcome == policy.OK {
 		b.counters.incrementFor(outcomeAnswered, x.workload)
 	} else {
--- a/routing/repeat.go
+++ b/routing/repeat.go
@@ -7,28 +7,54 @@
 	"hollylever/siblings"
 )
 
-// A request with an effect that comes again under its ID, on any connection, gets the result of the first one: it waits
-// while that runs, also for a client that has left. It runs itself only if the first one has not run.
+// A request with an effect that comes again under its ID after its client has left, on any connection, gets the result of the
+// first one: it waits while that runs. It runs itself only if the first one has not run. While the first client waits, and where
+// the two are not the same request, it gets an error (resultowner.go).
 
-// mayRunAgain reports whether a request may run although an earlier one of its ID has begun: its effect does not repeat
-// within the window of the earlier one, whose result is not known.
+// identify computes what a request with an effect is recognized by. That takes time for a large one, so no lock is held.
+func (x *exchange) identify(workload []byte) {
+	catalog := &x.balancer.catalog
+	if w, isKnown := catalog.workloads[string(workload)]; isKnown && catalog.hasEffect[w] && x.identity == (siblings.RequestIdentity{}) {
+		x.identity = newRequestIdentity(workload, x.arguments)
+	}
+}
+
+// isSameRequest reports whether an earlier request of the ID asks for the same, as far as is known.
+func (x *exchange) isSameRequest(earlier *requestResult) bool {
+	return earlier.content == x.identity.Content || earlier.content == siblings.RequestContent{}
+}
+
+// mayRunAgain reports whether a request may run although an earlier one of its ID has begun: it is the same request, no client
+// waits for the earlier one, the effect does not repeat within the window of that, and its result is not known. The caller holds
+// Balancer.mu.
 func (x *exchange) mayRunAgain(earlier *requestResult) bool {
-	return earlier.isDone() && earlier.state == siblings.ResultUnknown && !x.balancer.catalog.isSingleShot[x.workload]
+	return earlier.isDone() && earlier.state == siblings.ResultUnknown && !x.balancer.catalog.isSingleShot[x.workload] && x.isSameRequest(earlier) &&
+		!earlier.isOwned()
 }
 
-// findEarlier returns the result that the request has to share, or nil if it may run; repeated is the result after which it
-// runs again, if any. The caller holds Balancer.mu.
-func (x *exchange) findEarlier(a admission, workload []byte) (earlier, repeated *requestResult) {
+// findEarlier returns the result of an earlier request of the ID, or nil. The caller holds Balancer.mu.
+func (x *exchange) findEarlier(a admission) *requestResult {
 	b := x.balancer
 	if !a.isKnownWorkload || !b.catalog.hasEffect[a.workload] {
-		return nil, nil
+		return nil
 	}
-	x.digest = requestDigest(workload, x.arguments)
-	found := b.results.find(x.digest)
-	if found != nil && x.mayRunAgain(found) {
-		return nil, found
+	return b.results.find(x.identity.Digest)
+}
+
+// join admits a request that gets the result of an earlier one, at once or after the client of that has left. It returns the
+// reply to one that does not. The caller holds Balancer.mu.
+func (x *exchange) join(earlier *requestResult, a admission) (rejection []byte) {
+	switch {
+	case !x.isSameRequest(earlier):
+		return x.rejectID(errorIDTaken, a.workload)
+	case earlier.isElsewhere && a.isDuplicate:
+		return x.rejectID(errorIDOpen, a.workload)
+	case earlier.isOwned():
+		x.contest(earlier, a)
+	default:
+		x.share(earlier, a)
 	}
-	return found, nil
+	return nil
 }
 
 // beginResult records that the request runs, with what its attempts need to know of an earlier one. It returns the result of
@@ -39,7 +65,8 @@
 	if !b.catalog.hasEffect[x.workload] {
 		return nil
 	}
-	if x.result, earlier = b.results.begin(x.digest, x.repeatWindow, repeated); earlier == nil {
+	if x.result, earlier = b.results.begin(x.identity, x.repeatWindow, repeated); earlier == nil {
+		x.own(x.result)
 		x.repeatWindow, x.windowBase, x.hasEarlierRun = x.result.window, x.result.windowBase, repeated != nil
 	}
 	return earlier
@@ -52,6 +79,8 @@
 	b.counters.increment(counterRequests)
 	b.counters.increment(counterRepeated)
 	x.earlier, x.remaining = earlier, time.Duration(a.remaining)
+	x.own(earlier)
+	b.requests.openIDs[x.id] = x
 	x.reservedMemory = x.commandMemory()
 	b.memory.Add(x.reservedMemory)
 }
@@ -109,8 +138,8 @@
 func (b *Balancer) pollElsewhere(result *requestResult) (state siblings.ResultState, answer []byte, isKnown bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state, answer = b.results.shared.Find(result.digest)
-	return state, answer, state != siblings.ResultOpen && state != siblings.ResultClaimed
+	shared := b.results.shared.Find(result.digest)
+	return shared.State, shared.Answer, shared.State != siblings.ResultOpen && shared.State != siblings.ResultClaimed
 }
 
 // countDisconnected counts a request whose client has disconnected while it waited for the result of an earlier one.
@@ -119,6 +148,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counters.increment(counterDisconnected)
+	b.requests.closeID(x)
+	x.disownLeft()
 	x.record.outcome = outcomeDisconnected
 }
 
@@ -127,6 +158,7 @@
 	b := x.balancer
 	b.mu.Lock()
 	b.counters.incrementFor(outcome, x.workload)
+	b.requests.closeID(x)
 	b.mu.Unlock()
 	x.record.outcome = outcome
 	x.reply.reply <- reply{bytes: answer}
@@ -136,6 +168,7 @@
 func (x *exchange) admitAnew() bool {
 	x.releaseMemory()
 	x.client.onAdmitted = func() {}
+	x.leaveEarlier()
 	rejection := x.admit()
 	if rejection != nil {
 		x.record.outcome = outcomeRejected
@@ -144,10 +177,19 @@
 	return rejection == nil
 }
 
+// leaveEarlier ends the wait for the result of the earlier request.
+func (x *exchange) leaveEarlier() {
+	b := x.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests.closeID(x)
+	x.disownLeft()
+}
+
 // releaseMemory returns the memory that a request holds which is not in the request table.
 func (x *exchange) releaseMemory() {
 	x.balancer.memory.Release(x.reservedMemory)
-	x.reservedMemory, x.earlier = 0, nil
+	x.reservedMemory, x.earlier, x.contested = 0, nil, nil
 }
 
 // resolveResult records the result of a request whose attempts have ended, if no answer has arrived.
@@ -159,5 +201,6 @@
 	b := x.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.requests.endAbandoned(x)
 	b.results.resolve(x.result, state, nil)
 }
--- a/routing/reply.go
+++ b/routing/reply.go
@@ -16,6 +16,7 @@
 	known    reply
 	reply    chan reply
 	delivery chan delivery
+	beganAt  time.Time // when the reply began to be written; set before delivery receives its end
 }
 
 func newPendingReply() *pendingReply {
@@ -49,6 +50,9 @@
 	}
 }
 
+// beginDelivery records that the reply is about to be written.
+func (p *pendingReply) beginDelivery() { p.beganAt = time.Now() }
+
 // reportDelivery tells the request how the delivery of its reply ended.
 func (p *pendingReply) reportDelivery(d delivery) {
 	if !p.isKnown() {
--- a/routing/requests.go
+++ b/routing/requests.go
@@ -13,7 +13,8 @@
 type requestTable struct {
 	slots          []requestSlot
 	indices        settings.IndexAllocator // of slots
-	openIDs        map[string]bool         // of requests without a final reply
+	openIDs        map[string]*exchange    // the requests without a final reply, by ID
+	abandonedIDs   map[string]*exchange    // the requests with an effect that still run although their client has left, by ID
 	bytes          int64                   // of memory in use by the requests
 	maxBytes       int64
 	maxHeld        int // bound on unreleased requests from the settings
@@ -33,9 +34,10 @@
 
 func newRequestTable(settings map[string]any, maxBytes int64) requestTable {
 	return requestTable{
-		openIDs:  map[string]bool{},
-		maxBytes: maxBytes,
-		maxHeld:  max(1, int(settingNumber(settings, "allowed.mostHeld"))),
+		openIDs:      map[string]*exchange{},
+		abandonedIDs: map[string]*exchange{},
+		maxBytes:     maxBytes,
+		maxHeld:      max(1, int(settingNumber(settings, "allowed.mostHeld"))),
 		// Has room for all events of a request, so that no send blocks while Balancer.mu is held. An attempt has four
 		// events at most: it is started; it is cancelled; its client is found disconnected or unread or its large value
 		// begins; it ends. The request has a rejection or failure in addition.
@@ -54,6 +56,29 @@
 	return i, events
 }
 
+// isIDInUse reports whether another request of the same ID is open, and its client has not left, or still runs with an effect. A
+// server treats requests with the same ID as one and could answer either of them.
+func (t *requestTable) isIDInUse(x *exchange) bool {
+	other := t.openIDs[x.id]
+	return t.abandonedIDs[x.id] != nil || other != nil && other != x && !other.client.hasDisconnected()
+}
+
+// closeID removes a request that has its final reply, or none to come, from the open ones.
+func (t *requestTable) closeID(x *exchange) { deleteValue(t.openIDs, x.id, x) }
+
+// abandonID marks a request with an effect whose client has left, and which runs on.
+func (t *requestTable) abandonID(x *exchange) { t.abandonedIDs[x.id] = x }
+
+// endAbandoned removes a request that has ended from those that run on without a client.
+func (t *requestTable) endAbandoned(x *exchange) { deleteValue(t.abandonedIDs, x.id, x) }
+
+// deleteValue removes a request from a map by ID, unless a later one has taken its place.
+func deleteValue(byID map[string]*exchange, id string, x *exchange) {
+	if byID[id] == x {
+		delete(byID, id)
+	}
+}
+
 // release frees a slot.
 func (t *requestTable) release(i int) {
 	t.slots[i] = requestSlot{}
--- a/routing/results.go
+++ b/routing/results.go
@@ -2,8 +2,6 @@
 
 import (
 	"container/list"
-	"encoding/binary"
-	"hash/fnv"
 	"time"
 
 	"hollylever/siblings"
@@ -38,7 +36,9 @@
 // requestResult is the result of one request.
 type requestResult struct {
 	digest    siblings.RequestDigest
+	content   siblings.RequestContent
 	shared    siblings.ResultHandle
+	owner     *resultOwner  // to whom the reply is owed; nil: nobody, or elsewhere
 	list      *list.List    // of resultStore; nil: not known yet, or elsewhere
 	element   *list.Element // in list
 	done      chan struct{} // closed once the fields below are set
@@ -46,60 +46,57 @@
 	answer    []byte // as the client gets it
 	expiresAt time.Time
 
-	isElsewhere bool          // another process runs it, or has run it
-	window      *repeatWindow // of its attempts; nil: none
-	windowBase  int           // number of its first attempt in the window
+	isElsewhere     bool                 // another process runs it, or has run it
+	clientElsewhere siblings.ClientState // of its client there, when it was found
+	window          *repeatWindow        // of its attempts; nil: none
+	windowBase      int                  // number of its first attempt in the window
 }
 
 // maxAttemptsInWindow separates the attempts of two requests that share a repeat window.
 const maxAttemptsInWindow = 1 << 16
 
-// requestDigest returns what identifies a request of a workload. The remaining time that it states may differ.
-func requestDigest(workload []byte, arguments [][]byte) siblings.RequestDigest {
-	hash := fnv.New128a()
-	for _, part := range [][]byte{arguments[0], arguments[1], arguments[2], workload} { // Verb, key, ID.
-		_, _ = hash.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
-		_, _ = hash.Write(part)
-	}
-	sum := hash.Sum(nil)
-	return siblings.RequestDigest{binary.BigEndian.Uint64(sum), binary.BigEndian.Uint64(sum[8:]) | 1}
-}
-
 // find returns the result of a request that has begun before, which may not be known yet, or nil.
 func (s *resultStore) find(digest siblings.RequestDigest) *requestResult {
 	s.expire(time.Now())
 	if earlier := s.byDigest[digest]; earlier != nil || s.shared == nil {
 		return earlier
 	}
-	if state, answer := s.shared.Find(digest); state != siblings.ResultNone {
-		return resultElsewhere(digest, state, answer)
+	if shared := s.shared.Find(digest); shared.State != siblings.ResultNone {
+		return resultElsewhere(digest, shared)
 	}
 	return nil
 }
 
+// isIDInUse reports whether another process has an open request of the ID that is not the same request. It is false for requests
+// without an effect, which have no identity.
+func (s *resultStore) isIDInUse(request siblings.RequestIdentity) bool {
+	return s.shared != nil && request.ID != (siblings.RequestDigest{}) && s.shared.IsIDInUse(request)
+}
+
 // begin records that a request begins for which find has returned nothing, or a result after which it may run again. If
 // another process begins it at the same time, begin returns its result there.
-func (s *resultStore) begin(digest siblings.RequestDigest, window *repeatWindow, repeated *requestResult) (own, earlier *requestResult) {
-	own = &requestResult{digest: digest, done: make(chan struct{}), window: window}
+func (s *resultStore) begin(request siblings.RequestIdentity, window *repeatWindow, repeated *requestResult) (own, earlier *requestResult) {
+	own = &requestResult{digest: request.Digest, content: request.Content, done: make(chan struct{}), window: window}
 	switch {
 	case repeated != nil && repeated.window != nil:
 		own.window, own.windowBase = repeated.window, repeated.windowBase+maxAttemptsInWindow
 		s.forget(repeated)
 	case s.shared != nil && repeated == nil:
-		handle, state, answer := s.shared.Begin(digest, resultRetention)
-		if state != siblings.ResultNone {
-			return nil, resultElsewhere(digest, state, answer)
+		handle, shared := s.shared.Begin(request, resultRetention)
+		if shared.State != siblings.ResultNone {
+			return nil, resultElsewhere(request.Digest, shared)
 		}
 		own.shared = handle
 	}
-	s.byDigest[digest] = own
+	s.byDigest[request.Digest] = own
 	return own, nil
 }
 
 // resultElsewhere returns the result of a request that another process has begun.
-func resultElsewhere(digest siblings.RequestDigest, state siblings.ResultState, answer []byte) *requestResult {
-	result := &requestResult{digest: digest, done: make(chan struct{}), state: state, answer: answer, isElsewhere: true}
-	if state != siblings.ResultOpen && state != siblings.ResultClaimed {
+func resultElsewhere(digest siblings.RequestDigest, shared siblings.SharedResult) *requestResult {
+	result := &requestResult{digest: digest, content: shared.Content, done: make(chan struct{}), state: shared.State, answer: shared.Answer,
+		isElsewhere: true, clientElsewhere: shared.Client}
+	if shared.State != siblings.ResultOpen && shared.State != siblings.ResultClaimed {
 		close(result.done)
 	}
 	return result
--- a/siblings/results.go
+++ b/siblings/results.go
@@ -22,14 +22,43 @@
 	resultBuckets    = 256
 	resultsPerBucket = 8
 	// MaxSharedAnswer is the length in bytes up to which an answer is shared.
-	MaxSharedAnswer = 480
+	MaxSharedAnswer = 456
 	// claimTimeout bounds the wait for another process that claims the same request at the same time.
 	claimTimeout = 5 * time.Millisecond
 )
 
-// RequestDigest identifies a request: its ID and what it asks for. It is never zero.
+// RequestDigest is what a request is found by: its ID and what it asks for. It is never zero. Other versions compute the same.
 type RequestDigest [2]uint64
 
+// RequestIdentity is what is recorded of a request that begins.
+type RequestIdentity struct {
+	Digest  RequestDigest
+	ID      RequestDigest // of its ID alone
+	Content RequestContent
+}
+
+// RequestContent is a digest of everything that makes two requests the same one. Zero: not known, as an earlier version has
+// recorded the request.
+type RequestContent [2]uint64
+
+// ClientState is what is known of the client to which the reply of a request is owed.
+type ClientState uint32
+
+// The states of a client. Processes of other versions read these values.
+const (
+	ClientUnknown ClientState = iota // it has left, or nothing is known of it
+	ClientWaits                      // it is connected and waits for the reply
+	ClientReplied                    // it has got the reply
+)
+
+// SharedResult is what processes tell one another of a request.
+type SharedResult struct {
+	State   ResultState
+	Answer  []byte // if State is ResultAnswer
+	Content RequestContent
+	Client  ClientState
+}
+
 // ResultState is what is known of a request.
 type ResultState uint32
 
@@ -50,6 +79,10 @@
 	state     atomic.Uint32
 	length    atomic.Uint32 // of the answer, in bytes
 	answer    [MaxSharedAnswer]byte
+	// What follows is zero in records of earlier versions, which had a longer answer.
+	content [2]atomic.Uint64
+	client  atomic.Uint32
+	_       uint32
 }
 
 // resultTable is the content of a process's file.
@@ -71,12 +104,29 @@
 	others         [maxProcesses]atomic.Pointer[resultTable]
 }
 
-// ResultHandle is a request in this process's file.
+// ResultHandle is a request in this process's file. The zero handle is in none.
 type ResultHandle struct {
+	request recordHandle
+	id      recordHandle // of its ID, while the request is open
+}
+
+// recordHandle is a record that was added for a digest. Once the record is used for another one, nothing has an effect on it.
+type recordHandle struct {
 	record *resultRecord
 	digest RequestDigest
 }
 
+// isValid reports whether the record is still that of the digest.
+func (h recordHandle) isValid() bool {
+	return h.record != nil && h.record.digest[0].Load() == h.digest[0] && h.record.digest[1].Load() == h.digest[1]
+}
+
+func (h recordHandle) setState(state ResultState) {
+	if h.isValid() {
+		h.record.state.Store(uint32(state))
+	}
+}
+
 // OpenResults opens this process's file, and those of other processes.
 func (g *Group) OpenResults() (*Results, error) {
 	table, err := mapResults(g.resultPath(g.slot), true)
@@ -126,11 +176,16 @@
 	return (*resultTable)(unsafe.Pointer(&content[0])), nil
 }
 
-// closeOpen marks what an earlier process of this slot left open: its results are lost.
+// closeOpen marks what an earlier process of this slot left open: its results are lost, and its clients have lost their
+// connections.
 func (r *Results) closeOpen() {
 	for n := range r.own {
 		for m := range r.own[n] {
-			switch record := &r.own[n][m]; ResultState(record.state.Load()) {
+			record := &r.own[n][m]
+			if ClientState(record.client.Load()) == ClientWaits {
+				record.client.Store(uint32(ClientUnknown))
+			}
+			switch ResultState(record.state.Load()) {
 			case ResultClaimed:
 				record.state.Store(uint32(ResultNone))
 			case ResultOpen:
@@ -155,23 +210,37 @@
 // now returns the time by package monotime, without a system call.
 func (r *Results) now() int64 { return r.openedAtUptime + int64(time.Since(r.openedAt)) }
 
-// Begin claims a request for this process, which others know of for the retention. If it was begun before, state tells what is known of it and the request must not
-// run. Otherwise state is ResultNone; Resolve must be called on the handle.
-func (r *Results) Begin(digest RequestDigest, retention time.Duration) (handle ResultHandle, state ResultState, answer []byte) {
-	if state, answer := r.Find(digest); state != ResultNone {
-		return ResultHandle{}, state, answer
+// Begin claims a request for this process, of which others know for the retention. Its client is taken to wait. If it was begun
+// before, earlier tells what is known of it and the request must not run. Otherwise earlier.State is ResultNone; Resolve must be
+// called on the handle.
+func (r *Results) Begin(request RequestIdentity, retention time.Duration) (handle ResultHandle, earlier SharedResult) {
+	if earlier := r.Find(request.Digest); earlier.State != ResultNone {
+		return ResultHandle{}, earlier
 	}
-	handle = r.add(digest, r.now()+int64(retention))
-	if state, answer = r.resolveClaims(digest); state != ResultNone {
-		handle.record.state.Store(uint32(ResultNone))
-		return ResultHandle{}, state, answer
+	expiresAt := r.now() + int64(retention)
+	handle.request = r.add(request.Digest, request.Content, expiresAt)
+	if earlier = r.resolveClaims(request.Digest); earlier.State != ResultNone {
+		handle.request.setState(ResultNone)
+		return ResultHandle{}, earlier
 	}
-	handle.record.state.Store(uint32(ResultOpen))
-	return handle, ResultNone, nil
+	handle.request.setState(ResultOpen)
+	handle.id = r.add(request.ID, request.Content, expiresAt)
+	handle.id.setState(ResultOpen)
+	return handle, SharedResult{}
+}
+
+// IsIDInUse reports whether another process has an open request of an ID that is not the same request.
+func (r *Results) IsIDInUse(request RequestIdentity) bool {
+	slot, record := r.findOther(request.ID)
+	if record == nil {
+		return false
+	}
+	other := record.read(r.isRunning(slot))
+	return other.State == ResultOpen && other.Content != request.Content
 }
 
 // add claims a record.
-func (r *Results) add(digest RequestDigest, expiresAt int64) ResultHandle {
+func (r *Results) add(digest RequestDigest, content RequestContent, expiresAt int64) recordHandle {
 	bucket := r.own.bucket(digest)
 	record := &bucket[0]
 	for n := range bucket {
@@ -184,34 +253,37 @@
 	record.digest[1].Store(digest[1])
 	record.expiresAt.Store(expiresAt)
 	record.length.Store(0)
+	record.content[0].Store(content[0])
+	record.content[1].Store(content[1])
+	record.client.Store(uint32(ClientWaits))
 	record.state.Store(uint32(ResultClaimed))
-	return ResultHandle{record, digest}
+	return recordHandle{record, digest}
 }
 
 // resolveClaims looks for the request at the other processes after this one has claimed it. Of two processes that claim it at
 // the same time, that of the lower slot begins it.
-func (r *Results) resolveClaims(digest RequestDigest) (ResultState, []byte) {
+func (r *Results) resolveClaims(digest RequestDigest) SharedResult {
 	for end := time.Now().Add(claimTimeout); ; runtime.Gosched() {
 		slot, record := r.findOther(digest)
 		if record == nil {
-			return ResultNone, nil
+			return SharedResult{}
 		}
-		state, answer := record.read(r.isRunning(slot))
-		if state != ResultClaimed || slot < r.group.slot || time.Now().After(end) {
-			return state, answer
+		result := record.read(r.isRunning(slot))
+		if result.State != ResultClaimed || slot < r.group.slot || time.Now().After(end) {
+			return result
 		}
 	}
 }
 
 // Find returns what is known of a request at the other processes, and of earlier ones in this process's slot.
-func (r *Results) Find(digest RequestDigest) (ResultState, []byte) {
+func (r *Results) Find(digest RequestDigest) SharedResult {
 	if record := r.own.find(digest, r.now()); record != nil {
 		return record.read(true)
 	}
 	if slot, record := r.findOther(digest); record != nil {
 		return record.read(r.isRunning(slot))
 	}
-	return ResultNone, nil
+	return SharedResult{}
 }
 
 // findOther returns a request's record in another process's file, or nil.
@@ -250,31 +322,56 @@
 	return r.expiresAt.Load() < other.expiresAt.Load()
 }
 
-// read returns what a record says. What a process that has ended left open is not known.
-func (r *resultRecord) read(isRunning bool) (ResultState, []byte) {
-	state := ResultState(r.state.Load())
+// read returns what a record says. What a process that has ended left open is not known, and its clients have lost their
+// connections.
+func (r *resultRecord) read(isRunning bool) SharedResult {
+	result := SharedResult{State: ResultState(r.state.Load()), Content: RequestContent{r.content[0].Load(), r.content[1].Load()}, Client: ClientState(r.client.Load())}
+	length := int(r.length.Load())
 	switch {
-	case state == ResultAnswer:
-		return state, append([]byte(nil), r.answer[:min(int(r.length.Load()), MaxSharedAnswer)]...)
-	case state == ResultOpen && !isRunning:
-		return ResultUnknown, nil
-	case state == ResultClaimed && !isRunning:
-		return ResultNone, nil
+	case result.State == ResultAnswer && length > MaxSharedAnswer: // Recorded by an earlier version, in place of what follows the answer.
+		return SharedResult{State: ResultUnknown}
+	case result.State == ResultAnswer:
+		result.Answer = append([]byte(nil), r.answer[:length]...)
+	case result.State == ResultOpen && !isRunning:
+		result.State = ResultUnknown
+	case result.State == ResultClaimed && !isRunning:
+		return SharedResult{}
+	}
+	if !isRunning && result.Client == ClientWaits {
+		result.Client = ClientUnknown
 	}
-	return state, nil
+	return result
 }
 
 // Resolve records the result of a request: ResultNone if it has not run, ResultAnswer or ResultUnknown. An answer over
-// MaxSharedAnswer counts as not known. It has no effect once the record is used for another request.
+// MaxSharedAnswer counts as not known.
 func (h ResultHandle) Resolve(state ResultState, answer []byte) {
-	if h.record == nil || h.record.digest[0].Load() != h.digest[0] || h.record.digest[1].Load() != h.digest[1] {
+	if !h.request.isValid() {
 		return
 	}
 	if state == ResultAnswer && len(answer) > MaxSharedAnswer {
 		state = ResultUnknown
 	}
+	record := h.request.record
 	if state == ResultAnswer {
-		h.record.length.Store(uint32(copy(h.record.answer[:], answer)))
+		record.length.Store(uint32(copy(record.answer[:], answer)))
+	}
+	record.state.Store(uint32(state))
+	h.closeID()
+}
+
+// SetClient records what is known of the request's client.
+func (h ResultHandle) SetClient(state ClientState) {
+	if h.request.isValid() {
+		h.request.record.client.Store(uint32(state))
+		h.closeID()
+	}
+}
+
+// closeID frees the record of the ID once the request has its result and nobody waits for that.
+func (h ResultHandle) closeID() {
+	isOpen := ResultState(h.request.record.state.Load()) == ResultOpen
+	if !isOpen && ClientState(h.request.record.client.Load()) != ClientWaits {
+		h.id.setState(ResultNone)
 	}
-	h.record.state.Store(uint32(state))
 }
