Stand-in hosts keep their port while they are down

A stand-in let its port go when it went down and took it again a second or more later; it lies in the range from which the system gives ports to all connections of the tests beside it.

A socket that is bound to the port and never listens holds it now (reservedPort); connections are refused meanwhile, as before, and Restart listens at once in place of trying a hundred times. The test's checks are unchanged.

--- a/fakes/host.go
+++ b/fakes/host.go
@@ -40,6 +40,7 @@
 
 	manner Manner
 	origin *Origin
+	port   *reservedPort // of Address, also while it is down
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -72,16 +73,20 @@
 }
 
 func newHost(h *Host) (*Host, error) {
-	h.conns = map[net.Conn]bool{}
-	return h, h.listen("127.0.0.1:0")
+	port, err := reservePort()
+	if err != nil {
+		return nil, err
+	}
+	h.conns, h.port, h.Address = map[net.Conn]bool{}, port, port.address
+	return h, h.listen()
 }
 
-func (h *Host) listen(at string) error {
-	l, err := net.Listen("tcp", at)
+func (h *Host) listen() error {
+	l, err := h.port.listen()
 	if err != nil {
 		return err
 	}
-	h.listener, h.Address = l, l.Addr().String()
+	h.listener = l
 	go h.serve(l)
 	return nil
 }
@@ -238,14 +243,7 @@
 	defer h.mu.Unlock()
 	h.hangUp()
 	h.cache, h.started, h.since = map[string]string{}, time.Now(), nil
-	var err error
-	for range 100 { // The port is not free until the kernel has let go of it.
-		if err = h.listen(h.Address); err == nil {
-			break
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	return err
+	return h.listen()
 }
 
 // Flush empties its cache.
@@ -310,6 +308,7 @@
 	}
 	h.closed = true
 	h.listener.Close()
+	h.port.close()
 	for c := range h.conns {
 		c.Close()
 	}
--- a/fakes/host_test.go
+++ b/fakes/host_test.go
@@ -57,3 +57,32 @@
 		all.Wait()
 	}
 }
+
+// The port of a host that is down must not be taken by one of the many connections and listeners beside it: the host could not come
+// back, and a test would fail for that.
+func TestHostKeepsItsPortWhileItIsDown(t *testing.T) {
+	h, err := Scripted()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	for range 3 {
+		h.Down()
+		if l, err := net.Listen("tcp", h.Address); err == nil {
+			l.Close()
+			t.Error("the port of a host that is down can be taken")
+		}
+		if c, err := net.Dial("tcp", h.Address); err == nil {
+			c.Close()
+			t.Error("a host that is down is connected to")
+		}
+		if err := h.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", h.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+}
