--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -33,13 +33,17 @@
 // CheckLease reports whether the process has a valid lease, and counts the decision. The balancer calls it before each
 // decision, with its own lock held. It does not allocate, and acquires no lock unless decisions are traced (mu).
 func (f *Fleet) CheckLease() (leased bool) {
+	lookedAt := int64(0)
+	if f.trace != nil {
+		lookedAt = unscaledTime()
+	}
 	if leased = Now() < f.lease.expiry.Load(); leased {
 		f.lease.decisionsUnderLease.Add(1)
 	} else {
 		f.lease.decisionsWithoutLease.Add(1)
 	}
 	if f.trace != nil {
-		f.writeTrace(leased)
+		f.writeTrace(leased, lookedAt)
 	}
 	return leased
 }
--- a/fleet/trace.go
+++ b/fleet/trace.go
@@ -22,10 +22,17 @@
 	return file, nil
 }
 
-// writeTrace writes the inputs of a decision: the time by the machine's unscaled clock, the name, the min and latest
-// revisions, whether there is a lease, the budget share and the digest of the latest revision. Write errors are
+// unscaledTime returns the time by the machine's clock, which tests do not scale.
+func unscaledTime() int64 {
+	var at unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &at) // Fails only for an unknown clock; Now reads the same one.
+	return at.Nano()
+}
+
+// writeTrace writes the inputs of a decision: the time and that of the look at the lease, both by unscaledTime, the name, the min
+// and latest revisions, whether there is a lease, the budget share and the digest of the latest revision. Write errors are
 // ignored: a missing line is noticed by the test that reads the trace, and must not affect the balancer.
-func (f *Fleet) writeTrace(leased bool) {
+func (f *Fleet) writeTrace(leased bool, lookedAt int64) {
 	f.mu.Lock()
 	effective := f.effective
 	digest := ""
@@ -33,11 +40,9 @@
 		digest = revisions[len(revisions)-1].Digest()
 	}
 	f.mu.Unlock()
-	var at unix.Timespec
-	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &at) // Fails only for an unknown clock; Now reads the same one.
 	if !leased && f.leaseTiming.MaxMembers > 0 {
 		effective.BudgetShare = budgets.ShareWithoutLease(f.leaseTiming.MaxMembers)
 	}
-	fmt.Fprintf(f.trace, "%d %s %d %d %t %g %s\n", at.Nano(), f.name, effective.MinRevision, effective.LatestRevision,
+	fmt.Fprintf(f.trace, "%d %d %s %d %d %t %g %s\n", unscaledTime(), lookedAt, f.name, effective.MinRevision, effective.LatestRevision,
 		leased, effective.BudgetShare, digest)
 }
