TestFirstWatchHeardReplacesTheOthers establishes the first watch before the second call

The additional call is made 20 ms after the first; where the first watch's empty line was read later than that, the first watch was heard last, stayed, and the additional one ended, as it should.

The additional call is made only after the balancer has read the empty line. What the test checks is unchanged.

--- a/routing/follow_test.go
+++ b/routing/follow_test.go
@@ -176,11 +176,15 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			b, d := followScripted(t, twoWatchTimeouts, nil)
+			b, d := followScripted(t, singleWatchTimeouts(time.Hour), nil)
 			first := receive(t, d.Calls, "a watch")
 			for _, piece := range c.first {
 				first.Give(piece)
+				if piece == "\n" {
+					until(t, "the first watch to be established", b.hasEstablishedWatch)
+				}
 			}
+			b.hurryAdditionalCall()
 			calls := []fakes.Call{first, receive(t, d.Calls, "an additional call")}
 			calls[c.kept].Give(list)
 			receive(t, calls[1-c.kept].Ended, "the end of the other watch")
@@ -194,6 +198,22 @@
 	}
 }
 
+// hasEstablishedWatch reports whether the first open watch has delivered something.
+func (b *Balancer) hasEstablishedWatch() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.list.watches) > 0 && b.list.watches[0].isEstablished
+}
+
+// hurryAdditionalCall has a balancer go by twoWatchTimeouts from now on. A balancer that did so from the start could make its
+// additional call before it has read what the first watch delivers.
+func (b *Balancer) hurryAdditionalCall() {
+	b.mu.Lock()
+	b.watchTimeouts.line, b.watchTimeouts.answer = twoWatchTimeouts.line, twoWatchTimeouts.answer
+	b.mu.Unlock()
+	b.WatchEndpoints() // A watch is open: only the time of the next call is computed anew.
+}
+
 // Lists from the old discovery address that are applied after a change would undo those from the new one. All open
 // watches are cancelled, and nothing that they deliver after that is applied.
 func TestChangeOfDiscoveryCancelsAllWatches(t *testing.T) {
