Held values do not count as load, and wait for memory with small pieces

Cause: an attempt whose value was held, or waited for memory, counted as load at its host until it was whole, so the rule of overload rejected others; and each had reserved two pieces of 16 KiB before the table of requests counted them, 6.4 MB in all.

Change: from the first part of a response on its attempt does not count as load, as a streamed one did not before (isResponding). A value that waits for memory reserves the smallest pieces, and grows them when it is streamed. A client to which many replies are owed gets less memory for values. A value that its host is known to have cut is not passed on. The ID of a request with an effect is in use until that has ended, also before its client's end was read.

Evidence: TestHeldResponseIsHedgedOnlyWhileItStalls checks the load (failed before: 1 attempt counts).

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -167,16 +167,21 @@
 func (b *Balancer) HandleResponseStarted(index, attempt int) {
 	request := &b.requests[index]
 	request.beginStreaming()
+	b.endInFlight(request, &request.attempts[attempt])
 	request.attempts[attempt].state = completed
-	b.addInFlight(request, request.attempts[attempt].endpoint, -1)
 }
 
-// HandleResponseContinued handles a part of a response that is held back until it is whole. While the response goes on, its
-// attempt is not overdue.
+// HandleResponseContinued handles a part of a response that is held back until it is whole. From its first part on its attempt
+// does not count as load, as how long it takes is not determined by its endpoint alone. While it goes on it is not overdue.
 func (b *Balancer) HandleResponseContinued(index, attempt int) {
-	if request := &b.requests[index]; request.isLastInFlight(attempt) {
+	request := &b.requests[index]
+	if request.isLastInFlight(attempt) {
 		request.timerAt = 0
 	}
+	if responding := &request.attempts[attempt]; responding.state == inFlight && !responding.isResponding {
+		responding.isResponding = true
+		b.addLoad(responding.endpoint, -1)
+	}
 }
 
 // HandleResponseStalled handles a response that has begun, is held back and does not go on: its attempt may be overdue, as
@@ -213,7 +218,7 @@
 	request := &b.requests[index]
 	attempt := &request.attempts[result.Attempt]
 	if attempt.state == inFlight {
-		b.addInFlight(request, result.Endpoint, -1)
+		b.endInFlight(request, attempt)
 	}
 	request.endedAttempts++
 	attempt.state = result.Outcome.provenExecution()
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -21,6 +21,8 @@
 	endpoint int
 	sentAt   int64
 	state    executionState
+
+	isResponding bool // its response has begun: it does not count as load any more
 }
 
 // requestState is the state of a request from its arrival to the end of its last attempt.
@@ -150,7 +152,8 @@
 	request.attempts = append(request.attempts, attempt{endpoint: target, sentAt: now})
 	endpoint.attempts.Add(b.clock.activityTime, 1)
 	b.admission.lastDispatchAt = now
-	b.addInFlight(request, target, 1)
+	request.inFlight++
+	b.addLoad(target, 1)
 	until := request.deadline
 	if request.isKeyThrottled() || b.settings.hasLimitedBuffers {
 		// The concurrency or the buffer that the attempt would hold after that is worth more than a late answer.
@@ -168,12 +171,20 @@
 	}
 }
 
-// addInFlight adds change, which is 1 when an attempt begins and -1 when it ends, to the numbers of attempts in flight.
-func (b *Balancer) addInFlight(request *requestState, target, change int) {
+// endInFlight ends the time in flight of an attempt.
+func (b *Balancer) endInFlight(request *requestState, ended *attempt) {
+	request.inFlight--
+	if !ended.isResponding {
+		b.addLoad(ended.endpoint, -1)
+	}
+}
+
+// addLoad adds change, which is 1 when an attempt begins and -1 when it ends or its response begins, to the numbers of attempts
+// that count as load.
+func (b *Balancer) addLoad(target, change int) {
 	endpoint := &b.endpoints[target]
 	endpoint.load.advanceAverage(b.clock.activityTime)
 	b.load.advanceAverage(b.clock.activityTime)
-	request.inFlight += change
 	endpoint.load.inFlight += change
 	if b.isListed(endpoint) && target != b.origin {
 		b.load.inFlight += change
--- a/policy/dispatch_test.go
+++ b/policy/dispatch_test.go
@@ -160,8 +160,8 @@
 	}
 }
 
-// A large value that is held back until it is whole may take long. It is hedged only while it stands still: its endpoint would
-// count as unresponsive although it responds.
+// A large value that is held back until it is whole may take long. It does not count as load, or others would be rejected for
+// overload. It is hedged only while it stands still: its endpoint would count as unresponsive although it responds.
 func TestHeldResponseIsHedgedOnlyWhileItStalls(t *testing.T) {
 	h := newHarness(t, 1, 8, map[string]any{"allowed.secondCopies": true})
 	for range 50 {
@@ -170,7 +170,12 @@
 		h.endAttempt(i, 0, OK)
 	}
 	i := h.request(Safe, 7, 1500*ms)
-	h.balancer.HandleResponseContinued(i, 0)
+	for range 2 {
+		h.balancer.HandleResponseContinued(i, 0)
+		if n := h.balancer.load.inFlight; n != 0 {
+			t.Fatalf("%d attempts count as load, want none", n)
+		}
+	}
 	h.advance(400 * ms) // The objective is 600 ms.
 	if n := len(h.requests[i].attempts); n != 1 {
 		t.Fatalf("%d attempts while the response goes on, want 1", n)
@@ -180,4 +185,9 @@
 	if n := len(h.requests[i].attempts); n != 2 {
 		t.Fatalf("%d attempts once the response stalls, want 2", n)
 	}
+	h.endAttempt(i, 0, Reset)
+	h.endAttempt(i, 1, OK)
+	if n := h.balancer.load.inFlight; n != 0 || h.requests[i].isOpen {
+		t.Fatalf("%d attempts count as load after the request, open: %v; want none, false", n, h.requests[i].isOpen)
+	}
 }
--- a/routing/heldvalue.go
+++ b/routing/heldvalue.go
@@ -73,20 +73,19 @@
 
 // readLargeValue reads a large value whose beginning is unread: as a whole, or else as a stream.
 func (x *exchange) readLargeValue(conn *transport.PooledConn, response largeResponse, deadline time.Time, result *attemptResult) (end transport.End, isReusable bool) {
-	pieceSize, end := x.awaitLargeValueMemory(conn, deadline, result)
-	if end != transport.Open {
-		return end, false
-	}
 	h := x.newValueHold(conn, response, deadline, result)
-	end, isWhole := h.fill()
+	h.reportContinued()
+	end, isWhole := h.hold()
 	switch {
 	case end != transport.Open:
 		return end, false
 	case isWhole:
 		return transport.Succeeded, h.take()
+	case h.isCutOff():
+		return transport.BrokenAfterSent, false
 	}
 	conn.Skip(response.start)
-	return x.streamValue(conn, response.size, pieceSize, result)
+	return x.streamValue(conn, response.size, h.growPieces(), result)
 }
 
 // valueHold is the hold of one large value by an attempt.
@@ -98,6 +97,7 @@
 	end      time.Time // of the hold
 	result   *attemptResult
 
+	hasBuffer  bool      // the connection has a buffer for the whole response
 	progressAt time.Time // when the last bytes arrived
 	isStalled  bool      // nothing has arrived for nextPieceTimeout since
 }
@@ -113,13 +113,71 @@
 		end: earlier(now.Add(maxHoldTime), useful.Add(-min(maxHoldReserve, remaining/holdReserveDivisor)))}
 }
 
-// fill reads the response until its value is whole. It returns Open and false if the value is to be passed on before that, and
+// hold reads the response until its value is whole. It returns Open and false if the value is to be passed on before that, and
 // how the attempt ended if it did.
-func (h *valueHold) fill() (end transport.End, isWhole bool) {
-	h.reportContinued()
-	if end, hasMemory := h.awaitBuffer(); end != transport.Open || !hasMemory {
-		return end, false
+func (h *valueHold) hold() (end transport.End, isWhole bool) {
+	if !h.takeBuffer() {
+		if end := h.awaitMemory(); end != transport.Open || !h.hasBuffer {
+			return end, false
+		}
+	}
+	return h.fill()
+}
+
+// takeBuffer takes a buffer for the whole response, and reports whether there was memory for it.
+func (h *valueHold) takeBuffer() bool {
+	h.hasBuffer = h.conn.GrowLeaving(h.response.bufferSize(), h.memoryForOthers()) == transport.Open
+	return h.hasBuffer
+}
+
+// awaitMemory waits for the memory that streaming takes, and then for a buffer until the end of the hold, if replies to other
+// commands would be lost with the value. A value alone is passed on at once.
+func (h *valueHold) awaitMemory() transport.End {
+	x := h.exchange
+	mayWait := h.mayWaitForBuffer()
+	pieceSize := maxPieceSize
+	if mayWait {
+		pieceSize = minPieceSize
+	}
+	if end := x.awaitLargeValueMemory(h.conn, pieceSize, h.deadline, h.result); end != transport.Open {
+		return end
 	}
+	for mayWait && !h.takeBuffer() && time.Now().Before(h.end) {
+		if end := x.awaitMemoryRetry(h.conn, h.end); end != transport.Open && end != transport.ResponseTimedOut {
+			return end
+		}
+		mayWait = h.mayWaitForBuffer()
+	}
+	return transport.Open
+}
+
+// mayWaitForBuffer reports whether it is worth while to wait for a buffer.
+func (h *valueHold) mayWaitForBuffer() bool {
+	return h.exchange.client.othersWait() && h.exchange.balancer.pool.Budget.MayEverGrant(h.response.bufferSize())
+}
+
+// growPieces returns the size of the pieces in which the value is streamed. They are as large as there is memory for; a value that
+// was held has memory for the smallest in any case.
+func (h *valueHold) growPieces() (size int) {
+	b := h.exchange.balancer
+	b.mu.Lock()
+	size = max(minPieceSize, b.requests.pieceSize())
+	b.mu.Unlock()
+	more := int64(piecesPerLargeValue*size) - h.result.reservedMemory
+	if more <= 0 {
+		return int(h.result.reservedMemory / piecesPerLargeValue)
+	}
+	if !b.memory.Reserve(more, b.memory.Limit()/queuedResponseReserveDivisor) {
+		size = minPieceSize
+		more = max(0, int64(piecesPerLargeValue*size)-h.result.reservedMemory)
+		b.memory.Add(more)
+	}
+	h.result.reservedMemory += more
+	return size
+}
+
+// fill reads into the buffer until the value is whole, and returns what hold does.
+func (h *valueHold) fill() (end transport.End, isWhole bool) {
 	for len(h.conn.Unread()) < h.response.valueEnd() {
 		if !time.Now().Before(h.end) {
 			return h.endIncomplete(), false
@@ -128,33 +186,20 @@
 			return end, false
 		}
 	}
-	value := h.conn.Unread()[h.response.start:h.response.valueEnd()]
-	if string(value[h.response.size:]) != valueTerminator {
+	terminator := h.conn.Unread()[h.response.start+h.response.size : h.response.valueEnd()]
+	if string(terminator) != valueTerminator {
 		return transport.Malformed, false
 	}
 	return transport.Open, true
 }
 
-// awaitBuffer takes a buffer for the whole response. It waits for one until the end of the hold if replies to other commands
-// would be lost with the value; a value alone is passed on at once.
-func (h *valueHold) awaitBuffer() (end transport.End, hasBuffer bool) {
-	size, budget := h.response.bufferSize(), h.exchange.balancer.pool.Budget
-	for h.conn.GrowLeaving(size, h.memoryForOthers()) != transport.Open {
-		if !budget.MayEverGrant(size) || !h.exchange.client.othersWait() || !time.Now().Before(h.end) {
-			return transport.Open, false
-		}
-		if end := h.exchange.awaitMemoryRetry(h.conn, h.end); end != transport.Open && end != transport.ResponseTimedOut {
-			return end, false
-		}
-	}
-	return transport.Open, true
-}
-
-// memoryForOthers returns how many bytes of memory a held value leaves free. A client that reads slowly occupies it for long.
+// memoryForOthers returns how many bytes of memory a held value leaves free. A client that reads slowly occupies it for long, and
+// one to which many replies are owed gets less than others.
 func (h *valueHold) memoryForOthers() int64 {
-	limit := h.exchange.balancer.memory.Limit()
-	if h.exchange.client.othersWait() {
-		return limit / heldValueReserveDivisor
+	memory, client := h.exchange.balancer.memory, h.exchange.client
+	limit := memory.Limit()
+	if client.othersWait() {
+		return limit/heldValueReserveDivisor + transport.KeepFree(memory, client.replyPosition())/2
 	}
 	return limit - limit*loneValueNumerator/loneValueDenominator
 }
@@ -214,6 +259,11 @@
 	}
 }
 
+// isCutOff reports whether the server has closed the connection and the rest of the value is not in the kernel either.
+func (h *valueHold) isCutOff() bool {
+	return h.conn.HasEnded() && len(h.conn.Unread())+h.conn.UnreadInKernel() < h.response.valueEnd()
+}
+
 // take takes the value out of the connection's buffer as the attempt's result, with what the rest of the response tells. It
 // returns whether the connection may be reused.
 func (h *valueHold) take() (isReusable bool) {
--- a/routing/memory.go
+++ b/routing/memory.go
@@ -73,19 +73,19 @@
 }
 
 // awaitLargeValueMemory reserves the memory for streaming a large value, and waits for it until the deadline, as
-// awaitResponseMemory does. It returns the size of the pieces.
-func (x *exchange) awaitLargeValueMemory(conn *transport.PooledConn, deadline time.Time, result *attemptResult) (pieceSize int, end transport.End) {
+// awaitResponseMemory does: for pieces of at most maxSize.
+func (x *exchange) awaitLargeValueMemory(conn *transport.PooledConn, maxSize int, deadline time.Time, result *attemptResult) transport.End {
 	b := x.balancer
 	for {
 		b.mu.Lock()
-		pieceSize = b.requests.pieceSize()
+		pieceSize := min(maxSize, b.requests.pieceSize())
 		b.mu.Unlock()
 		if bytes := int64(piecesPerLargeValue * pieceSize); bytes > 0 && b.memory.Reserve(bytes, b.memory.Limit()/queuedResponseReserveDivisor) {
 			result.reservedMemory = bytes
-			return pieceSize, transport.Open
+			return transport.Open
 		}
 		if end := x.awaitMemoryRetry(conn, deadline); end != transport.Open {
-			return 0, end
+			return end
 		}
 	}
 }
--- a/routing/requests.go
+++ b/routing/requests.go
@@ -56,11 +56,11 @@
 	return i, events
 }
 
-// isIDInUse reports whether another request of the same ID is open, and its client has not left, or still runs with an effect. A
-// server treats requests with the same ID as one and could answer either of them.
+// isIDInUse reports whether another request of the same ID has an effect and has not ended, or its client waits for a reply. A server
+// treats requests with the same ID as one and could answer either of them.
 func (t *requestTable) isIDInUse(x *exchange) bool {
 	other := t.openIDs[x.id]
-	return t.abandonedIDs[x.id] != nil || other != nil && other != x && !other.client.hasDisconnected()
+	return t.abandonedIDs[x.id] != nil || other != nil && other != x && (other.result != nil || !other.client.hasDisconnected())
 }
 
 // closeID removes a request that has its final reply, or none to come, from the open ones.
--- a/transport/clientwork.go
+++ b/transport/clientwork.go
@@ -47,7 +47,7 @@
 
 // awaitTurn waits for a turn. What arrives in the meantime is not read.
 func (c *Client) awaitTurn() {
-	unread := c.unreadInKernel()
+	unread := c.UnreadInKernel()
 	if c.arrivalTimes != nil {
 		c.arrivalTimes.recordUnread(unread, time.Now())
 	}
@@ -57,7 +57,7 @@
 
 // MayHaveEnded reports whether the client may have closed its connection so long ago that nothing more may be begun for
 // it, unseen behind bytes that wait to be read. It is safe for concurrent use.
-func (c *Client) MayHaveEnded() bool { return c.hiddenEnd.isHidden(c.unreadInKernel) }
+func (c *Client) MayHaveEnded() bool { return c.hiddenEnd.isHidden(c.UnreadInKernel) }
 
 // scheduledReader reads a client's connection with turns as readAvailable does.
 type scheduledReader struct{ client *Client }
--- a/transport/rawconn.go
+++ b/transport/rawconn.go
@@ -73,8 +73,8 @@
 // if that is not known.
 func (c *Conn) unsentBytes() int { return c.queueLength(unix.SIOCOUTQNSD) }
 
-// unreadInKernel returns how many bytes the kernel holds that can be read; 0 if that is not known.
-func (c *Conn) unreadInKernel() int { return c.queueLength(unix.SIOCINQ) }
+// UnreadInKernel returns how many bytes the kernel holds that can be read; 0 if that is not known.
+func (c *Conn) UnreadInKernel() int { return c.queueLength(unix.SIOCINQ) }
 
 // unacknowledgedBytes returns how many bytes the kernel holds that have not been acknowledged by the peer's, sent or
 // not; 0 if that is not known.
