--- a/cli/program_test.go
+++ b/cli/program_test.go
@@ -112,17 +112,17 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { client.Close() })
-	fmt.Fprint(client, fakes.Words("C.GET", "k", "a", "c=read,d=3000"))
+	fmt.Fprint(client, fakes.EncodeCommand("C.GET", "k", "a", "c=read,d=3000"))
 	select {
-	case command := <-host.Came:
-		command.Say(fakes.Settled("v"))
+	case command := <-host.Commands:
+		command.Reply(fakes.ValueReply("v"))
 	case <-time.After(patience):
 		t.Fatal("the request does not come")
 	}
 	if err := client.SetReadDeadline(time.Now().Add(patience)); err != nil {
 		t.Fatal(err)
 	}
-	if reply, err := fakes.Message(bufio.NewReader(client)); err != nil || len(reply) != 1 || reply[0] != "v" {
+	if reply, err := fakes.ReadMessage(bufio.NewReader(client)); err != nil || len(reply) != 1 || reply[0] != "v" {
 		t.Fatalf("the reply is %q, %v", reply, err)
 	}
 }
--- a/cmd/hollyfleet/cluster_test.go
+++ b/cmd/hollyfleet/cluster_test.go
@@ -227,8 +227,8 @@
 			in = bufio.NewReader(connection)
 		}
 		connection.SetDeadline(time.Now().Add(time.Second))
-		io.WriteString(connection, fakes.Words("C.GET", fmt.Sprint("k", n%50), fmt.Sprintf("%s-%d-%d", p.name, time.Now().UnixNano(), n), "c=read,d=1000"))
-		if _, err := fakes.Message(in); err != nil && !strings.Contains(err.Error(), "BUSY") && !strings.Contains(err.Error(), "ERR") {
+		io.WriteString(connection, fakes.EncodeCommand("C.GET", fmt.Sprint("k", n%50), fmt.Sprintf("%s-%d-%d", p.name, time.Now().UnixNano(), n), "c=read,d=1000"))
+		if _, err := fakes.ReadMessage(in); err != nil && !strings.Contains(err.Error(), "BUSY") && !strings.Contains(err.Error(), "ERR") {
 			connection.Close()
 			connection = nil
 		}
--- a/cmd/hollyfleet/crowding_test.go
+++ b/cmd/hollyfleet/crowding_test.go
@@ -16,7 +16,7 @@
 
 // flood has clients send PINGs at full speed to a process until the end, and reads the replies.
 func flood(p *process, clients int, end time.Time, all *sync.WaitGroup) {
-	batch := strings.Repeat(fakes.Words("PING"), 200)
+	batch := strings.Repeat(fakes.EncodeCommand("PING"), 200)
 	for range clients {
 		all.Go(func() {
 			c, err := net.Dial("tcp", p.clientAddress)
--- a/cmd/hollyfleet/deployment_test.go
+++ b/cmd/hollyfleet/deployment_test.go
@@ -43,8 +43,8 @@
 	d := &deployment{origin: fakes.NewOrigin(5*time.Millisecond, 64), discovery: fakes.NewDiscovery(), zoneCount: 3}
 	entries := map[string]string{}
 	for h := range hosts {
-		host, err := fakes.NewHost(fmt.Sprintf("h%02d", h), d.origin, fakes.Manner{Takes: 2 * time.Millisecond, AtOnce: 8, Queue: 64, WarmUp: 8 * time.Second,
-			ColdPart: 0.2, Tips: 2.5, TipAfter: 3 * time.Second})
+		host, err := fakes.NewHost(fmt.Sprintf("h%02d", h), d.origin, fakes.HostOptions{ServiceTime: 2 * time.Millisecond, Concurrency: 8, QueueLength: 64, WarmUp: 8 * time.Second,
+			ColdCapacity: 0.2, OverloadFactor: 2.5, OverloadTime: 3 * time.Second})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -132,7 +132,7 @@
 
 func (d *deployment) requestsPerHost() (n []int) {
 	for _, h := range d.hosts {
-		n = append(n, h.Figures().Asked)
+		n = append(n, h.Figures().Requests)
 	}
 	return n
 }
--- a/cmd/hollyfleet/evacuation_test.go
+++ b/cmd/hollyfleet/evacuation_test.go
@@ -62,7 +62,7 @@
 	t.Parallel()
 	d := newDeployment(t, 4, 6, 12, "")
 	d.startLoad(60, 500)
-	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Requests > 20 })
 	zone := d.hostsOfZone(1)
 	for round := range 2 {
 		var goOn []func()
@@ -86,8 +86,8 @@
 	}
 	waitFor(t, "being back", func() bool { _, most, fails, _ := d.evacuation("z1"); return most == 0 && fails == 0 })
 	for _, h := range zone {
-		if f := d.hosts[h].Figures(); f.Pushed > 0 {
-			t.Errorf("%s was pushed over: %d", d.hosts[h].Name, f.Pushed)
+		if f := d.hosts[h].Figures(); f.Overloads > 0 {
+			t.Errorf("%s was pushed over: %d", d.hosts[h].Name, f.Overloads)
 		}
 	}
 	if ids := d.processes[0].history(t); len(ids) != 4 {
@@ -103,7 +103,7 @@
 	t.Parallel()
 	d := newDeployment(t, 5, 6, 12, "")
 	d.startLoad(60, 500)
-	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Requests > 20 })
 	goOn := d.hosts[1].Hang()
 	waitFor(t, "leaving the host", func() bool { return d.countEjections(d.hosts[1].Name) == len(d.processes) })
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) { // That long nobody leaves more.
@@ -122,7 +122,7 @@
 	t.Parallel()
 	d := newDeployment(t, 6, 5, 12, "")
 	d.startLoad(60, 500)
-	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Requests > 20 })
 	if a, err := d.processes[4].propose(fleetconfig.Proposal{ID: "leave", EvacuateZones: []string{"z2"}, Reason: "a test"}); err != nil || a.Revision != 2 {
 		t.Fatalf("%+v, %v", a, err)
 	}
@@ -139,7 +139,7 @@
 	time.Sleep(time.Second) // What is under way ends.
 	count := func() (n int) {
 		for _, h := range d.hostsOfZone(2) {
-			n += d.hosts[h].Figures().Asked
+			n += d.hosts[h].Figures().Requests
 		}
 		return n
 	}
@@ -210,12 +210,12 @@
 	}
 	before := 0
 	for _, h := range d.hostsOfZone(1) {
-		before += d.hosts[h].Figures().Asked
+		before += d.hosts[h].Figures().Requests
 	}
 	waitFor(t, "its own using it", func() bool {
 		now := 0
 		for _, h := range d.hostsOfZone(1) {
-			now += d.hosts[h].Figures().Asked
+			now += d.hosts[h].Figures().Requests
 		}
 		return now > before+50
 	})
@@ -228,7 +228,7 @@
 	t.Parallel()
 	d := newDeployment(t, 8, 6, 12, "")
 	d.startLoad(60, 500)
-	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Requests > 20 })
 	hang := func(zone int) (goOn func()) {
 		var all []func()
 		for _, h := range d.hostsOfZone(zone) {
@@ -278,17 +278,17 @@
 	d := newDeployment(t, 10, 6, 24, "")
 	d.origin.Takes(60 * time.Millisecond)
 	d.startLoad(60, 500)
-	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Requests > 20 })
 	zone := d.hostsOfZone(1)
 	for _, h := range zone {
-		d.hosts[h].Down()
+		d.hosts[h].Crash()
 	}
 	waitFor(t, "all leaving", func() bool { least, _, fails, _ := d.evacuation("z1"); return least == 1 && fails == len(d.processes) })
 	d.restartHosts(zone)
 	waitFor(t, "being back", func() bool { _, most, fails, _ := d.evacuation("z1"); return most == 0 && fails == 0 })
 	for _, h := range zone {
-		if f := d.hosts[h].Figures(); f.Pushed > 0 {
-			t.Errorf("%s was pushed over: %d", d.hosts[h].Name, f.Pushed)
+		if f := d.hosts[h].Figures(); f.Overloads > 0 {
+			t.Errorf("%s was pushed over: %d", d.hosts[h].Name, f.Overloads)
 		}
 	}
 	if ids := d.processes[0].history(t); len(ids) != 2 {
--- a/cmd/hollyfleet/measure_test.go
+++ b/cmd/hollyfleet/measure_test.go
@@ -104,7 +104,7 @@
 // measureHang has a host hang for so long, and returns how many attempts went there meanwhile, and after which time
 // all processes had ejected it; 0: not all did.
 func (d *deployment) measureHang(host int, over time.Duration) (attempts int, ejectedAfter time.Duration) {
-	before, began := d.hosts[host].Figures().Asked, time.Now()
+	before, began := d.hosts[host].Figures().Requests, time.Now()
 	goOn := d.hosts[host].Hang()
 	for time.Since(began) < over {
 		if ejectedAfter == 0 && d.countEjections(d.hosts[host].Name) == len(d.processes) {
@@ -112,7 +112,7 @@
 		}
 		time.Sleep(50 * time.Millisecond) // The time that it hangs is the fault.
 	}
-	attempts = d.hosts[host].Figures().Asked - before
+	attempts = d.hosts[host].Figures().Requests - before
 	goOn()
 	return attempts, ejectedAfter
 }
@@ -219,8 +219,8 @@
 				time.Sleep(2 * time.Second)
 				pushed, asked := 0, 0
 				for h := 0; h < 24; h += 3 {
-					pushed += d.hosts[h].Figures().Pushed
-					asked += d.hosts[h].Figures().Asked - after[h]
+					pushed += d.hosts[h].Figures().Overloads
+					asked += d.hosts[h].Figures().Requests - after[h]
 				}
 				t.Logf("cold hosts: %d asked of 8 of them, %d over what they can", asked, pushed)
 			}
@@ -293,7 +293,7 @@
 			zone, attempts = share(4 * time.Second)
 			pushed := 0
 			for h := 0; h < 24; h += 3 {
-				pushed += d.hosts[h].Figures().Pushed
+				pushed += d.hosts[h].Figures().Overloads
 			}
 			fetches, _ := d.origin.Fetches()
 			t.Logf("%s: %2.0f s after its return %.1f%%; %d over what they can; %d fetches in all; left %d; %d dismissed", word, time.Since(back).Seconds(), 100*float64(zone)/float64(attempts), pushed, fetches, d.countEjections(""), d.dismissed())
--- a/cmd/hollyfleet/startup_test.go
+++ b/cmd/hollyfleet/startup_test.go
@@ -32,7 +32,7 @@
 	t.Parallel()
 	d := newDeployment(t, 9, 5, 12, "")
 	d.startLoad(60, 500)
-	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Requests > 20 })
 	late := d.processes[4]
 	d.kill(late)
 	if a, err := d.processes[0].propose(fleetconfig.Proposal{ID: "leave", EvacuateZones: []string{"z2"}, Reason: "a test"}); err != nil || a.Revision != 2 {
@@ -58,7 +58,7 @@
 	})
 	there := func() (n int) {
 		for _, h := range d.hostsOfZone(2) {
-			n += d.hosts[h].Figures().Asked
+			n += d.hosts[h].Figures().Requests
 		}
 		return n
 	}
@@ -122,7 +122,7 @@
 	t.Parallel()
 	d := newDeployment(t, 11, 5, 12, "")
 	d.startLoad(60, 500)
-	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Asked > 20 })
+	waitFor(t, "hosts in use", func() bool { return d.hosts[0].Figures().Requests > 20 })
 	if a, err := d.processes[0].propose(fleetconfig.Proposal{ID: "leave", EvacuateZones: []string{"z2"}, Reason: "a test"}); err != nil || a.Revision != 2 {
 		t.Fatalf("%+v, %v", a, err)
 	}
--- a/cmd/hollylab/demo.go
+++ b/cmd/hollylab/demo.go
@@ -186,7 +186,7 @@
 	for _, h := range w.hosts {
 		f := h.Figures()
 		v.late += f.Late
-		v.pushed += f.Pushed
+		v.pushed += f.Overloads
 	}
 	v.fetches, v.keys = w.origin.Fetches()
 	v.latency = latencies(all)
--- a/cmd/hollylab/demo_test.go
+++ b/cmd/hollylab/demo_test.go
@@ -87,9 +87,9 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { c.Close() })
-			io.WriteString(c, fakes.Words("C.SET", "k", "the same", "c=book,d=1000", "v"))
+			io.WriteString(c, fakes.EncodeCommand("C.SET", "k", "the same", "c=book,d=1000", "v"))
 		}
-		w.hosts[6].Out(true) // Out, and nobody is told.
+		w.hosts[6].SetEjected(true) // Out, and nobody is told.
 		time.AfterFunc(2*time.Second, func() { w.processes[2].Cmd.Process.Kill() })
 	}
 	v, err := play(context.Background(), p)
@@ -141,7 +141,7 @@
 // load counts what it is answered, from when each was to be asked.
 func TestLoad(t *testing.T) {
 	origin := fakes.NewOrigin(time.Millisecond, 8)
-	h, err := fakes.NewHost("s", origin, fakes.Manner{Takes: time.Millisecond, AtOnce: 8, Queue: 100})
+	h, err := fakes.NewHost("s", origin, fakes.HostOptions{ServiceTime: time.Millisecond, Concurrency: 8, QueueLength: 100})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/hollylab/overhead.go
+++ b/cmd/hollylab/overhead.go
@@ -48,10 +48,10 @@
 			in, own := bufio.NewReader(c), hdrhistogram.New(1, 60e6, 3)
 			for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 				began := time.Now()
-				_, err := c.Write([]byte(fakes.Words("C.GET", fmt.Sprintf("%016x", i%500+1), fmt.Sprintf("%x-%x-%x", lapNumber, n, i), "c=read,d=3000")))
+				_, err := c.Write([]byte(fakes.EncodeCommand("C.GET", fmt.Sprintf("%016x", i%500+1), fmt.Sprintf("%x-%x-%x", lapNumber, n, i), "c=read,d=3000")))
 				if err == nil {
 					var answer []string
-					switch answer, err = fakes.Message(in); {
+					switch answer, err = fakes.ReadMessage(in); {
 					case err != nil:
 					case len(answer) == 0 || strings.HasPrefix(answer[0], "-ERR"):
 						err = fmt.Errorf("the answer is %q", answer)
@@ -102,7 +102,7 @@
 			return coded{err, exitMistake}
 		}
 		defer func() { _ = os.RemoveAll(folder) }()
-		h, err := fakes.NewHost("s", fakes.NewOrigin(0, 256), fakes.Manner{AtOnce: 256, Queue: 1024})
+		h, err := fakes.NewHost("s", fakes.NewOrigin(0, 256), fakes.HostOptions{Concurrency: 256, QueueLength: 1024})
 		if err != nil {
 			return coded{err, exitMistake}
 		}
--- a/cmd/hollylab/town.go
+++ b/cmd/hollylab/town.go
@@ -76,8 +76,8 @@
 	entries := map[string]string{}
 	for n := range hostCount {
 		k := []int{1, 0, 1, 2}[n%4]
-		h, err := fakes.NewHost(fmt.Sprintf("%s-%02d", kinds[k].name, n+1), w.origin, fakes.Manner{Takes: 3 * time.Millisecond, AtOnce: kinds[k].atOnce,
-			Queue: 8 * kinds[k].atOnce, WarmUp: warmUp, ColdPart: 0.2, Tips: 2.5, TipAfter: 3 * time.Second})
+		h, err := fakes.NewHost(fmt.Sprintf("%s-%02d", kinds[k].name, n+1), w.origin, fakes.HostOptions{ServiceTime: 3 * time.Millisecond, Concurrency: kinds[k].atOnce,
+			QueueLength: 8 * kinds[k].atOnce, WarmUp: warmUp, ColdCapacity: 0.2, OverloadFactor: 2.5, OverloadTime: 3 * time.Second})
 		if err != nil {
 			return w, err
 		}
--- a/cmd/hollylab/trouble.go
+++ b/cmd/hollylab/trouble.go
@@ -26,7 +26,7 @@
 	{name: "none", says: "nothing happens", play: func(context.Context, *town, time.Duration) {}},
 	{name: "crash", says: "two hosts die, the list hears of it a second later, and they come back cold", play: func(ctx context.Context, w *town, over time.Duration) {
 		for _, n := range []int{1, 2} {
-			w.hosts[n].Down()
+			w.hosts[n].Crash()
 		}
 		if !pause(ctx, min(time.Second, over/4)) {
 			return
@@ -52,7 +52,7 @@
 	}},
 	{name: "drain", says: "three hosts drain, go, and come back cold", play: func(ctx context.Context, w *town, over time.Duration) {
 		for _, n := range []int{0, 3, 5} {
-			w.hosts[n].Out(true)
+			w.hosts[n].SetEjected(true)
 			w.tell(n, "Terminating")
 		}
 		if !pause(ctx, max(3*time.Second, over/3)) {
@@ -63,7 +63,7 @@
 				w.wrong("%s does not come back: %v", w.hosts[n].Name, err)
 				continue
 			}
-			w.hosts[n].Out(false)
+			w.hosts[n].SetEjected(false)
 			w.tell(n, "Ready")
 		}
 	}},
--- a/cmd/hollylab/view.go
+++ b/cmd/hollylab/view.go
@@ -66,7 +66,7 @@
 			if !f.Started.IsZero() {
 				started = fmt.Sprintf("%.0f s ago", time.Since(f.Started).Seconds())
 			}
-			t.AppendRow(table.Row{h.Name, f.Asked, f.Kept, started})
+			t.AppendRow(table.Row{h.Name, f.Requests, f.CachedKeys, started})
 		}
 		doors := table.NewWriter()
 		doors.SetStyle(table.StyleLight)
--- a/cmd/hollylab/zone.go
+++ b/cmd/hollylab/zone.go
@@ -55,7 +55,7 @@
 	for tick := time.NewTicker(frameEvery); ctx.Err() == nil; {
 		one := frame{at: time.Since(began).Seconds(), asked: map[string]int{}}
 		for n, h := range w.hosts {
-			one.asked[w.zone(n)] += h.Figures().Asked
+			one.asked[w.zone(n)] += h.Figures().Requests
 		}
 		one.fetches, _ = w.origin.Fetches()
 		f.mu.Lock()
--- a/fakes/clients.go
+++ b/fakes/clients.go
@@ -142,8 +142,8 @@
 			a = &asker{conn.(*net.TCPConn), bufio.NewReader(conn)}
 		}
 		a.SetDeadline(until)
-		if _, err = a.Write([]byte(Words(words...))); err == nil {
-			answer, err = Message(a.in)
+		if _, err = a.Write([]byte(EncodeCommand(words...))); err == nil {
+			answer, err = ReadMessage(a.in)
 		}
 		if err != nil {
 			a.Close()
--- a/fakes/host_test.go
+++ b/fakes/host_test.go
@@ -16,7 +16,7 @@
 		rate   int
 		pushed bool
 	}{{true, 400, true}, {true, 50, false}, {false, 400, false}} {
-		h, err := NewHost("s", NewOrigin(0, 100), Manner{Takes: time.Millisecond, AtOnce: 1, Queue: 1000, WarmUp: time.Hour, ColdPart: 0.1, Tips: 2.5, TipAfter: 200 * time.Millisecond})
+		h, err := NewHost("s", NewOrigin(0, 100), HostOptions{ServiceTime: time.Millisecond, Concurrency: 1, QueueLength: 1000, WarmUp: time.Hour, ColdCapacity: 0.1, OverloadFactor: 2.5, OverloadTime: 200 * time.Millisecond})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -35,7 +35,7 @@
 		began := time.Now()
 		for n := 0; ; n++ {
 			took := time.Since(began)
-			if took >= most || took >= least && h.Figures().Pushed > 0 {
+			if took >= most || took >= least && h.Figures().Overloads > 0 {
 				break
 			}
 			time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / time.Duration(c.rate))))
@@ -45,12 +45,12 @@
 					return
 				}
 				defer conn.Close()
-				conn.Write([]byte(Words("C.GET", "k", fmt.Sprint(n), "c=read,d=1000")))
+				conn.Write([]byte(EncodeCommand("C.GET", "k", fmt.Sprint(n), "c=read,d=1000")))
 				conn.SetReadDeadline(time.Now().Add(time.Second))
 				conn.Read(make([]byte, 100))
 			})
 		}
-		if pushed := h.Figures().Pushed; pushed > 0 != c.pushed {
+		if pushed := h.Figures().Overloads; pushed > 0 != c.pushed {
 			t.Errorf("cold %t at %d a second: %d too many", c.cold, c.rate, pushed)
 		}
 		h.Close()
@@ -67,7 +67,7 @@
 	}
 	defer h.Close()
 	for range 3 {
-		h.Down()
+		h.Crash()
 		if l, err := net.Listen("tcp", h.Address); err == nil {
 			l.Close()
 			t.Error("the port of a host that is down can be taken")
--- a/fakes/recorder.go
+++ b/fakes/recorder.go
@@ -213,7 +213,7 @@
 func ValueFor(key, id string) string { return key + "@" + id }
 
 // Serving responds at once with the request's value.
-func Serving(a Attempt) Response { return Response{Text: Settled(ValueFor(a.Key, a.ID))} }
+func Serving(a Attempt) Response { return Response{Text: ValueReply(ValueFor(a.Key, a.ID))} }
 
 // Busy responds that the server is full.
 func Busy(Attempt) Response { return Response{Text: "-BUSY\r\n"} }
--- a/fakes/soak/client.go
+++ b/fakes/soak/client.go
@@ -88,11 +88,11 @@
 	fields := fmt.Sprintf("c=%s,t=acme,d=%d", r.class, r.deadline.Milliseconds())
 	switch r.class {
 	case "report":
-		return r, fakes.Words("C.SET", r.key, r.id, fields+",k="+r.id, "v")
+		return r, fakes.EncodeCommand("C.SET", r.key, r.id, fields+",k="+r.id, "v")
 	case "book":
-		return r, fakes.Words("C.SET", r.key, r.id, fields, "v")
+		return r, fakes.EncodeCommand("C.SET", r.key, r.id, fields, "v")
 	}
-	return r, fakes.Words("C.GET", r.key, r.id, fields)
+	return r, fakes.EncodeCommand("C.GET", r.key, r.id, fields)
 }
 
 func (c *clients) keep(requests ...*request) {
@@ -144,7 +144,7 @@
 		until = r.sent.Add(r.deadline)
 	}
 	conn.SetReadDeadline(until)
-	answer, err := fakes.Message(in)
+	answer, err := fakes.ReadMessage(in)
 	var timeout net.Error
 	switch {
 	case err == nil:
@@ -184,7 +184,7 @@
 	}
 	for n, r := range all {
 		conn.SetReadDeadline(sent.Add(c.plan.Deadline + answerSlack + time.Second))
-		answer, err := fakes.Message(in)
+		answer, err := fakes.ReadMessage(in)
 		var timeout net.Error
 		isTimeout := errors.As(err, &timeout) && timeout.Timeout()
 		if err != nil {
@@ -211,7 +211,7 @@
 // idle holds a connection that asks at most once.
 func (c *clients) idle(_ context.Context, chance *rand.Rand, conn net.Conn, _ int) {
 	if chance.IntN(2) == 0 {
-		io.WriteString(conn, fakes.Words("PING"))
+		io.WriteString(conn, fakes.EncodeCommand("PING"))
 	}
 	conn.SetReadDeadline(time.Now().Add(between(chance, 200*time.Millisecond, 2*time.Second)))
 	io.Copy(io.Discard, conn)
--- a/fakes/soak/process.go
+++ b/fakes/soak/process.go
@@ -149,7 +149,7 @@
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(time.Second))
-	io.WriteString(c, fakes.Words("PING"))
+	io.WriteString(c, fakes.EncodeCommand("PING"))
 	answer := make([]byte, 7)
 	_, err = io.ReadFull(c, answer)
 	return err == nil && string(answer) == "+PONG\r\n"
--- a/fakes/wire.go
+++ b/fakes/wire.go
@@ -27,8 +27,8 @@
 // mostMessage bounds a string that is read here.
 const mostMessage = 8 << 20
 
-// Words is a command on the wire.
-func Words(list ...string) string {
+// EncodeCommand is a command on the wire.
+func EncodeCommand(list ...string) string {
 	var out strings.Builder
 	fmt.Fprintf(&out, "*%d\r\n", len(list))
 	for _, word := range list {
@@ -37,15 +37,15 @@
 	return out.String()
 }
 
-// Settled is a host's answer that holds a value, found in its cache.
-func Settled(value string) string { return settled(value, "hit") }
+// ValueReply is a host's answer that holds a value, found in its cache.
+func ValueReply(value string) string { return valueReply(value, "hit") }
 
-func settled(value, how string) string {
+func valueReply(value, how string) string {
 	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$-1\r\n", len(value), value, len(how), how)
 }
 
-// Message reads one message: its words, or the one line or string that it is.
-func Message(in *bufio.Reader) ([]string, error) {
+// ReadMessage reads one message: its words, or the one line or string that it is.
+func ReadMessage(in *bufio.Reader) ([]string, error) {
 	line, err := in.ReadString('\n')
 	if err != nil {
 		return nil, err
@@ -70,7 +70,7 @@
 	case '*':
 		var words []string
 		for range n {
-			word, err := Message(in)
+			word, err := ReadMessage(in)
 			if err != nil {
 				return nil, err
 			}
--- a/routing/attempt_test.go
+++ b/routing/attempt_test.go
@@ -28,10 +28,10 @@
 	accept(func(conn net.Conn) {
 		if n, _ := conn.Read(make([]byte, 1)); n > 0 {
 			t.Error("the request is sent to the draining server")
-			io.WriteString(conn, fakes.Settled("from the draining server"))
+			io.WriteString(conn, fakes.ValueReply("from the draining server"))
 		}
 	})
-	receive(t, h.Came, "the attempt at the other server").Say(fakes.Settled("v"))
+	receive(t, h.Commands, "the attempt at the other server").Reply(fakes.ValueReply("v"))
 	if got := readReply(t, c); got != "v" {
 		t.Errorf("got reply %q, want the value from the other server", got)
 	}
@@ -55,7 +55,7 @@
 					return
 				}
 				if in := bufio.NewReader(strings.NewReader(string(received))); length > 0 {
-					if words, err := fakes.Message(in); err == nil && len(words) == 5 {
+					if words, err := fakes.ReadMessage(in); err == nil && len(words) == 5 {
 						wholeCommands.Add(1)
 					}
 				}
@@ -70,7 +70,7 @@
 // reply. If the connection ended before the last byte, the request may be sent to another server, and is.
 func TestSingleShotRunsAtMostOnceWhereverItsConnectionEnds(t *testing.T) {
 	const attributes = "c=book,t=acme,d=2000"
-	length := len(fakes.Words("C.SET", "key-0", "1", attributes, "v"))
+	length := len(fakes.EncodeCommand("C.SET", "key-0", "1", attributes, "v"))
 	for _, way := range []struct {
 		name      string
 		closeConn func(*net.TCPConn)
@@ -92,19 +92,19 @@
 				balancerAddress := serveClients(t, b)
 				for n := range 4 { // About half of them go to the disconnecting server first.
 					c := dial(t, balancerAddress)
-					io.WriteString(c, fakes.Words("C.SET", fmt.Sprint("key-", n), fmt.Sprint(n), attributes, "v"))
+					io.WriteString(c, fakes.EncodeCommand("C.SET", fmt.Sprint("key-", n), fmt.Sprint(n), attributes, "v"))
 					done := make(chan string, 1)
 					go func() {
 						c.SetReadDeadline(time.Now().Add(slowEventTimeout))
-						words, err := fakes.Message(bufio.NewReader(c))
+						words, err := fakes.ReadMessage(bufio.NewReader(c))
 						done <- fmt.Sprint(strings.Join(words, " "), err)
 					}()
 					wholeBefore, ranElsewhere, answer := int(wholeCommands.Load()), 0, ""
 					for answer == "" {
 						select {
-						case came := <-h.Came:
+						case came := <-h.Commands:
 							ranElsewhere++
-							came.Say(fakes.Settled("v"))
+							came.Reply(fakes.ValueReply("v"))
 						case answer = <-done:
 						}
 					}
@@ -145,9 +145,9 @@
 			h := scriptedServer(t)
 			b := newBalancerBefore(t, h.Address, nil)
 			client := dial(t, serveClients(t, b))
-			io.WriteString(client, fakes.Words("C.SET", "7f3a9c21e0b4d655", "1", "c=book,t=acme,d=700", "v"))
-			came := receive(t, h.Came, "the command")
-			came.Say(c.start)
+			io.WriteString(client, fakes.EncodeCommand("C.SET", "7f3a9c21e0b4d655", "1", "c=book,t=acme,d=700", "v"))
+			came := receive(t, h.Commands, "the command")
+			came.Reply(c.start)
 			go func() {
 				for tick := time.NewTicker(30 * time.Millisecond); c.trickle != ""; {
 					select {
@@ -155,7 +155,7 @@
 						tick.Stop()
 						return
 					case <-tick.C:
-						came.Say(c.trickle)
+						came.Reply(c.trickle)
 					}
 				}
 			}()
@@ -179,15 +179,15 @@
 			select {
 			case <-done:
 				return
-			case came := <-h.Came:
+			case came := <-h.Commands:
 				switch n % 5 {
 				case 0:
-					came.Say(fakes.Settled("v"))
+					came.Reply(fakes.ValueReply("v"))
 				case 1:
 					came.SetLinger(0)
 					came.Close()
 				case 2:
-					came.Say("-BUSY\r\n")
+					came.Reply("-BUSY\r\n")
 				case 3:
 					came.Close()
 				case 4: // The client disconnects first.
@@ -223,8 +223,8 @@
 	address := serveClients(t, b)
 	for _, c := range []struct{ timeoutMillis, maxStatedMillis float64 }{{3000, 2995}, {400, 395}, {128, 126}, {64, 63}} {
 		client := dial(t, address)
-		io.WriteString(client, fakes.Words("C.SET", "7f3a9c21e0b4d655", fmt.Sprint(c.timeoutMillis), fmt.Sprintf("c=book,t=acme,d=%v", c.timeoutMillis), "v"))
-		came := receive(t, h.Came, "the attempt")
+		io.WriteString(client, fakes.EncodeCommand("C.SET", "7f3a9c21e0b4d655", fmt.Sprint(c.timeoutMillis), fmt.Sprintf("c=book,t=acme,d=%v", c.timeoutMillis), "v"))
+		came := receive(t, h.Commands, "the attempt")
 		_, timeoutText, _ := strings.Cut(came.Words[3], "d=")
 		if stated, err := strconv.ParseFloat(timeoutText, 64); err != nil || stated > c.maxStatedMillis {
 			t.Errorf("with a timeout of %v ms the server is told %q, want at most %v ms", c.timeoutMillis, came.Words[3], c.maxStatedMillis)
--- a/routing/disconnect_attempts_test.go
+++ b/routing/disconnect_attempts_test.go
@@ -57,7 +57,7 @@
 }{
 	{name: "the first, while a connection is established", settings: map[string]any{"allowed.dialTimeout": 20000.0}, acceptsLate: true},
 	{name: "the first, in a key's queue", settings: map[string]any{"workloads.0.keepOrder": true}, keyInFlight: true},
-	{name: "a retry after a backoff", attemptsBefore: 1, handle: func(c fakes.Command) { c.Say("-BUSY\r\n") }},
+	{name: "a retry after a backoff", attemptsBefore: 1, handle: func(c fakes.Command) { c.Reply("-BUSY\r\n") }},
 	{name: "a hedged request", settings: map[string]any{"workloads.0.expectedTime": 100.0}, attemptsBefore: 1, priorRequests: 100},
 	{name: "a hedged request where none is cancelled",
 		settings: map[string]any{"workloads.0.expectedTime": 100.0, "allowed.cancelling": false}, attemptsBefore: 1, priorRequests: 100},
@@ -82,7 +82,7 @@
 				}
 				b := newBalancerBefore(t, address, due.settings)
 				b.applyTestList(t, fakes.List(2, true, fakes.Entry("s", address, "Ready")))
-				attempts := &receivedAttempts{byID: map[string][]fakes.Command{}, received: h.Came}
+				attempts := &receivedAttempts{byID: map[string][]fakes.Command{}, received: h.Commands}
 				balancerAddress := serveClients(t, b)
 				sendRequest := func(id string) *net.TCPConn {
 					c := dial(t, balancerAddress)
@@ -95,7 +95,7 @@
 				if due.keyInFlight {
 					waiting = 2
 					sendRequest("in-flight")
-					held = receive(t, h.Came, "the key's first request")
+					held = receive(t, h.Commands, "the key's first request")
 				}
 				others := b.counted("trips")
 				disconnecting := sendRequest("disconnecting")
@@ -105,7 +105,7 @@
 				}
 				if strings.Contains(due.name, "hedged") { // A second server, for the hedged request, is listed only now.
 					b.applyTestList(t, fakes.List(3, true, fakes.Entry("s", address, "Ready"), fakes.Entry("other", other.Address, "Ready")))
-					attempts.received = mergeCommands(t, h.Came, other.Came)
+					attempts.received = mergeCommands(t, h.Commands, other.Commands)
 				}
 				done := make(chan struct{})
 				go func() { way.disconnect(disconnecting); close(done) }()
@@ -123,19 +123,19 @@
 						for _, word := range read.Args {
 							command.Words = append(command.Words, string(word))
 						}
-						h.Came <- command
+						h.Commands <- command
 					}
 				})
 				if due.keyInFlight {
 					until(t, "the connected client's request", func() bool { return b.requestsHeld() == 2 })
-					held.Say(fakes.Settled("v"))
+					held.Reply(fakes.ValueReply("v"))
 				}
 				attempts.await(t, "connected", due.attemptsBefore+1, due.handle)
 				answered := 0
 				until(t, "the end of the disconnected client's request", func() bool {
 					attempts.collect() // An attempt decided on before the disconnect may arrive after the connected client's.
 					for ; answered < len(attempts.byID["disconnecting"]); answered++ {
-						attempts.byID["disconnecting"][answered].Say(fakes.Settled("v")) // Lets attempts in flight end.
+						attempts.byID["disconnecting"][answered].Reply(fakes.ValueReply("v")) // Lets attempts in flight end.
 					}
 					return b.requestsHeld() == 1
 				})
@@ -155,8 +155,8 @@
 		defer close(stopped)
 		for {
 			select {
-			case c := <-h.Came:
-				c.Say(fakes.Settled("v"))
+			case c := <-h.Commands:
+				c.Reply(fakes.ValueReply("v"))
 			case <-done:
 				return
 			}
@@ -202,7 +202,7 @@
 	at := serveClients(t, b, func(l *transport.Listener) { l.SetLimit(1) })
 	first := dial(t, at)
 	io.WriteString(first, getCommand("first", "c=read,t=acme,d=20000"))
-	out := receive(t, h.Came, "the first request") // Its client takes up the listener's limit of 1.
+	out := receive(t, h.Commands, "the first request") // Its client takes up the listener's limit of 1.
 	for n := range many {
 		c := dial(t, at)
 		io.WriteString(c, getCommand(fmt.Sprint("gone-", n), "c=read,t=acme,d=20000"))
@@ -210,10 +210,10 @@
 	}
 	last := dial(t, at)
 	io.WriteString(last, getCommand("last", "c=read,t=acme,d=20000"))
-	out.Say(fakes.Settled("v"))
+	out.Reply(fakes.ValueReply("v"))
 	readReply(t, first)
 	first.Close()
-	all := &receivedAttempts{byID: map[string][]fakes.Command{}, received: h.Came}
+	all := &receivedAttempts{byID: map[string][]fakes.Command{}, received: h.Commands}
 	all.await(t, "last", 1, nil)
 	if decided := b.counted("trips"); len(all.byID) != 1 || decided != 2 {
 		t.Errorf("%d attempts were decided on and %d requests reached the server, want 2 and 2", decided, len(all.byID)+1)
--- a/routing/disconnect_random_test.go
+++ b/routing/disconnect_random_test.go
@@ -51,7 +51,7 @@
 					for range min(perRound/clients-n, 1+chance.IntN(3)) {
 						workload := []string{"read", "report", "book"}[chance.IntN(3)]
 						id := fmt.Sprint(k, "-", n)
-						io.WriteString(c, fakes.Words("C.GET", fmt.Sprint("key-", chance.IntN(50)), id, "c="+workload+",t=acme,d=20000,k="+id))
+						io.WriteString(c, fakes.EncodeCommand("C.GET", fmt.Sprint("key-", chance.IntN(50)), id, "c="+workload+",t=acme,d=20000,k="+id))
 						n++
 					}
 					time.Sleep(time.Duration(chance.IntN(20)) * time.Millisecond) // A random delay, not a wait for an event.
--- a/routing/disconnect_test.go
+++ b/routing/disconnect_test.go
@@ -60,8 +60,8 @@
 		go func() {
 			for {
 				select {
-				case c := <-h.Came:
-					c.Say("-BUSY\r\n")
+				case c := <-h.Commands:
+					c.Reply("-BUSY\r\n")
 				case <-t.Context().Done():
 					return
 				}
@@ -71,7 +71,7 @@
 	}, getCommand("1", "c=read,t=acme,d=20000")},
 	{"in a key's queue", map[string]any{"workloads.0.keepOrder": true}, func(t *testing.T) (string, func(*Balancer) bool) {
 		h := scriptedServer(t) // Sends no replies, so the first request stays in flight.
-		return h.Address, func(b *Balancer) bool { return len(h.Came) > 0 && b.requestsHeld() > 1 }
+		return h.Address, func(b *Balancer) bool { return len(h.Commands) > 0 && b.requestsHeld() > 1 }
 	}, getCommand("1", "c=read,t=acme,d=20000") + getCommand("2", "c=read,t=acme,d=20000")},
 	{"for a connection to be established", map[string]any{"allowed.dialTimeout": 20000.0}, func(t *testing.T) (string, func(*Balancer) bool) {
 		address, _ := unacceptingServer(t)
@@ -82,7 +82,7 @@
 		go func() {
 			for {
 				select {
-				case c := <-h.Came:
+				case c := <-h.Commands:
 					c.SetLinger(0)
 					c.Close()
 				case <-t.Context().Done():
@@ -129,8 +129,8 @@
 	c := dial(t, serveClients(t, b))
 	io.WriteString(c, getCommand("1", "c=read,t=acme,d=20000")+getCommand("2", "c=read,t=acme,d=20000"))
 	for range 2 {
-		if came := <-h.Came; came.Words[2] == "2" {
-			came.Say(fakes.Settled("for the second command"))
+		if came := <-h.Commands; came.Words[2] == "2" {
+			came.Reply(fakes.ValueReply("for the second command"))
 		}
 	}
 	until(t, "the second command's reply", func() bool {
@@ -168,10 +168,10 @@
 			if c.holdsFirst {
 				io.WriteString(client, first+partial)
 				time.AfterFunc(c.first/2, b.mu.Unlock)
-				came = <-h.Came
+				came = <-h.Commands
 			} else {
 				io.WriteString(client, first)
-				came = <-h.Came
+				came = <-h.Commands
 				io.WriteString(client, partial)
 			}
 			select {
@@ -179,7 +179,7 @@
 				t.Fatal("the first command's request is cancelled")
 			case <-time.After(2 * c.later): // The partial command has timed out.
 			}
-			came.Say(fakes.Settled("v"))
+			came.Reply(fakes.ValueReply("v"))
 			client.SetReadDeadline(time.Now().Add(eventTimeout))
 			if text, err := io.ReadAll(client); err != nil || string(text) != "$1\r\nv\r\n" {
 				t.Fatalf("the first command got reply %q, %v", text, err)
@@ -198,12 +198,12 @@
 	b.mu.Lock() // The first command is counted as valid only under this lock: the timeout for the second begins before.
 	io.WriteString(client, getCommand("1", "c=read,t=acme,d=20000")+second[:30])
 	time.AfterFunc(50*time.Millisecond, b.mu.Unlock)
-	(<-h.Came).Say(fakes.Settled("v"))
+	(<-h.Commands).Reply(fakes.ValueReply("v"))
 	<-time.After(200 * time.Millisecond) // The timeout for a first command is over.
 	io.WriteString(client, second[30:])
 	select {
-	case came := <-h.Came:
-		came.Say(fakes.Settled("w"))
+	case came := <-h.Commands:
+		came.Reply(fakes.ValueReply("w"))
 	case <-time.After(eventTimeout):
 		t.Fatal("the second command is not accepted")
 	}
--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"sync/atomic"
 	"time"
 
 	"hollylever/policy"
@@ -29,40 +28,6 @@
 	transport.Malformed:           policy.Reset,
 }
 
-// client is what an exchange needs to know of the client that sent its request.
-type client struct {
-	receivedAt    time.Time       // when the request's last byte arrived at this machine; its timeout counts from then
-	repliesBefore func() int      // returns how many replies are owed to it before the request's own; nil: none ever
-	repliesOwed   func() int      // returns how many replies are owed to it, with the request's own; nil: no other ever
-	closedByUs    *atomic.Bool    // set before the balancer cuts its connection off with replies still owed; nil: never
-	onAdmitted    func()          // called once the request is admitted
-	disconnected  <-chan struct{} // closed once the client's disconnect has been read; nil if it never disconnects
-	hasEnded      func() bool     // checks the connection itself; nil if there is no connection
-	mayHaveEnded  func() bool     // whether an end may have been hidden for too long; nil: never
-}
-
-// hasDisconnected reports whether the client has disconnected, even if the end of its connection has not been read yet.
-// After a stall of the process, both the end of the connection and the event that starts an attempt may be due, and they
-// are handled in any order.
-func (c client) hasDisconnected() bool { return c.hasEnded != nil && c.hasEnded() }
-
-// isUnread reports whether the client may have disconnected for too long, unseen behind bytes that wait to be read.
-func (c client) isUnread() bool { return c.mayHaveEnded != nil && c.mayHaveEnded() }
-
-// replyPosition returns how many replies are owed to the client before the request's own.
-func (c client) replyPosition() int {
-	if c.repliesBefore == nil {
-		return 0
-	}
-	return c.repliesBefore()
-}
-
-// othersWait reports whether replies to other commands of the client wait beside the request's own.
-func (c client) othersWait() bool { return c.repliesOwed != nil && c.repliesOwed() > 1 }
-
-// wasCutOff reports whether the balancer has closed the client's connection with replies still owed.
-func (c client) wasCutOff() bool { return c.closedByUs != nil && c.closedByUs.Load() }
-
 // exchange handles one request from its arguments through its attempts to its single final reply, and on until its last
 // attempt has ended. The client's reading goroutine admits it; from then on the goroutine that calls run owns it.
 // Attempts read only fields that are set before they start.
@@ -77,27 +42,20 @@
 	workload       int
 	slot           int // in the request table
 	events         chan event
-	bytes          int64                    // of the request and its reply
-	reservedMemory int64                    // bytes of the memory account that are held until the release
-	connections    []*transport.PooledConn  // the connection of each attempt
-	repeatWindow   *repeatWindow            // nil: attempts may be sent at any time
-	windowBase     int                      // number of the first attempt in repeatWindow
-	identity       siblings.RequestIdentity // of a request with an effect; zero: none
-	result         *requestResult           // of a request with an effect; nil: none
-	earlier        *requestResult           // of an earlier request of the same ID, which it gets; nil: it runs itself
-	contested      *requestResult           // of an earlier request of the same ID, for which another client waits; nil: none
-	contestedOwner *resultOwner             // that client; nil: it is another process's
-	owner          *resultOwner             // its own client, while the reply of owned is owed to that
-	owned          *requestResult
-	remaining      time.Duration // until its deadline, if it gets the result of an earlier one
-	mayHaveRun     bool          // an attempt of it may have run
-	hasEarlierRun  bool          // an earlier request of its ID may have run
+	bytes          int64                   // of the request and its reply
+	reservedMemory int64                   // bytes of the memory account that are held until the release
+	connections    []*transport.PooledConn // the connection of each attempt
+	repeatWindow   *repeatWindow           // nil: attempts may be sent at any time
+	windowBase     int                     // number of the first attempt in repeatWindow
+	mayHaveRun     bool                    // an attempt of it may have run
 	attemptsEnded  int
 	isAnswered     bool // it has its final reply, or its client has disconnected and gets none
 	isDisconnected bool
 	largeReply     *largeValue // the large value that is streamed to the client; nil if none
 	heldReply      *heldValue  // the large value that the client gets whole; nil if none
 	record         requestRecord
+
+	idSharing
 }
 
 // newExchange returns the exchange of a request that is to be admitted.
@@ -270,39 +228,6 @@
 	x.reply.reply <- final
 }
 
-// handle streams a large value to the client, unless the request already has its final reply. The request is counted as
-// answered once the value is complete.
-func (e responseStarted) handle(x *exchange) {
-	isAccepted := x.acceptLargeValue(e)
-	if e.value.isAccepted <- isAccepted; !isAccepted {
-		return
-	}
-	x.largeReply, x.isAnswered, x.record.outcome = e.value, true, outcomeAnswered
-	for number, conn := range x.connections {
-		if number != e.number {
-			conn.Cancel()
-		}
-	}
-	x.reply.reply <- reply{value: x.largeReply}
-}
-
-// acceptLargeValue makes an attempt's large value the final reply. It returns false if there already is one.
-func (x *exchange) acceptLargeValue(e responseStarted) bool {
-	b := x.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	slot := &b.requests.slots[x.slot]
-	if slot.isFinal {
-		return false
-	}
-	slot.isFinal = true
-	bytes := int64(piecesPerLargeValue * e.value.pieceSize)
-	b.requests.bytes += bytes
-	x.bytes += bytes
-	b.policy.HandleResponseStarted(x.slot, e.number)
-	return true
-}
-
 // handle passes an attempt's end to the policy. The first value that arrives is the final reply.
 func (e attemptEnded) handle(x *exchange) {
 	x.attemptsEnded++
@@ -385,17 +310,6 @@
 	return outcome
 }
 
-// countLargeValue counts the final reply of a request whose client is sent a large value. The caller holds Balancer.mu.
-func (x *exchange) countLargeValue(outcome policy.Outcome) {
-	b := x.balancer
-	b.requests.closeID(x)
-	if outcome == policy.OK {
-		b.counters.incrementFor(outcomeAnswered, x.workload)
-	} else {
-		b.counters.incrementFor(outcomeFailed, x.workload)
-	}
-}
-
 // release frees the request's memory and slot, and the endpoints of its attempts.
 func (x *exchange) release(result delivery) {
 	b := x.balancer
--- a/routing/golden_test.go
+++ b/routing/golden_test.go
@@ -99,4 +99,4 @@
 	compareGolden(t, "bad_bytes.golden", []byte(out.String()))
 }
 
-func command(list ...string) string { return fakes.Words(list...) }
+func command(list ...string) string { return fakes.EncodeCommand(list...) }
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -159,7 +159,7 @@
 
 // getCommand returns a command that reads one key.
 func getCommand(id, attributes string) string {
-	return fakes.Words("C.GET", "7f3a9c21e0b4d655", id, attributes)
+	return fakes.EncodeCommand("C.GET", "7f3a9c21e0b4d655", id, attributes)
 }
 
 // scriptedServer returns a server whose replies the test sends.
@@ -233,7 +233,7 @@
 func readReply(t *testing.T, c net.Conn) string {
 	t.Helper()
 	c.SetReadDeadline(time.Now().Add(slowEventTimeout))
-	words, err := fakes.Message(bufio.NewReader(c))
+	words, err := fakes.ReadMessage(bufio.NewReader(c))
 	if err != nil {
 		t.Fatalf("no reply: %v", err)
 	}
--- a/routing/largevalue.go
+++ b/routing/largevalue.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"hollylever/policy"
 	"hollylever/protocol"
 	"hollylever/transport"
 )
@@ -75,6 +76,50 @@
 	return deliveryOfWrite(end)
 }
 
+// handle streams a large value to the client, unless the request already has its final reply. The request is counted as
+// answered once the value is complete.
+func (e responseStarted) handle(x *exchange) {
+	isAccepted := x.acceptLargeValue(e)
+	if e.value.isAccepted <- isAccepted; !isAccepted {
+		return
+	}
+	x.largeReply, x.isAnswered, x.record.outcome = e.value, true, outcomeAnswered
+	for number, conn := range x.connections {
+		if number != e.number {
+			conn.Cancel()
+		}
+	}
+	x.reply.reply <- reply{value: x.largeReply}
+}
+
+// acceptLargeValue makes an attempt's large value the final reply. It returns false if there already is one.
+func (x *exchange) acceptLargeValue(e responseStarted) bool {
+	b := x.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slot := &b.requests.slots[x.slot]
+	if slot.isFinal {
+		return false
+	}
+	slot.isFinal = true
+	bytes := int64(piecesPerLargeValue * e.value.pieceSize)
+	b.requests.bytes += bytes
+	x.bytes += bytes
+	b.policy.HandleResponseStarted(x.slot, e.number)
+	return true
+}
+
+// countLargeValue counts the final reply of a request whose client is sent a large value. The caller holds Balancer.mu.
+func (x *exchange) countLargeValue(outcome policy.Outcome) {
+	b := x.balancer
+	b.requests.closeID(x)
+	if outcome == policy.OK {
+		b.counters.incrementFor(outcomeAnswered, x.workload)
+	} else {
+		b.counters.incrementFor(outcomeFailed, x.workload)
+	}
+}
+
 // copyBody copies a large value from the server's connection to the writer. It returns Open once all is copied.
 func copyBody(conn *transport.PooledConn, writer *io.PipeWriter, value *largeValue) transport.End {
 	for size := value.size; size > 0; {
--- a/routing/largevalue_test.go
+++ b/routing/largevalue_test.go
@@ -42,7 +42,7 @@
 		completeAt := time.Now()
 		ms, _ := strconv.Atoi(regexp.MustCompile(`d=(\d+)`).FindStringSubmatch(string(text[:200]))[1])
 		out <- receivedCommand{time.Duration(ms) * time.Millisecond, completeAt}
-		io.WriteString(c, fakes.Settled("v"))
+		io.WriteString(c, fakes.ValueReply("v"))
 	}()
 	return l.Addr().String(), out
 }
@@ -57,7 +57,7 @@
 func TestLargeWriteStatesTimeLeftAtItsLastByte(t *testing.T) {
 	const deadline = 2 * time.Second
 	value := strings.Repeat("v", 4<<20)
-	command := fakes.Words("C.SET", "k", "1", "c=report,t=acme,k=1,d=2000", value)
+	command := fakes.EncodeCommand("C.SET", "k", "1", "c=report,t=acme,k=1,d=2000", value)
 	address, received := slowReadingServer(t, 600*time.Millisecond, len(command)-1) // The stated timeout may be one digit shorter.
 	b := newBalancerBefore(t, address, nil)
 	balancerAddress := serveClients(t, b, func(l *transport.Listener) { l.Budget = transport.NewBudget(64 << 20) })
--- a/routing/memory_test.go
+++ b/routing/memory_test.go
@@ -33,12 +33,12 @@
 			h := scriptedServer(t)
 			b, address := serveWithMemory(t, h.Address, 64<<10)
 			c := dial(t, address)
-			go io.WriteString(c, fakes.Words("C.SET", "k", "1", "c=report,t=acme,k=1,d=2000", strings.Repeat("v", size))+getCommand("2", "c=read,t=acme,d=20000"))
-			go receive(t, h.Came, "the command behind the rejected one").Say(fakes.Settled("served"))
+			go io.WriteString(c, fakes.EncodeCommand("C.SET", "k", "1", "c=report,t=acme,k=1,d=2000", strings.Repeat("v", size))+getCommand("2", "c=read,t=acme,d=20000"))
+			go receive(t, h.Commands, "the command behind the rejected one").Reply(fakes.ValueReply("served"))
 			reader := bufio.NewReader(c)
 			c.SetReadDeadline(time.Now().Add(slowEventTimeout))
 			for _, want := range []string{"-BUSY", "served"} {
-				if words, err := fakes.Message(reader); err != nil || strings.Join(words, " ") != want {
+				if words, err := fakes.ReadMessage(reader); err != nil || strings.Join(words, " ") != want {
 					t.Fatalf("reply %q, %v; want %s", words, err, want)
 				}
 			}
@@ -58,8 +58,8 @@
 	go func() {
 		for {
 			select {
-			case command := <-h.Came:
-				go command.Say(fakes.Settled(strings.Repeat("v", size)))
+			case command := <-h.Commands:
+				go command.Reply(fakes.ValueReply(strings.Repeat("v", size)))
 			case <-t.Context().Done():
 				return
 			}
@@ -72,7 +72,7 @@
 	reader := bufio.NewReader(c)
 	c.SetReadDeadline(time.Now().Add(slowEventTimeout))
 	for n := range requests {
-		if words, err := fakes.Message(reader); err != nil || len(words) != 1 || len(words[0]) != size {
+		if words, err := fakes.ReadMessage(reader); err != nil || len(words) != 1 || len(words[0]) != size {
 			t.Fatalf("reply %d: %.40q, %v", n, words, err)
 		}
 		if inUse := b.memory.InUse(); inUse > limit {
--- a/routing/overflow_test.go
+++ b/routing/overflow_test.go
@@ -41,7 +41,7 @@
 }
 
 func getCommandWithKey(keyLength int, id string) string {
-	return fakes.Words("C.GET", strings.Repeat("k", keyLength), id, "c=read,t=acme,d=20000")
+	return fakes.EncodeCommand("C.GET", strings.Repeat("k", keyLength), id, "c=read,t=acme,d=20000")
 }
 
 // A client that pipelines more commands than the balancer keeps must be able to tell which command each reply belongs to.
@@ -64,8 +64,8 @@
 	go func() {
 		for {
 			select {
-			case command := <-h.Came:
-				command.Say(fakes.Settled(command.Words[2]))
+			case command := <-h.Commands:
+				command.Reply(fakes.ValueReply(command.Words[2]))
 			case <-t.Context().Done():
 				return
 			}
@@ -74,7 +74,7 @@
 	reader, served, rejected := bufio.NewReader(c), 0, 0
 	c.SetReadDeadline(time.Now().Add(slowEventTimeout))
 	for n := range sent {
-		words, err := fakes.Message(reader)
+		words, err := fakes.ReadMessage(reader)
 		switch got := strings.Join(words, " "); {
 		case err != nil:
 			t.Fatalf("reply %d of %d: %v", n, sent, err)
@@ -101,9 +101,9 @@
 	go func() {
 		for {
 			select {
-			case command := <-h.Came:
+			case command := <-h.Commands:
 				lastReceivedAt.Store(time.Now().UnixNano())
-				command.Say(fakes.Settled("v"))
+				command.Reply(fakes.ValueReply("v"))
 			case <-t.Context().Done():
 				return
 			}
--- a/routing/repeat.go
+++ b/routing/repeat.go
@@ -11,6 +11,19 @@
 // first one: it waits while that runs. It runs itself only if the first one has not run. While the first client waits, and where
 // the two are not the same request, it gets an error (resultowner.go).
 
+// idSharing is what an exchange knows of itself and of other requests of its ID, if it has an effect.
+type idSharing struct {
+	identity       siblings.RequestIdentity // of a request with an effect; zero: none
+	result         *requestResult           // of a request with an effect; nil: none
+	earlier        *requestResult           // of an earlier request of the same ID, which it gets; nil: it runs itself
+	contested      *requestResult           // of an earlier request of the same ID, for which another client waits; nil: none
+	contestedOwner *resultOwner             // that client; nil: it is another process's
+	owner          *resultOwner             // its own client, while the reply of owned is owed to that
+	owned          *requestResult
+	remaining      time.Duration // until its deadline, if it gets the result of an earlier one
+	hasEarlierRun  bool          // an earlier request of its ID may have run
+}
+
 // identify computes what a request with an effect is recognized by. That takes time for a large one, so no lock is held.
 func (x *exchange) identify(workload []byte) {
 	catalog := &x.balancer.catalog
--- a/routing/repeatwindow_test.go
+++ b/routing/repeatwindow_test.go
@@ -77,10 +77,10 @@
 			return
 		}
 		if string(header) != writeHeader {
-			if _, err := fakes.Message(in); err != nil {
+			if _, err := fakes.ReadMessage(in); err != nil {
 				return
 			}
-			io.WriteString(c, fakes.Settled("v"))
+			io.WriteString(c, fakes.ValueReply("v"))
 			continue
 		}
 		err = s.nextRole()(s, c, in)
@@ -104,7 +104,7 @@
 
 // read reads a write and notes when its last byte came.
 func (s *writeServers) read(in *bufio.Reader) error {
-	if _, err := fakes.Message(in); err != nil {
+	if _, err := fakes.ReadMessage(in); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -135,7 +135,7 @@
 	if err := s.read(in); err != nil {
 		return err
 	}
-	io.WriteString(c, fakes.Settled("stored"))
+	io.WriteString(c, fakes.ValueReply("stored"))
 	return nil
 }
 
@@ -196,7 +196,7 @@
 	address = serveClients(t, b, func(l *transport.Listener) { l.Budget = transport.NewBudget(64 << 20) })
 	c := dial(t, address)
 	for n := range 40 {
-		io.WriteString(c, fakes.Words("C.GET", fmt.Sprint("key-", n), fmt.Sprint("read-", n), "c=read,t=acme,d=3000"))
+		io.WriteString(c, fakes.EncodeCommand("C.GET", fmt.Sprint("key-", n), fmt.Sprint("read-", n), "c=read,t=acme,d=3000"))
 		readReply(t, c)
 	}
 	return b, address
@@ -260,7 +260,7 @@
 	b, address := newWriteBalancer(t, s, changes)
 	client := dial(t, address)
 	attributes := fmt.Sprintf("c=report,t=acme,d=%d,k=mark", timeoutMillis)
-	io.WriteString(client, fakes.Words("C.SET", "key", "write", attributes, strings.Repeat("v", length)))
+	io.WriteString(client, fakes.EncodeCommand("C.SET", "key", "write", attributes, strings.Repeat("v", length)))
 	if got := readReply(t, client); got != reply {
 		t.Errorf("got reply %q, want %q", got, reply)
 	}
--- a/routing/replacedserver_test.go
+++ b/routing/replacedserver_test.go
@@ -38,8 +38,8 @@
 			ask := func(id string) net.Conn {
 				c := dial(t, address)
 				io.WriteString(c, getCommand(id, "c=read,t=acme,d=3000"))
-				attempt := receive(t, s.Came, "the attempt")
-				attempt.Say(fakes.Settled("v"))
+				attempt := receive(t, s.Commands, "the attempt")
+				attempt.Reply(fakes.ValueReply("v"))
 				if got := readReply(t, c); got != "v" {
 					t.Fatalf("the reply is %q, want v", got)
 				}
@@ -75,12 +75,12 @@
 			b := newBalancerBefore(t, server, map[string]any{"allowed.dialTimeout": 20000.0, "allowed.mostTrips": 2.0})
 			b.applyTestList(t, listOf(2, listedStart("s", server, "Ready", 1000)))
 			c := dial(t, serveClients(t, b))
-			io.WriteString(c, fakes.Words("C.SET", "k", "id", "c=book,t=acme,d=20000", "v"))
+			io.WriteString(c, fakes.EncodeCommand("C.SET", "k", "id", "c=book,t=acme,d=20000", "v"))
 			until(t, "the attempt", func() bool { return b.counted(counterAttempts) == 1 })
 			b.applyTestList(t, listOf(3, entries(server)...))
 			accept(func(c net.Conn) {
 				if n, _ := c.Read(make([]byte, 1<<10)); n > 0 {
-					io.WriteString(c, fakes.Settled("v"))
+					io.WriteString(c, fakes.ValueReply("v"))
 				}
 			})
 			readReply(t, c)
--- a/routing/results_test.go
+++ b/routing/results_test.go
@@ -68,12 +68,12 @@
 	address := serveClients(t, b)
 	first, second := dial(t, address), dial(t, address)
 	io.WriteString(first, bookCommand())
-	attempt := receive(t, s.Came, "the booking")
+	attempt := receive(t, s.Commands, "the booking")
 	first.Close()
 	io.WriteString(second, bookCommand())
 	until(t, "the second one waits for the first", func() bool { return b.counted(counterRepeated) == 1 })
-	attempt.Say("-BUSY\r\n")
-	receive(t, s.Came, "the booking once more").Say(fakes.Settled("v"))
+	attempt.Reply("-BUSY\r\n")
+	receive(t, s.Commands, "the booking once more").Reply(fakes.ValueReply("v"))
 	if got := readReply(t, second); got != "v" {
 		t.Errorf("the second reply is %q, want v", got)
 	}
@@ -87,15 +87,15 @@
 	address := serveClients(t, b)
 	first, second := dial(t, address), dial(t, address)
 	io.WriteString(first, bookCommand())
-	attempt := receive(t, s.Came, "the booking")
+	attempt := receive(t, s.Commands, "the booking")
 	io.WriteString(second, bookCommand())
 	until(t, "the second one waits", func() bool { return b.counted(counterContested) == 1 })
-	attempt.Say("-BUSY\r\n")
+	attempt.Reply("-BUSY\r\n")
 	if got := readReply(t, first); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("the first reply is %q, want -BUSY", got)
 	}
-	if got := readReply(t, second); !strings.HasPrefix(got, "-ERR") || len(s.Came) > 0 {
-		t.Errorf("the second reply is %q, and %d bookings more; want -ERR, and none", got, len(s.Came))
+	if got := readReply(t, second); !strings.HasPrefix(got, "-ERR") || len(s.Commands) > 0 {
+		t.Errorf("the second reply is %q, and %d bookings more; want -ERR, and none", got, len(s.Commands))
 	}
 }
 
@@ -107,14 +107,14 @@
 	address := serveClients(t, b)
 	first, second := dial(t, address), dial(t, address)
 	io.WriteString(first, bookCommand())
-	attempt := receive(t, s.Came, "the booking")
+	attempt := receive(t, s.Commands, "the booking")
 	io.WriteString(second, bookCommand())
 	until(t, "the second one waits", func() bool { return b.counted(counterContested) == 1 })
 	first.Close()
 	until(t, "the second one shares the result", func() bool { return b.counted(counterRepeated) == 1 })
-	attempt.Say(fakes.Settled("v"))
-	if got := readReply(t, second); got != "v" || len(s.Came) > 0 {
-		t.Errorf("the second reply is %q, and %d bookings more; want v, and none", got, len(s.Came))
+	attempt.Reply(fakes.ValueReply("v"))
+	if got := readReply(t, second); got != "v" || len(s.Commands) > 0 {
+		t.Errorf("the second reply is %q, and %d bookings more; want v, and none", got, len(s.Commands))
 	}
 }
 
@@ -125,7 +125,7 @@
 	address := serveClients(t, newBalancerBefore(t, s.Address, nil))
 	first, second := dial(t, address), dial(t, address)
 	io.WriteString(first, bookCommand())
-	receive(t, s.Came, "the booking").Close()
+	receive(t, s.Commands, "the booking").Close()
 	if got := readReply(t, first); !strings.HasPrefix(got, "-ERR") {
 		t.Errorf("the reply is %q, want -ERR", got)
 	}
@@ -133,7 +133,7 @@
 	if got := readReply(t, second); !strings.HasPrefix(got, "-ERR") {
 		t.Errorf("the second reply is %q, want -ERR", got)
 	}
-	if len(s.Came) > 0 {
+	if len(s.Commands) > 0 {
 		t.Error("a booking that may have run is sent again")
 	}
 }
@@ -150,14 +150,14 @@
 	b := newBalancerBefore(t, r.Address, map[string]any{"workloads.1.dedupWindow": float64(window.Milliseconds())})
 	address := serveClients(t, b)
 	first, second := dial(t, address), dial(t, address)
-	io.WriteString(first, fakes.Words("C.SET", "k", "id", "c=report,t=acme,d=500,k=5c", "v"))
+	io.WriteString(first, fakes.EncodeCommand("C.SET", "k", "id", "c=report,t=acme,d=500,k=5c", "v"))
 	readReply(t, first)
 	attempts := r.Attempts()
 	if len(attempts) == 0 {
 		t.Fatal("no attempt")
 	}
 	time.Sleep(time.Until(attempts[0].Begun.Add(window)))
-	io.WriteString(second, fakes.Words("C.SET", "k", "id", "c=report,t=acme,d=500,k=5c", "v"))
+	io.WriteString(second, fakes.EncodeCommand("C.SET", "k", "id", "c=report,t=acme,d=500,k=5c", "v"))
 	if got := readReply(t, second); !strings.HasPrefix(got, "-ERR") {
 		t.Errorf("the reply after the window is %q, want -ERR", got)
 	}
@@ -166,7 +166,9 @@
 	}
 }
 
-func bookCommand() string { return fakes.Words("C.SET", "k", "id", "c=book,t=acme,d=3000", "v") }
+func bookCommand() string {
+	return fakes.EncodeCommand("C.SET", "k", "id", "c=book,t=acme,d=3000", "v")
+}
 
 // Whoever knows how digests are made must not be able to give a request the digest of another one: each part counts with its
 // length, and none of what a server gets is left out.
--- a/server/admin_test.go
+++ b/server/admin_test.go
@@ -70,18 +70,18 @@
 	h := receive(t, came, "the retrieval")
 	p.waitForMetric("concurrent", 1)
 	p.waitForMetric("dispatches", 1)
-	h.Say(valueReply("v"))
+	h.Reply(valueReply("v"))
 	c.expectReply("v")
 	p.waitForMetric("replies.read.success", 1)
 	p.waitForMetric("concurrent", 0)
 	c.send("C.GET", "k", "b", "c=book,d=3000")
-	receive(t, came, "the one-shot").Say("-ERR failed\r\n")
+	receive(t, came, "the one-shot").Reply("-ERR failed\r\n")
 	c.expectReply("-ERR given up")
 	p.waitForMetric("replies.book.error", 1)
 	p.waitForMetric("dispatches", 2)
 	go func() {
 		for h := range came {
-			h.Say("-BUSY\r\n")
+			h.Reply("-BUSY\r\n")
 		}
 	}()
 	c.send("C.GET", "k", "c", "c=read,d=3000")
@@ -122,7 +122,7 @@
 		t.Helper()
 		n++
 		c.send("C.GET", strconv.Itoa(n), strconv.Itoa(n), "c=read,d=3000")
-		receive(t, from, "the retrieval").Say(valueReply("v"))
+		receive(t, from, "the retrieval").Reply(valueReply("v"))
 		c.expectReply("v")
 	}
 	says(p, "/cache-hosts/disable/b")
--- a/server/clients_test.go
+++ b/server/clients_test.go
@@ -51,7 +51,7 @@
 		receive(t, done, "the end of a bad client")
 	}
 	expectNoCommand(t, came)
-	h.Say(valueReply("v"))
+	h.Reply(valueReply("v"))
 	usual.expectReply("v")
 	usual.send("PING").expectReply("+PONG")
 }
@@ -80,7 +80,7 @@
 	p.connect().send("PING").expectReply("+PONG")
 	expectNoCommand(t, came)
 	io.WriteString(c, whole[len(whole)-5:])
-	receive(t, came, "the retrieval").Say(valueReply("v"))
+	receive(t, came, "the retrieval").Reply(valueReply("v"))
 	c.expectReply("v")
 
 	// Clients that ask for large values and read none of them until all have asked.
@@ -91,7 +91,7 @@
 		for {
 			select {
 			case h := <-came:
-				go h.Say(big)
+				go h.Reply(big)
 			case <-done:
 				return
 			}
--- a/server/descriptors_test.go
+++ b/server/descriptors_test.go
@@ -119,12 +119,12 @@
 				t.Errorf("ready: %d %q", code, text)
 			}
 			for _, one := range asked {
-				one.Say(valueReply("v"))
+				one.Reply(valueReply("v"))
 			}
 			for range each {
 				c.expectReply("v")
 			}
-			held.Say(valueReply("busy"))
+			held.Reply(valueReply("busy"))
 			busy.expectReply("busy")
 			expectNoCommand(t, came)
 			if took := time.Since(began); took > 5*time.Second {
@@ -198,7 +198,7 @@
 	}
 	receive(t, calls, "a call while the crowd is there").Say(endpointList(2, true, listEntry("s", at, "Ready")))
 	c := (&program{t: t, address: platform.Address}).connect().send("C.GET", "k", "1", "c=read,t=acme,d=3000")
-	receive(t, came, "the request").Say(valueReply("v"))
+	receive(t, came, "the request").Reply(valueReply("v"))
 	c.expectReply("v")
 }
 
@@ -219,7 +219,7 @@
 		}
 		c := p.connect()
 		c.send("C.GET", "k", "1", "c=read,t=acme,d=3000")
-		receive(t, came, "the retrieval").Say(valueReply("v"))
+		receive(t, came, "the retrieval").Reply(valueReply("v"))
 		c.expectReply("v")
 		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
 		p.cmd.Process.Signal(syscall.SIGTERM)
--- a/server/discovery_test.go
+++ b/server/discovery_test.go
@@ -16,7 +16,7 @@
 	receive(t, calls, "the first watch").Say(unavailable) // Down at the start: the known list serves.
 	p.waitForLog("list lost")
 	c := p.connect().send("C.GET", "k", "1", "c=read,t=acme,d=3000")
-	receive(t, fromA, "the retrieval").Say(valueReply("v"))
+	receive(t, fromA, "the retrieval").Reply(valueReply("v"))
 	c.expectReply("v")
 	w := receive(t, calls, "the second watch")
 	if w.Since != "4" {
@@ -31,7 +31,7 @@
 		t.Helper()
 		for n := range 20 {
 			c.send("C.GET", strconv.Itoa(n), "id", "c=read,t=acme,d=3000")
-			receive(t, fromB, "the retrieval").Say(valueReply("v"))
+			receive(t, fromB, "the retrieval").Reply(valueReply("v"))
 			c.expectReply("v")
 		}
 		expectNoCommand(t, fromA)
@@ -47,7 +47,7 @@
 	w.Say(endpointList(8, false, listEntry("b", b, "Gone"), listEntry("a", a, "Ready")))
 	p.waitForLog(`"index":8,"changed":2,"ready":["a"],"draining":[],"gone":["b"]`)
 	c.send("C.GET", "k", "1", "c=read,t=acme,d=3000")
-	receive(t, fromA, "the retrieval").Say(valueReply("v"))
+	receive(t, fromA, "the retrieval").Reply(valueReply("v"))
 	c.expectReply("v")
 	w.End() // It ends.
 	p.waitForLog("list lost")
@@ -67,7 +67,7 @@
 	p := startProgram(t, endpointList(4, true, listEntry("s", at, "Ready")), map[string]any{"discovery": d})
 	receive(t, calls, "the first watch")
 	c := p.connect().send("C.GET", "k", "1", "c=read,t=acme,d=3000")
-	receive(t, came, "the retrieval").Say(valueReply("v"))
+	receive(t, came, "the retrieval").Reply(valueReply("v"))
 	c.expectReply("v")
 	p.waitForLog("discovery is silent")
 	receive(t, calls, "the second watch")
--- a/server/handover_faults_test.go
+++ b/server/handover_faults_test.go
@@ -87,7 +87,7 @@
 		case fault == 2 && out < 0:
 			out = chance.IntN(len(w.hosts))
 			w.discovery.Tell(map[string]string{w.hosts[out].Name: fakes.Entry(w.hosts[out].Name, w.hosts[out].Address, "Terminating")})
-			w.hosts[out].Out(true)
+			w.hosts[out].SetEjected(true)
 		case fault == 3:
 			h.Flush()
 		}
@@ -124,7 +124,7 @@
 	f := clients.Wait()
 	pushed, late := 0, 0
 	for _, h := range w.hosts {
-		pushed, late = pushed+h.Figures().Pushed, late+h.Figures().Late
+		pushed, late = pushed+h.Figures().Overloads, late+h.Figures().Late
 	}
 	t.Logf("%+v", f)
 	if f.Door+f.Wrong+f.Late+w.origin.Twice()+pushed+late > 0 {
--- a/server/handover_test.go
+++ b/server/handover_test.go
@@ -100,14 +100,14 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	clients := fakes.Ask(ctx, w.Address, fakes.Load{Rate: 200, Keys: 300, Seed: 5, Patience: 2 * time.Second})
-	waitUntil(t, "traffic at the host", func() bool { return w.hosts[1].Figures().Asked > 5 })
+	waitUntil(t, "traffic at the host", func() bool { return w.hosts[1].Figures().Requests > 5 })
 	young := w.start(t)
 	answer, err := http.Post("http://"+young.Mgmt+"/cache-hosts/disable/s-1", "", nil)
 	if err != nil || answer.StatusCode != http.StatusOK {
 		t.Fatalf("%v, %v", answer, err)
 	}
 	answer.Body.Close()
-	w.hosts[1].Out(true)
+	w.hosts[1].SetEjected(true)
 	waitForLogLine(t, old, `"message":"ejection by hand"`)
 	for _, p := range []*fakes.Process{old, young} {
 		waitUntil(t, "both avoid it", func() bool {
@@ -121,18 +121,18 @@
 			return strings.Contains(string(text[:n]), "targets_disabled=1\n")
 		})
 	}
-	quiet := w.hosts[1].Figures().Asked
+	quiet := w.hosts[1].Figures().Requests
 	if old.Stop(3700 * time.Millisecond) {
 		t.Error("the old one had to be killed")
 	}
 	again := w.start(t) // One more beside it: it follows the ban too.
 	young.Stop(3700 * time.Millisecond)
-	before := w.hosts[2].Figures().Asked
-	waitUntil(t, "traffic goes on elsewhere", func() bool { return w.hosts[2].Figures().Asked > before+20 })
+	before := w.hosts[2].Figures().Requests
+	waitUntil(t, "traffic goes on elsewhere", func() bool { return w.hosts[2].Figures().Requests > before+20 })
 	end()
 	f := clients.Wait()
-	if late := w.hosts[1].Figures(); late.Asked-quiet > 3 || late.Late > 0 { // What was decided on before may still arrive.
-		t.Errorf("the host that is out was sent %d more", late.Asked-quiet)
+	if late := w.hosts[1].Figures(); late.Requests-quiet > 3 || late.Late > 0 { // What was decided on before may still arrive.
+		t.Errorf("the host that is out was sent %d more", late.Requests-quiet)
 	}
 	if f.Door+f.Late+f.Wrong > 0 {
 		t.Errorf("%+v", f)
@@ -249,7 +249,7 @@
 			clients.Wait()
 			pushed := 0
 			for _, h := range w.hosts {
-				pushed += h.Figures().Pushed
+				pushed += h.Figures().Overloads
 			}
 			t.Logf("seed %d, with %t: %d fetches of %d keys, %.2f a key; %d settled, %d dismissed, %d late; %d pushed over", seed, with, fetches, keys,
 				float64(fetches)/float64(max(1, keys)), f.Settled-before.Settled, f.Dismissed-before.Dismissed, f.Late-before.Late, pushed)
@@ -320,7 +320,7 @@
 		}
 		defer c.Close()
 		c.SetDeadline(time.Now().Add(testTimeout))
-		c.Write([]byte(fakes.Words("C.GET", "7f3a9c21e0b4d655", strconv.Itoa(n), "c=read,t=acme,d=3000")))
+		c.Write([]byte(fakes.EncodeCommand("C.GET", "7f3a9c21e0b4d655", strconv.Itoa(n), "c=read,t=acme,d=3000")))
 		asked = append(asked, c)
 	}
 	waitUntil(t, "all are taken", func() bool {
--- a/server/heldvalue_test.go
+++ b/server/heldvalue_test.go
@@ -41,7 +41,7 @@
 				if strings.HasPrefix(h.Words[1], "large") {
 					go large(h)
 				} else {
-					h.Say(valueReply(h.Words[2]))
+					h.Reply(valueReply(h.Words[2]))
 				}
 			}
 		}()
@@ -51,7 +51,7 @@
 
 // give has the host give its part of the value and end it.
 func (v cutValue) give(h command) {
-	h.Say(head(v.size) + strings.Repeat("v", v.given))
+	h.Reply(valueReplyStart(v.size) + strings.Repeat("v", v.given))
 	time.Sleep(cutAfter)
 	v.end(h)
 }
@@ -106,11 +106,11 @@
 	var attempts atomic.Int32
 	p := startProgram(t, startValueHosts(t, func(h command) {
 		if attempts.Add(1) == 1 {
-			h.Say(head(size) + strings.Repeat("x", size/2))
+			h.Reply(valueReplyStart(size) + strings.Repeat("x", size/2))
 			h.Close()
 			return
 		}
-		h.Say(valueReply(strings.Repeat("v", size)))
+		h.Reply(valueReply(strings.Repeat("v", size)))
 	}), nil)
 	p.connect().send("C.GET", "large", "a", "c=read,d=1500").expectReply(strings.Repeat("v", size))
 }
@@ -124,14 +124,14 @@
 			t.Parallel()
 			value := strings.Repeat("v", size)
 			p := startProgram(t, startValueHosts(t, func(h command) {
-				h.Say(head(size))
+				h.Reply(valueReplyStart(size))
 				pause := time.NewTicker(75 * time.Millisecond)
 				defer pause.Stop()
 				for n := range pieces {
-					h.Say(value[n*size/pieces : (n+1)*size/pieces])
+					h.Reply(value[n*size/pieces : (n+1)*size/pieces])
 					<-pause.C
 				}
-				h.Say(tail)
+				h.Reply(valueReplyEnd)
 			}), nil)
 			sent := time.Now()
 			c := p.connect().send("C.GET", "large", "a", fmt.Sprintf("c=read,d=%d", deadline.Milliseconds()))
@@ -151,11 +151,11 @@
 	const size = 200 << 10
 	begun := make(chan struct{})
 	p := startProgram(t, startValueHosts(t, func(h command) {
-		h.Say(head(size))
+		h.Reply(valueReplyStart(size))
 		pause := time.NewTicker(100 * time.Millisecond)
 		defer pause.Stop()
 		for {
-			h.Say("v")
+			h.Reply("v")
 			select {
 			case <-begun:
 				h.Close()
--- a/server/helper_test.go
+++ b/server/helper_test.go
@@ -54,7 +54,7 @@
 
 const unavailable = fakes.Unavailable
 
-var encodeCommand, valueReply, endpointList, readMessage = fakes.Words, fakes.Settled, fakes.List, fakes.Message
+var encodeCommand, valueReply, endpointList, readMessage = fakes.EncodeCommand, fakes.ValueReply, fakes.List, fakes.ReadMessage
 
 func listEntry(name, address, status string) string { return fakes.Entry(name, address, status) }
 
@@ -65,7 +65,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(h.Close)
-	return h.Address, h.Came
+	return h.Address, h.Commands
 }
 
 func receive[T any](t *testing.T, from <-chan T, what string) T {
--- a/server/killed_test.go
+++ b/server/killed_test.go
@@ -62,7 +62,7 @@
 	p.cmd.Process.Kill()
 	receive(t, p.exited, "the end of the process")
 	c.SetReadDeadline(time.Now().Add(testTimeout))
-	if words, err := fakes.Message(bufio.NewReader(c)); err == nil {
+	if words, err := fakes.ReadMessage(bufio.NewReader(c)); err == nil {
 		t.Errorf("the server gets all %d words of the write after the process has ended, want a part", len(words))
 	}
 }
--- a/server/large_test.go
+++ b/server/large_test.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-const tail = "\r\n$3\r\nhit\r\n$-1\r\n"
+const valueReplyEnd = "\r\n$3\r\nhit\r\n$-1\r\n"
 
-func head(size int) string { return fmt.Sprintf("*3\r\n$%d\r\n", size) }
+func valueReplyStart(size int) string { return fmt.Sprintf("*3\r\n$%d\r\n", size) }
 
 // expectBytes reads so many bytes.
 func (c client) expectBytes(want string) {
@@ -33,25 +33,25 @@
 	c, half := p.connect(), strings.Repeat("v", 100<<10)
 	c.send("C.GET", "k", "a", "c=read,d=3000")
 	h := receive(t, came, "the retrieval")
-	h.Say(head(2*len(half)) + half)
+	h.Reply(valueReplyStart(2*len(half)) + half)
 	c.expectBytes(fmt.Sprintf("$%d\r\n", 2*len(half)) + half) // The rest has not been sent.
 	p.waitForMetric("concurrent", 1)
 	for n := range half {
 		if n%2048 == 0 {
-			h.Say(half[n : n+2048])
+			h.Reply(half[n : n+2048])
 		}
 	}
-	for _, piece := range strings.Split(tail, "") {
-		h.Say(piece)
+	for _, piece := range strings.Split(valueReplyEnd, "") {
+		h.Reply(piece)
 	}
 	c.expectBytes(half + "\r\n")
 	p.waitForMetric("replies.read.success", 1)
 	p.waitForMetric("concurrent", 0)
-	for n, end := range []func(h command){func(h command) { h.Close() }, func(h command) { h.Say(half + "v" + tail) },
-		func(h command) { h.Say(half + "\n\r" + tail) }} {
+	for n, end := range []func(h command){func(h command) { h.Close() }, func(h command) { h.Reply(half + "v" + valueReplyEnd) },
+		func(h command) { h.Reply(half + "\n\r" + valueReplyEnd) }} {
 		c := p.connect().send("C.GET", "k", fmt.Sprint("b", n), "c=read,d=3000")
 		h := receive(t, came, "the retrieval")
-		h.Say(head(2*len(half)) + half)
+		h.Reply(valueReplyStart(2*len(half)) + half)
 		c.expectBytes(fmt.Sprintf("$%d\r\n", 2*len(half)) + half)
 		end(h)
 		if rest, _ := io.ReadAll(c.in); len(rest) > len(half) {
@@ -65,16 +65,16 @@
 	pieces := time.NewTicker(150 * time.Millisecond)
 	defer pieces.Stop()
 	for _, piece := range []string{"*3\r\n", "$2\r\nv", "w\r\n$3\r\nhi", "t\r\n$-1\r\n"} {
-		h.Say(piece)
+		h.Reply(piece)
 		<-pieces.C
 	}
 	c.expectReply("vw")
 	gone := p.connect().send("C.GET", "k", "gone", "c=read,d=3000")
 	h = receive(t, came, "the retrieval")
-	h.Say(head(2*len(half)) + half)
+	h.Reply(valueReplyStart(2*len(half)) + half)
 	gone.expectBytes(fmt.Sprintf("$%d\r\n", 2*len(half)) + half)
 	gone.Close()
-	h.Say(half[:50000])
+	h.Reply(half[:50000])
 	receive(t, h.Ended, "the end of what nobody reads any more")
 }
 
@@ -88,7 +88,7 @@
 	for n := range many {
 		c := p.connect().send("C.GET", strconv.Itoa(n), strconv.Itoa(n), "c=read,d=3000")
 		h := receive(t, came, "the retrieval")
-		go h.Say(head(size) + value + tail)
+		go h.Reply(valueReplyStart(size) + value + valueReplyEnd)
 		c.expectBytes(fmt.Sprintf("$%d\r\nvvv", size))
 		clients = append(clients, c)
 	}
@@ -100,7 +100,7 @@
 	served := make(chan bool)
 	go func() {
 		for h := range came {
-			h.Say(valueReply(strconv.Itoa(len(h.Words[4]))))
+			h.Reply(valueReply(strconv.Itoa(len(h.Words[4]))))
 		}
 	}()
 	for n, c := range clients {
@@ -146,7 +146,7 @@
 		c.send("C.GET", "k", id, "c=read,d=3000")
 		h := receive(t, came, "the retrieval")
 		h.SetWriteBuffer(32 << 10)
-		go h.Say(valueReply(value))
+		go h.Reply(valueReply(value))
 		c.expectBytes(fmt.Sprintf("$%d\r\n", size) + value[:1000])
 		return c
 	}
--- a/server/leaves_test.go
+++ b/server/leaves_test.go
@@ -29,9 +29,9 @@
 			}
 			switch n % 4 {
 			case 0:
-				c.Say(valueReply("v"))
+				c.Reply(valueReply("v"))
 			case 1:
-				c.Say(valueReply("v")[:9]) // And no more.
+				c.Reply(valueReply("v")[:9]) // And no more.
 			case 2:
 				c.Close()
 			case 3: // Nothing.
--- a/server/ready_test.go
+++ b/server/ready_test.go
@@ -128,6 +128,6 @@
 	call.Say(endpointList(8, true, listEntry("there", at, "Ready")))
 	p.waitForMetric("targets", 1)
 	c.send("C.GET", "k", "served", "c=read,t=acme,d=3000")
-	receive(t, came, "the request").Say(valueReply("v"))
+	receive(t, came, "the request").Reply(valueReply("v"))
 	c.expectReply("v")
 }
--- a/server/reload_test.go
+++ b/server/reload_test.go
@@ -45,10 +45,10 @@
 	old.Say(endpointList(9, true, listEntry("s", at, "Gone"))) // The old one counts no more.
 	w.Say(endpointList(2, true, listEntry("n", moved, "Ready")))
 	p.waitForLog(`"index":2,"changed":2,"ready":["n"],"draining":[],"gone":["s"]`)
-	h.Say(valueReply("v"))
+	h.Reply(valueReply("v"))
 	c.expectReply("v")
 	c.send("C.GET", "k", "2", "c=read,t=acme,d=3000")
-	receive(t, fromMoved, "the retrieval").Say(valueReply("v"))
+	receive(t, fromMoved, "the retrieval").Reply(valueReply("v"))
 	c.expectReply("v")
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.cmd.Process.Signal(syscall.SIGTERM)
--- a/server/requests_test.go
+++ b/server/requests_test.go
@@ -23,7 +23,7 @@
 	if h.Words[0] != "C.GET" || h.Words[1] != "7f3a9c21e0b4d655" || h.Words[2] != "9b1f03aa5c7e2d41" || wait < 1 || wait > 3000 {
 		t.Fatalf("the host is sent %q", h.Words)
 	}
-	h.Say(valueReply("a value"))
+	h.Reply(valueReply("a value"))
 	c.expectReply("a value")
 	big := strings.Repeat("v", 64<<10)
 	c.send("C.SET", "not hex", "id2", "c=report,t=nobody,d=3000,k=5c0f", big)
@@ -31,7 +31,7 @@
 	if len(h.Words) != 5 || h.Words[4] != big || !strings.HasSuffix(h.Words[3], ",k=5c0f") {
 		t.Fatalf("the host is sent %.100q", h.Words)
 	}
-	h.Say(valueReply(big))
+	h.Reply(valueReply(big))
 	c.expectReply(big)
 	for _, bad := range []struct{ command, want string }{
 		{encodeCommand("HELLO", "3"), `-ERR unknown command "HELLO"`},
@@ -83,7 +83,7 @@
 	}
 	slices.Reverse(first)
 	for _, h := range first {
-		h.Say(valueReply(h.Words[1]))
+		h.Reply(valueReply(h.Words[1]))
 	}
 	done := make(chan struct{})
 	defer close(done)
@@ -91,7 +91,7 @@
 		for {
 			select {
 			case h := <-came:
-				h.Say(valueReply(h.Words[1]))
+				h.Reply(valueReply(h.Words[1]))
 			case <-done:
 				return
 			}
@@ -113,18 +113,18 @@
 		answer           func(command)
 		trips            int // 0: any number
 	}{
-		{"settled", "c=book,t=acme,d=3000", "v", func(c command) { c.Say(valueReply("v")) }, 1},
-		{"error", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("-ERR failed inflight=1,util=0.5\r\n") }, 1},
-		{"turned away", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.Say("-BUSY\r\n") }, 0},
-		{"turned away with a report", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.Say("-BUSY inflight=1,util=0.5\r\n") }, 0},
+		{"settled", "c=book,t=acme,d=3000", "v", func(c command) { c.Reply(valueReply("v")) }, 1},
+		{"error", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Reply("-ERR failed inflight=1,util=0.5\r\n") }, 1},
+		{"turned away", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.Reply("-BUSY\r\n") }, 0},
+		{"turned away with a report", "c=book,t=acme,d=200", "-BUSY", func(c command) { c.Reply("-BUSY inflight=1,util=0.5\r\n") }, 0},
 		{"reset", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.SetLinger(0); c.Close() }, 1},
 		{"ends", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Close() }, 1},
-		{"ends amid the answer", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("*3\r\n$5\r\nab"); c.Close() }, 1},
-		{"begins and does not end", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("*3\r\n$50\r\nab") }, 1},
-		{"an error line of its own", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("-SYNTAX\r\n") }, 1},
-		{"garbled", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("HTTP/1.1 400 Bad Request\r\n") }, 1},
-		{"a null for a value", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n") }, 1},
-		{"too long", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Say("*3\r\n$4194305\r\n") }, 1},
+		{"ends amid the answer", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Reply("*3\r\n$5\r\nab"); c.Close() }, 1},
+		{"begins and does not end", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Reply("*3\r\n$50\r\nab") }, 1},
+		{"an error line of its own", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Reply("-SYNTAX\r\n") }, 1},
+		{"garbled", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Reply("HTTP/1.1 400 Bad Request\r\n") }, 1},
+		{"a null for a value", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Reply("*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n") }, 1},
+		{"too long", "c=book,t=acme,d=3000", "-ERR given up", func(c command) { c.Reply("*3\r\n$4194305\r\n") }, 1},
 		{"silent", "c=book,t=acme,d=500", "-ERR given up", func(c command) {}, 1},
 		{"a silent read", "c=read,t=acme,d=500", "-BUSY", func(c command) {}, 1},
 	} {
@@ -171,7 +171,7 @@
 	for n := range 20 {
 		c.send("C.SET", "k", strconv.Itoa(n), "c=book,t=acme,d=3000", "v")
 		h := receive(t, came, "the write")
-		h.Say(valueReply("v"))
+		h.Reply(valueReply("v"))
 		h.Close()
 		c.expectReply("v")
 	}
--- a/server/shapes_test.go
+++ b/server/shapes_test.go
@@ -41,7 +41,7 @@
 				report := fmt.Sprintf("served_ps=%d,pending=%d,cpu_share=%.2f", len(begun[n]), 0, float64(held)/places)
 				if held == places {
 					mu.Unlock()
-					c.Say("-BUSY " + report + "\r\n")
+					c.Reply("-BUSY " + report + "\r\n")
 					continue
 				}
 				held++
@@ -57,7 +57,7 @@
 						c.Close()
 						return
 					}
-					c.Say(fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$%d\r\n%s\r\n", len(c.Words[2]), c.Words[2], len(report), report))
+					c.Reply(fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$%d\r\n%s\r\n", len(c.Words[2]), c.Words[2], len(report), report))
 				})
 			}
 		}()
--- a/server/shutdown_test.go
+++ b/server/shutdown_test.go
@@ -29,8 +29,8 @@
 	second := receive(t, came, "the straggler's retrieval")
 	idle.expectClose()
 	half.expectClose()
-	first.Say(valueReply("1"))
-	second.Say(valueReply("2"))
+	first.Reply(valueReply("1"))
+	second.Reply(valueReply("2"))
 	busy.expectReply("1")
 	late.expectReply("2")
 	busy.expectClose()
@@ -112,7 +112,7 @@
 			}
 			p.waitForLog("stopping")
 			p.cmd.Process.Signal(syscall.SIGTERM)
-			h.Say(valueReply("v"))
+			h.Reply(valueReply("v"))
 			client.expectReply("v")
 			client.expectClose()
 			if line := p.waitForLog(`"message":"stopped"`); !strings.Contains(line, `"all_answered":true`) {
@@ -165,6 +165,6 @@
 	c.expectClose()
 	p = startProgram(t, endpointList(0, true, listEntry("gone", "127.0.0.1:1", "Gone"), listEntry("s", at, "Ready")), map[string]any{"listen": p.address})
 	c = p.connect().send("C.GET", "k", "2", "c=read,t=acme,d=3000")
-	receive(t, came, "the retrieval").Say(valueReply("v"))
+	receive(t, came, "the retrieval").Reply(valueReply("v"))
 	c.expectReply("v")
 }
--- a/server/upgrade_test.go
+++ b/server/upgrade_test.go
@@ -52,7 +52,7 @@
 		t.Errorf("ready after SIGTERM: %d", code)
 	}
 	idle.send("C.GET", "k", "b", "c=read,d=3000")
-	receive(t, came, "what an idle client asks after SIGTERM").Say(valueReply("once more"))
+	receive(t, came, "what an idle client asks after SIGTERM").Reply(valueReply("once more"))
 	idle.expectReply("once more")
 	idle.expectClose()
 	for range 20 { // All that come now are the new one's.
@@ -63,14 +63,14 @@
 		c.Close()
 	}
 	silent.expectClose()
-	h.Say(valueReply("the last"))
+	h.Reply(valueReply("the last"))
 	out.expectReply("the last")
 	out.expectClose()
 	if err := receive(t, old.exited, "the end of the old version"); err != nil {
 		t.Errorf("the old version ends with %v", err)
 	}
 	c := young.connect().send("C.GET", "k", "c", "c=read,d=3000")
-	receive(t, came, "a retrieval at the new version").Say(valueReply("served"))
+	receive(t, came, "a retrieval at the new version").Reply(valueReply("served"))
 	c.expectReply("served")
 	young.cmd.Process.Signal(syscall.SIGTERM) // A planned restart: nobody accepts for a while, and nobody is refused.
 	c.expectClose()
--- a/server/upgrades_test.go
+++ b/server/upgrades_test.go
@@ -33,7 +33,7 @@
 	t.Helper()
 	w := &testBed{origin: fakes.NewOrigin(20*time.Millisecond, 16), discovery: fakes.NewDiscovery()}
 	t.Cleanup(w.discovery.Close)
-	manner := fakes.Manner{Takes: time.Millisecond, AtOnce: 4, Queue: 64, WarmUp: 20 * time.Second, ColdPart: 0.2, Tips: 2.5}
+	manner := fakes.HostOptions{ServiceTime: time.Millisecond, Concurrency: 4, QueueLength: 64, WarmUp: 20 * time.Second, ColdCapacity: 0.2, OverloadFactor: 2.5}
 	entries := map[string]string{}
 	for n := range hosts {
 		h, err := fakes.NewHost(fmt.Sprint("s-", n), w.origin, manner)
