Tests: one set-up for bookings that come again, names of fakes' hosts in tests and comments

Three tests of results stood with the same set-up; a test, messages and comments had the words of before the renaming. What is checked is unchanged; the messages of evacuation_test.go say what was expected.

--- a/cmd/hollyfleet/evacuation_test.go
+++ b/cmd/hollyfleet/evacuation_test.go
@@ -87,7 +87,7 @@
 	waitFor(t, "being back", func() bool { _, most, fails, _ := d.evacuation("z1"); return most == 0 && fails == 0 })
 	for _, h := range zone {
 		if f := d.hosts[h].Figures(); f.Overloads > 0 {
-			t.Errorf("%s was pushed over: %d", d.hosts[h].Name, f.Overloads)
+			t.Errorf("%s was overloaded while cold: %d commands, want none", d.hosts[h].Name, f.Overloads)
 		}
 	}
 	if ids := d.processes[0].history(t); len(ids) != 4 {
@@ -288,7 +288,7 @@
 	waitFor(t, "being back", func() bool { _, most, fails, _ := d.evacuation("z1"); return most == 0 && fails == 0 })
 	for _, h := range zone {
 		if f := d.hosts[h].Figures(); f.Overloads > 0 {
-			t.Errorf("%s was pushed over: %d", d.hosts[h].Name, f.Overloads)
+			t.Errorf("%s was overloaded while cold: %d commands, want none", d.hosts[h].Name, f.Overloads)
 		}
 	}
 	if ids := d.processes[0].history(t); len(ids) != 2 {
--- a/cmd/hollylab/demo_test.go
+++ b/cmd/hollylab/demo_test.go
@@ -89,7 +89,7 @@
 			t.Cleanup(func() { c.Close() })
 			io.WriteString(c, fakes.EncodeCommand("C.SET", "k", "the same", "c=book,d=1000", "v"))
 		}
-		w.hosts[6].SetEjected(true) // Out, and nobody is told.
+		w.hosts[6].SetEjected(true) // Ejected, and nobody is told.
 		time.AfterFunc(2*time.Second, func() { w.processes[2].Cmd.Process.Kill() })
 	}
 	v, err := play(context.Background(), p)
--- a/fakes/host_test.go
+++ b/fakes/host_test.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// Guards the check of the rule: a cold host that is asked for too much for long enough counts as pushed over, one that is asked for
+// Guards the check of the rule: a cold host that is asked for too much for long enough counts as overloaded, one that is asked for
 // less, or a warm one, does not.
-func TestAColdHostPushedOverIsSeen(t *testing.T) {
+func TestOverloadOfAColdHostIsCounted(t *testing.T) {
 	for _, c := range []struct {
 		cold   bool
 		rate   int
--- a/fakes/wire.go
+++ b/fakes/wire.go
@@ -3,7 +3,7 @@
 // program. Tests and experiments use it; what serves never imports it.
 //
 // Whatever is started here is ended by Close, and every load is bounded in count and time. What breaks a rule (an
-// effect twice, a host sent to while it is out, a cold one pushed over, an answer that is another's) is noted where it is seen.
+// effect twice, a host sent to while it is ejected, a cold one overloaded, an answer that is another's) is noted where it is seen.
 package fakes
 
 import (
--- a/routing/results_test.go
+++ b/routing/results_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -61,13 +62,19 @@
 	}
 }
 
-// The server rejects a booking that has come again after its client has left: it has not run, and the second one runs.
-func TestRepeatedRequestRunsIfTheFirstHasNot(t *testing.T) {
-	s := scriptedServer(t)
-	b := newBalancerBefore(t, s.Address, map[string]any{"allowed.mostTrips": 1.0})
+// beginBooking has the first of two clients send a booking to a balancer before a scripted server.
+func beginBooking(t *testing.T, changes map[string]any) (b *Balancer, server *fakes.Host, first, second *net.TCPConn) {
+	server = scriptedServer(t)
+	b = newBalancerBefore(t, server.Address, changes)
 	address := serveClients(t, b)
-	first, second := dial(t, address), dial(t, address)
+	first, second = dial(t, address), dial(t, address)
 	io.WriteString(first, bookCommand())
+	return b, server, first, second
+}
+
+// The server rejects a booking that has come again after its client has left: it has not run, and the second one runs.
+func TestRepeatedRequestRunsIfTheFirstHasNot(t *testing.T) {
+	b, s, first, second := beginBooking(t, map[string]any{"allowed.mostTrips": 1.0})
 	attempt := receive(t, s.Commands, "the booking")
 	first.Close()
 	io.WriteString(second, bookCommand())
@@ -82,11 +89,7 @@
 // The server rejects a booking whose ID another client sends too: the first client gets the rejection, the other one an error, and
 // nothing runs.
 func TestOpenIDGetsErrorIfTheFirstHasNotRun(t *testing.T) {
-	s := scriptedServer(t)
-	b := newBalancerBefore(t, s.Address, map[string]any{"allowed.mostTrips": 1.0})
-	address := serveClients(t, b)
-	first, second := dial(t, address), dial(t, address)
-	io.WriteString(first, bookCommand())
+	b, s, first, second := beginBooking(t, map[string]any{"allowed.mostTrips": 1.0})
 	attempt := receive(t, s.Commands, "the booking")
 	io.WriteString(second, bookCommand())
 	until(t, "the second one waits", func() bool { return b.counted(counterContested) == 1 })
@@ -102,11 +105,7 @@
 // A client leaves and another one comes with its ID before the end of its connection is known: it waits for that, and gets the
 // result of the first one.
 func TestRepeatWaitsForTheEndOfTheFirstConnection(t *testing.T) {
-	s := scriptedServer(t)
-	b := newBalancerBefore(t, s.Address, nil)
-	address := serveClients(t, b)
-	first, second := dial(t, address), dial(t, address)
-	io.WriteString(first, bookCommand())
+	b, s, first, second := beginBooking(t, nil)
 	attempt := receive(t, s.Commands, "the booking")
 	io.WriteString(second, bookCommand())
 	until(t, "the second one waits", func() bool { return b.counted(counterContested) == 1 })
