--- a/routing/admission.go
+++ b/routing/admission.go
@@ -18,7 +18,7 @@
 type admission struct {
 	workload        int
 	isKnownWorkload bool
-	isDuplicate     bool // another request of this ID is in use
+	isDuplicate     bool // the ID is in use by another request
 	isFull          bool
 	isUnread        bool  // the client may have disconnected for too long, unseen behind bytes that wait to be read
 	isTooLate       bool  // no reply is expected before the process ends
--- a/routing/heldvalue.go
+++ b/routing/heldvalue.go
@@ -85,7 +85,7 @@
 		return transport.BrokenAfterSent, false
 	}
 	conn.Skip(response.start)
-	return x.streamValue(conn, response.size, h.growPieces(), result)
+	return x.streamValue(conn, response.size, h.reservePieces(), result)
 }
 
 // valueHold is the hold of one large value by an attempt.
@@ -156,9 +156,9 @@
 	return h.exchange.client.othersWait() && h.exchange.balancer.pool.Budget.MayEverGrant(h.response.bufferSize())
 }
 
-// growPieces returns the size of the pieces in which the value is streamed. They are as large as there is memory for; a value that
-// was held has memory for the smallest in any case.
-func (h *valueHold) growPieces() (size int) {
+// reservePieces reserves the memory of the pieces in which the value is streamed, as large ones as there is memory for, and returns
+// their size. The smallest are granted in any case: the value has begun, and would fail without.
+func (h *valueHold) reservePieces() (size int) {
 	b := h.exchange.balancer
 	b.mu.Lock()
 	size = max(minPieceSize, b.requests.pieceSize())
--- a/transport/budget.go
+++ b/transport/budget.go
@@ -37,7 +37,8 @@
 }
 
 // acquire returns a buffer of n bytes and the number of bytes that it takes from the budget, or nil if the budget does
-// not suffice or less than keepFree bytes of the memory would stay free. A single buffer may take at most half of the budget, so that one client can't exclude all others.
+// not suffice or less than keepFree bytes of the memory would stay free. A single buffer may take at most half of the
+// budget, so that one client can't exclude all others.
 func (b *Budget) acquire(n int, keepFree int64) (buffer []byte, size int) {
 	if !b.MayEverGrant(n) {
 		return nil, 0
