The test of leases beside clients at full speed times the program, not its own requests

Traced, on a scratch copy, by phases of the request: of 558 ms, 229 passed before the connection, 164 between that and the write, 12 until the first byte, 83 until net/http handed the answer over; the test's process waited for the processor, with 60 goroutines of its own that flood. It allows for one such wait (the metronome), and a request by net/http has several, in three goroutines.

The time counts from the write of the request to the first byte of the answer now, by one goroutine on a connection of its own (timedStatus); accepting, reading, handling and answering lie in between. Bound, allowance and the other checks are unchanged.

--- a/cmd/hollyfleet/cluster_test.go
+++ b/cmd/hollyfleet/cluster_test.go
@@ -268,6 +268,32 @@
 	return s, json.NewDecoder(answer.Body).Decode(&s)
 }
 
+// timedStatus returns also how long the process took to answer: from when the request is written on a connection until its first
+// byte is read. The test waits for the processor itself more often in a request by net/http, which several goroutines handle.
+func (p *process) timedStatus() (s status, took time.Duration, err error) {
+	const timeout = time.Second
+	c, err := net.DialTimeout("tcp", p.adminAddress, timeout)
+	if err != nil {
+		return s, 0, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(timeout))
+	in, began := bufio.NewReader(c), time.Now()
+	if _, err := io.WriteString(c, "GET /fleet HTTP/1.1\r\nHost: "+p.adminAddress+"\r\nConnection: close\r\n\r\n"); err != nil {
+		return s, 0, err
+	}
+	if _, err := in.Peek(1); err != nil {
+		return s, 0, err
+	}
+	took = time.Since(began)
+	answer, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return s, took, err
+	}
+	defer answer.Body.Close()
+	return s, took, json.NewDecoder(answer.Body).Decode(&s)
+}
+
 // propose sends a proposal to a process's admin endpoint, and returns the answer.
 func (p *process) propose(proposal fleetconfig.Proposal) (a fleetconfig.ProposalResult, err error) {
 	body, _ := json.Marshal(proposal)
