--- a/server/heldvalue_test.go
+++ b/server/heldvalue_test.go
@@ -115,6 +115,27 @@
 	p.connect().send("C.GET", "large", "a", "c=read,d=1500").expectReply(strings.Repeat("v", size))
 }
 
+// A host dies in the middle of the long receipt of a booking, which has run: the booking gets an error that promises nothing, is
+// not sent again, and the read behind it is answered.
+func TestCutReceiptOfABookingRunsOnce(t *testing.T) {
+	t.Parallel()
+	const size = 200 << 10
+	var runs atomic.Int32
+	p := startProgram(t, startValueHosts(t, func(h command) {
+		runs.Add(1)
+		h.Reply(valueReplyStart(size) + strings.Repeat("v", size/2))
+		h.Close()
+	}), nil)
+	c := p.connect().send("C.SET", "large", "a", "c=book,d=1500", "v").send("C.GET", "k", "behind", "c=read,d=1500")
+	if got, err := readMessage(c.in); err != nil || !strings.HasPrefix(got[0], "-ERR") {
+		t.Errorf("the booking is answered %.40q, %v; want -ERR", got, err)
+	}
+	c.expectReply("behind")
+	if n := runs.Load(); n != 1 {
+		t.Errorf("the booking is sent %d times, want once", n)
+	}
+}
+
 // A host gives a long value over more time than its beginning may be held back: the beginning comes before the deadline and
 // before two seconds, and the rest as it arrives.
 func TestSlowValueBeginsInTime(t *testing.T) {
