Log: what came of a large value, late first bytes and values that were cut

requests_late counts the first byte of a large value or of the error in its place, less what it waited for replies before it. New problem and counter requests_cut. An attempt tells the value's length, when its header came, how much came by when, and when it was passed on.

--- a/routing/events.go
+++ b/routing/events.go
@@ -54,6 +54,7 @@
 	reservedMemory int64       // bytes of the memory account that the attempt still holds
 	value          *largeValue // nil unless a large value is streamed
 	held           *heldValue  // nil unless a large value was held until it was whole
+	valueRecord    valueRecord // of value, of held, or of a large value that broke
 	latency        int64       // in ns, until a large value began; 0 otherwise: then measured when the event is handled
 	cacheResult    int         // as stated by the server
 	load           []float64   // the server's load report; nil without one
--- a/routing/exchange.go
+++ b/routing/exchange.go
@@ -288,7 +288,7 @@
 // recordAttempt notes for the request log how an attempt went.
 func (x *exchange) recordAttempt(r attemptResult, took time.Duration) {
 	record := &x.record.attempts[r.number]
-	record.end, record.took = r.end, took
+	record.end, record.took, record.value = r.end, took, r.valueRecord
 	if !r.firstByteAt.IsZero() {
 		record.firstByte = r.firstByteAt.Sub(x.client.receivedAt)
 	}
--- a/routing/heldvalue.go
+++ b/routing/heldvalue.go
@@ -104,11 +104,13 @@
 
 func (x *exchange) newValueHold(conn *transport.PooledConn, response largeResponse, deadline time.Time, result *attemptResult) *valueHold {
 	now, b := time.Now(), x.balancer
+	result.valueRecord = newValueRecord(response.size, now)
 	useful := deadline
 	if b.catalog.isWorthlessLate[x.workload] {
 		useful = earlier(useful, x.client.receivedAt.Add(time.Duration(b.catalog.expectedTimes[x.workload])))
 	}
 	remaining := max(0, useful.Sub(now))
+	result.valueRecord.recordReceived(min(response.size, len(conn.Unread())-response.start), now)
 	return &valueHold{exchange: x, conn: conn, response: response, deadline: deadline, result: result, progressAt: now,
 		end: earlier(now.Add(maxHoldTime), useful.Add(-min(maxHoldReserve, remaining/holdReserveDivisor)))}
 }
@@ -214,6 +216,7 @@
 	switch end := h.conn.Fill(earlier(stalledAt, h.end)); end {
 	case transport.Open:
 		h.progressAt = time.Now()
+		h.result.valueRecord.recordReceived(min(h.response.size, len(h.conn.Unread())-h.response.start), h.progressAt)
 		if h.isStalled {
 			h.reportContinued()
 		}
--- a/routing/largevalue.go
+++ b/routing/largevalue.go
@@ -32,19 +32,21 @@
 	pieceSize  int // in bytes, of what is in memory at once
 	body       *io.PipeReader
 	isAccepted chan bool // receives the exchange's decision once
+	beganAt    time.Time // when its first bytes, or an error in their place, began to be written; set by writeTo
 }
 
 // streamValue streams a large value to the client as it arrives, so that little of it is in memory, and reads the rest
 // of the reply. It returns how that ended, and whether the connection may be reused.
 func (x *exchange) streamValue(conn *transport.PooledConn, size, pieceSize int, result *attemptResult) (end transport.End, isReusable bool) {
 	body, writer := io.Pipe()
+	result.valueRecord.passedOnAt = time.Now()
 	result.value = &largeValue{size: size, pieceSize: pieceSize, body: body, isAccepted: make(chan bool, 1)}
 	x.events <- responseStarted{result.number, result.value}
 	if !<-result.value.isAccepted {
 		return transport.CancelledAfterSent, false
 	}
 	defer writer.CloseWithError(errTruncated) // Has no effect once the value is complete and the pipe is closed.
-	if end := copyBody(conn, writer, result.value); end != transport.Open {
+	if end := copyBody(conn, writer, result); end != transport.Open {
 		return end, false
 	}
 	if end := readTerminator(conn); end != transport.Open {
@@ -63,6 +65,7 @@
 	defer func() { _ = v.body.Close() }() // Further writes by the attempt fail.
 	piece := make([]byte, v.pieceSize)
 	n, err := v.body.Read(piece)
+	v.beganAt = time.Now()
 	if err != nil {
 		return deliveryOfWrite(writePart(c, protocol.AppendFailed(nil)))
 	}
@@ -121,9 +124,9 @@
 }
 
 // copyBody copies a large value from the server's connection to the writer. It returns Open once all is copied.
-func copyBody(conn *transport.PooledConn, writer *io.PipeWriter, value *largeValue) transport.End {
-	for size := value.size; size > 0; {
-		if value.pieceSize == maxPieceSize {
+func copyBody(conn *transport.PooledConn, writer *io.PipeWriter, result *attemptResult) transport.End {
+	for size := result.value.size; size > 0; {
+		if result.value.pieceSize == maxPieceSize {
 			conn.EnlargeEmptyBuffer()
 		}
 		if end := fillLarge(conn); end != transport.Open {
@@ -131,6 +134,7 @@
 		}
 		piece := conn.Unread()
 		piece = piece[:min(size, len(piece))]
+		result.valueRecord.recordReceived(result.value.size-size+len(piece), time.Now())
 		if _, err := writer.Write(piece); err != nil {
 			conn.Cancel() // The reader was closed: the client needs no more of the value.
 			return transport.CancelledAfterSent
--- a/routing/reply.go
+++ b/routing/reply.go
@@ -16,6 +16,7 @@
 	known    reply
 	reply    chan reply
 	delivery chan delivery
+	turnAt   time.Time // when all replies before it had been written; set before delivery receives its end
 	beganAt  time.Time // when the reply began to be written; set before delivery receives its end
 }
 
@@ -37,6 +38,7 @@
 	if p.isKnown() {
 		return p.known, true
 	}
+	p.turnAt = time.Now()
 	select {
 	case r = <-p.reply:
 		return r, true
--- a/routing/requestlog.go
+++ b/routing/requestlog.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -28,11 +29,46 @@
 	// firstByte and lastByte are when its first byte was about to be handed to the kernel, and when its last byte had
 	// been, since the request was received; 0: not at all.
 	firstByte, lastByte time.Duration
+	value               valueRecord
 	end                 transport.End // Open until it has ended
 }
 
+// valueRecord is what the request log states about a large value that an attempt has received.
+type valueRecord struct {
+	size       int       // in bytes; 0: there was none
+	received   int       // bytes that have arrived
+	headAt     time.Time // when its header had arrived
+	lastAt     time.Time // when the last bytes arrived; headAt if none have
+	passedOnAt time.Time // when it was offered to the client before it was whole; zero: not at all
+}
+
+// newValueRecord returns the record of a value whose header arrives now.
+func newValueRecord(size int, now time.Time) valueRecord {
+	return valueRecord{size: size, headAt: now, lastAt: now}
+}
+
+// recordReceived records that so many bytes have arrived by now, if they are more than before.
+func (v *valueRecord) recordReceived(bytes int, now time.Time) {
+	if bytes > v.received {
+		v.received, v.lastAt = bytes, now
+	}
+}
+
+// describe tells of the value, with times since the request was received.
+func (v valueRecord) describe(receivedAt time.Time) string {
+	if v.size == 0 {
+		return ""
+	}
+	text := fmt.Sprintf(" value of %d head +%s, %d by +%s", v.size, milliseconds(v.headAt.Sub(receivedAt)), v.received, milliseconds(v.lastAt.Sub(receivedAt)))
+	if !v.passedOnAt.IsZero() {
+		text += " passed on +" + milliseconds(v.passedOnAt.Sub(receivedAt))
+	}
+	return text
+}
+
 // requestRecord is what the request log states about a request. Only the request's goroutine writes it.
 type requestRecord struct {
+	received time.Time     // when its last byte had arrived
 	waited   time.Duration // from receipt until it was handled
 	timeout  time.Duration // as stated by its client
 	outcome  string        // one of the outcome constants
@@ -40,17 +76,17 @@
 	attempts []attemptRecord
 }
 
-// String lists the attempts, each with its server, when it was decided on, when its first and last byte were sent, how it
-// ended and how long it took.
+// String lists the attempts, each with its server, when it was decided on, when its first and last byte were sent, what
+// arrived of a large value, how it ended and how long it took.
 func (r *requestRecord) String() string {
 	var all []string
 	for _, a := range r.attempts {
-		all = append(all, a.String())
+		all = append(all, a.describe(r.received))
 	}
 	return strings.Join(all, "; ")
 }
 
-func (a attemptRecord) String() string {
+func (a attemptRecord) describe(receivedAt time.Time) string {
 	text := a.server + " +" + milliseconds(a.decided)
 	if a.firstByte > 0 {
 		text += " first byte +" + milliseconds(a.firstByte)
@@ -58,7 +94,7 @@
 	if a.lastByte > 0 {
 		text += " last byte +" + milliseconds(a.lastByte)
 	}
-	return text + " " + a.end.String() + " " + milliseconds(a.took)
+	return text + a.value.describe(receivedAt) + " " + a.end.String() + " " + milliseconds(a.took)
 }
 
 // milliseconds returns a duration rounded to milliseconds, with its unit.
@@ -110,16 +146,34 @@
 func (x *exchange) problem(result delivery) string {
 	record := &x.record
 	switch {
+	case result == valueIncomplete && x.isDisconnected:
 	case result == valueIncomplete:
+		return counterCut
 	case result != delivered && x.client.wasCutOff():
 		return counterUnanswered
 	case record.outcome == outcomeDisconnected:
-	case result == delivered && record.answered > record.timeout+lateTolerance && record.timeout > 0 && x.largeReply == nil && x.heldReply == nil:
+	case result == delivered && x.replyTime() > record.timeout+lateTolerance && record.timeout > 0:
 		return counterLate
 	}
 	return ""
 }
 
+// replyTime returns the time from the request's receipt to its reply: to the first byte of a large value, as the client determines
+// how long the rest takes, and to the last byte of any other reply.
+func (x *exchange) replyTime() time.Duration {
+	beganAt := x.reply.beganAt
+	switch {
+	case x.largeReply != nil:
+		beganAt = x.largeReply.beganAt
+	case x.heldReply == nil:
+		return x.record.answered
+	}
+	if waited := x.reply.turnAt.Sub(x.client.receivedAt) - x.record.timeout; waited > 0 {
+		beganAt = beganAt.Add(-waited) // Replies to other commands took that long beyond its timeout.
+	}
+	return beganAt.Sub(x.client.receivedAt)
+}
+
 func (x *exchange) describe(event *zerolog.Event) *zerolog.Event {
 	record := &x.record
 	if x.client.wasCutOff() {
--- a/server/heldvalue_test.go
+++ b/server/heldvalue_test.go
@@ -191,6 +191,9 @@
 	if _, err := io.ReadAll(c.in); err != nil && !strings.Contains(err.Error(), "reset") {
 		t.Fatal(err)
 	}
+	if line := p.waitForLog(`"id":"a"`); !strings.Contains(line, `"problem":"requests_cut"`) || !strings.Contains(line, fmt.Sprintf("value of %d head +", size)) {
+		t.Errorf("the log tells %s", line)
+	}
 	if line := p.waitForLog(`"id":"behind"`); !strings.Contains(line, `"cut_off":true`) || !strings.Contains(line, `"problem":"requests_unanswered"`) {
 		t.Errorf("the log tells %s", line)
 	}
