A large value becomes the final reply only once its first byte has arrived

Callers saw '-ERR given up' 3.0 s after their time where a cache host gave the head of a value over 64 KiB and then nothing.

Cause: at the end of its hold a value was accepted as the final reply whether or not a byte of it had come. From then on the policy takes the request for streaming: it has no deadline, is not hedged and not retried, and only the wait for the next piece (3 s) bounds the answer, of which the client has nothing, as the header goes out with the first byte.

Change: past its hold a value without a byte is waited for until the attempt's deadline, as an answer without a head is; with its first byte it is passed on as before. The same where there was no memory to hold it.

--- a/routing/heldvalue.go
+++ b/routing/heldvalue.go
@@ -10,7 +10,8 @@
 // connection can tell that the rest will not come, and with the connection go the replies to all commands behind it. An
 // attempt whose value breaks before that is like any other that fails: the request is retried, or answered with an error.
 //
-// A value is passed on before it is whole, as streamValue does, where its time or the memory ends.
+// A value is passed on before it is whole, as streamValue does, where its time or the memory ends, but not before its first byte
+// has arrived: the attempt's deadline bounds the wait for that, as it bounds the wait for any other answer.
 
 const (
 	// maxHoldTime bounds how long the beginning of a large value is held. Clients take a value that is held back for 2 s
@@ -119,13 +120,29 @@
 // how the attempt ended if it did.
 func (h *valueHold) hold() (end transport.End, isWhole bool) {
 	if !h.takeBuffer() {
-		if end := h.awaitMemory(); end != transport.Open || !h.hasBuffer {
+		if end := h.awaitMemory(); end != transport.Open {
 			return end, false
 		}
 	}
+	if !h.hasBuffer {
+		return h.awaitFirstByte(), false
+	}
 	return h.fill()
 }
 
+// awaitFirstByte reads until a byte of the value has arrived. It returns Open then.
+func (h *valueHold) awaitFirstByte() transport.End {
+	for !h.hasFirstByte() {
+		if end := h.readMore(); end != transport.Open {
+			return end
+		}
+	}
+	return transport.Open
+}
+
+// hasFirstByte reports whether a byte of the value has arrived.
+func (h *valueHold) hasFirstByte() bool { return len(h.conn.Unread()) > h.response.start }
+
 // takeBuffer takes a buffer for the whole response, and reports whether there was memory for it.
 func (h *valueHold) takeBuffer() bool {
 	h.hasBuffer = h.conn.GrowLeaving(h.response.bufferSize(), h.memoryForOthers()) == transport.Open
@@ -181,7 +198,7 @@
 // fill reads into the buffer until the value is whole, and returns what hold does.
 func (h *valueHold) fill() (end transport.End, isWhole bool) {
 	for len(h.conn.Unread()) < h.response.valueEnd() {
-		if !time.Now().Before(h.end) {
+		if h.hasFirstByte() && !time.Now().Before(h.end) {
 			return h.endIncomplete(), false
 		}
 		if end := h.readMore(); end != transport.Open {
@@ -206,14 +223,22 @@
 	return limit - limit*loneValueNumerator/loneValueDenominator
 }
 
-// readMore reads once, until the end of the hold. It tells the policy if nothing arrives for nextPieceTimeout, and if the value
-// goes on after that.
+// readMore reads once, until the end of the hold, or after that until the attempt's deadline. It tells the policy if nothing arrives
+// for nextPieceTimeout, and if the value goes on after that.
 func (h *valueHold) readMore() transport.End {
+	now := time.Now()
+	if !now.Before(h.deadline) {
+		return transport.ResponseTimedOut
+	}
+	until := h.deadline
+	if now.Before(h.end) {
+		until = h.end
+	}
 	stalledAt := h.progressAt.Add(nextPieceTimeout)
-	if h.isStalled {
-		stalledAt = h.end
+	if !h.isStalled {
+		until = earlier(until, stalledAt)
 	}
-	switch end := h.conn.Fill(earlier(stalledAt, h.end)); end {
+	switch end := h.conn.Fill(until); end {
 	case transport.Open:
 		h.progressAt = time.Now()
 		h.result.valueRecord.recordReceived(min(h.response.size, len(h.conn.Unread())-h.response.start), h.progressAt)
--- a/routing/largevalue.go
+++ b/routing/largevalue.go
@@ -36,7 +36,8 @@
 }
 
 // streamValue streams a large value to the client as it arrives, so that little of it is in memory, and reads the rest
-// of the reply. It returns how that ended, and whether the connection may be reused.
+// of the reply. Its first byte must be unread: from then on the request has no deadline. It returns how that ended, and whether the
+// connection may be reused.
 func (x *exchange) streamValue(conn *transport.PooledConn, size, pieceSize int, result *attemptResult) (end transport.End, isReusable bool) {
 	body, writer := io.Pipe()
 	result.valueRecord.passedOnAt = time.Now()
--- /dev/null
+++ b/server/slowvalue_test.go
@@ -0,0 +1,126 @@
+package server
+
+import (
+	"cmp"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// lookupDeadline is longer than the objective of the class lookup, whose late answers have no value.
+const lookupDeadline = 1500 * time.Millisecond
+
+const lookupWorkloads = `"workloads":[
+{"name":"lookup","effect":"free","group":"all","expectedTime":600,"hardStop":1500,"value":3,"tardyValue":0},
+{"name":"read","effect":"free","group":"all","expectedTime":600,"hardStop":3000,"value":1,"tardyValue":0.2},
+{"name":"report","effect":"guarded","group":"all","dedupWindow":4000,"expectedTime":600,"hardStop":1500,"value":2,"tardyValue":0},
+{"name":"book","effect":"single_shot","group":"all","expectedTime":600,"hardStop":1500,"value":8,"tardyValue":0}]`
+
+// slowValue is a value that its host gives in parts.
+type slowValue struct {
+	class    string
+	size     int
+	deadline time.Duration
+	memoryMB int
+	before   time.Duration // the header
+	parts    []valuePart
+	behind   int // requests that follow at once on the connection
+}
+
+// valuePart is a part of a value, and the pause before it.
+type valuePart struct {
+	pause time.Duration
+	size  int
+}
+
+// withDefaults sets what the value leaves open.
+func (v slowValue) withDefaults() slowValue {
+	v.class, v.size, v.deadline = cmp.Or(v.class, "lookup"), cmp.Or(v.size, 500<<10), cmp.Or(v.deadline, lookupDeadline)
+	v.memoryMB = cmp.Or(v.memoryMB, 192)
+	return v
+}
+
+// give has the host give its parts. A value that these complete is followed by the rest of the response.
+func (v slowValue) give(h command) {
+	time.Sleep(v.before)
+	h.Reply(valueReplyStart(v.size))
+	given := 0
+	for _, part := range v.parts {
+		time.Sleep(part.pause)
+		h.Reply(strings.Repeat("v", part.size))
+		given += part.size
+	}
+	if given == v.size {
+		h.Reply(valueReplyEnd)
+	}
+}
+
+// start starts a program whose hosts all give the value, and counts the attempts.
+func (v slowValue) start(t *testing.T, attempts *atomic.Int32) *program {
+	changes := settingsWith(lookupWorkloads)
+	changes["limits"] = map[string]any{"cores": 1.0, "memory_mb": v.memoryMB, "sockets": 256}
+	return startProgram(t, startValueHosts(t, func(h command) {
+		attempts.Add(1)
+		go v.give(h)
+	}), changes)
+}
+
+// send sends the request for the value and those behind it.
+func (v slowValue) send(c client) {
+	fields := fmt.Sprintf("t=acme,d=%d", v.deadline.Milliseconds())
+	switch v.class {
+	case "report", "book":
+		c.send("C.SET", "large", "a", "c="+v.class+",k=5c,"+fields, "v")
+	default:
+		c.send("C.GET", "large", "a", "c="+v.class+","+fields)
+	}
+	for n := range v.behind {
+		c.send("C.GET", "k", fmt.Sprint("behind-", n), "c=lookup,"+fields)
+	}
+}
+
+// expectBehind fails the test unless the requests behind the value are answered.
+func (v slowValue) expectBehind(c client) {
+	c.t.Helper()
+	for n := range v.behind {
+		c.expectReply(fmt.Sprint("behind-", n))
+	}
+}
+
+// expectErrorInTime fails the test unless the client gets an error instead of the value, by its deadline.
+func (v slowValue) expectErrorInTime(c client) {
+	c.t.Helper()
+	sent := time.Now()
+	v.send(c)
+	got, err := readMessage(c.in)
+	if took := time.Since(sent); err != nil || !strings.HasPrefix(got[0], "-") || took > v.deadline+answerSlack {
+		c.t.Fatalf("%.40q, %v after %v; want an error in %v", got, err, took, v.deadline)
+	}
+	v.expectBehind(c)
+}
+
+func TestValueWithoutItsFirstByteIsAnsweredInTime(t *testing.T) {
+	for name, v := range map[string]slowValue{
+		"short":         {size: 70 << 10},
+		"long":          {size: 4 << 20},
+		"brief":         {deadline: 600 * time.Millisecond},
+		"others behind": {behind: readsBehind},
+		"little memory": {size: 4 << 20, memoryMB: 32, behind: readsBehind},
+		"late header":   {before: lookupDeadline - 20*time.Millisecond},
+		"late value":    {class: "read"},
+		"idempotent":    {class: "report"},
+		"single shot":   {class: "book"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := v.withDefaults()
+			var attempts atomic.Int32
+			v.expectErrorInTime(v.start(t, &attempts).connect())
+			if n := attempts.Load(); v.class == "book" && n != 1 {
+				t.Errorf("the booking is sent %d times, want once", n)
+			}
+		})
+	}
+}
