Values with others behind are passed on only while their host goes on, and held until their limit

Callers saw two things where a value over 64 KiB had requests behind it on its connection. One whose host was still writing, with pauses over 250 ms, was refused at its objective. And one of a retry that had begun 21 ms before the objective was passed on although its host stood still from then on: its connection was cut 3 s later, and the requests behind it got no answer.

Cause: the end of the hold judged by one look whether the host goes on: nothing for 250 ms at that moment. That is true of a host that pauses, and false of any value that has only just begun.

Change: at the objective such a value is passed on if its host has written for 250 ms and not paused for as long; else it is held on, as nothing is gained by a decision then, to 25 ms before the deadline or for 1.75 s. There it is passed on if the present pause is at most 250 ms longer than the longest before it. Else the attempt ends, or with no time for a retry waits for the whole value until its deadline. Values alone on their connection are passed on as before.

Evidence, tests: TestValueWhoseHostPausesIsServedWithOthersBehind failed before in 2 of 4 cases (refused at 1,471 ms; first byte after 2,971 ms) and TestValueThatStopsIsNotPassedOnBeforeOthers in 3 of 5 (connection cut); both pass.

--- a/routing/heldvalue.go
+++ b/routing/heldvalue.go
@@ -11,7 +11,8 @@
 // attempt whose value breaks before that is like any other that fails: the request is retried, or answered with an error.
 //
 // A value is passed on before it is whole, as streamValue does, where its time or the memory ends, but not before its first byte
-// has arrived: the attempt's deadline bounds the wait for that, as it bounds the wait for any other answer.
+// has arrived: the attempt's deadline bounds the wait for that, as it bounds the wait for any other answer. Where replies to other
+// commands wait, it is passed on only if its server still writes it; one that stands still is held on, as it may go on or become whole.
 
 const (
 	// maxHoldTime bounds how long the beginning of a large value is held. Clients take a value that is held back for 2 s
@@ -94,26 +95,37 @@
 	exchange *exchange
 	conn     *transport.PooledConn
 	response largeResponse
-	deadline time.Time // of the attempt
-	end      time.Time // of the hold
 	result   *attemptResult
 
-	hasBuffer  bool      // the connection has a buffer for the whole response
-	progressAt time.Time // when the last bytes arrived
-	isStalled  bool      // nothing has arrived for nextPieceTimeout since
+	usefulUntil time.Time // the first byte has no value after it
+	end         time.Time // until when the value is held in any case; its first byte is still in time
+	limit       time.Time // until when it is held if it stands still and other replies wait
+	deadline    time.Time // of the attempt
+
+	hasBuffer    bool          // the connection has a buffer for the whole response
+	startedAt    time.Time     // when reading into the buffer began
+	progressAt   time.Time     // when the last bytes arrived; startedAt if none have
+	longestPause time.Duration // between bytes that arrived
+	isStalled    bool          // nothing has arrived for nextPieceTimeout
 }
 
 func (x *exchange) newValueHold(conn *transport.PooledConn, response largeResponse, deadline time.Time, result *attemptResult) *valueHold {
 	now, b := time.Now(), x.balancer
 	result.valueRecord = newValueRecord(response.size, now)
+	result.valueRecord.recordReceived(min(response.size, len(conn.Unread())-response.start), now)
 	useful := deadline
 	if b.catalog.isWorthlessLate[x.workload] {
 		useful = earlier(useful, x.client.receivedAt.Add(time.Duration(b.catalog.expectedTimes[x.workload])))
 	}
-	remaining := max(0, useful.Sub(now))
-	result.valueRecord.recordReceived(min(response.size, len(conn.Unread())-response.start), now)
-	return &valueHold{exchange: x, conn: conn, response: response, deadline: deadline, result: result, progressAt: now,
-		end: earlier(now.Add(maxHoldTime), useful.Add(-min(maxHoldReserve, remaining/holdReserveDivisor)))}
+	limit := earlier(now.Add(maxHoldTime), reserveBefore(deadline, now))
+	return &valueHold{exchange: x, conn: conn, response: response, result: result, usefulUntil: useful, end: earlier(limit, reserveBefore(useful, now)),
+		limit: limit, deadline: deadline, startedAt: now, progressAt: now}
+}
+
+// reserveBefore returns the time at which a value has to be passed on for its first bytes to reach the client by a deadline.
+func reserveBefore(deadline, now time.Time) time.Time {
+	remaining := max(0, deadline.Sub(now))
+	return deadline.Add(-min(maxHoldReserve, remaining/holdReserveDivisor))
 }
 
 // hold reads the response until its value is whole. It returns Open and false if the value is to be passed on before that, and
@@ -123,6 +135,8 @@
 		if end := h.awaitMemory(); end != transport.Open {
 			return end, false
 		}
+		h.startedAt = time.Now()
+		h.progressAt = h.startedAt
 	}
 	if !h.hasBuffer {
 		return h.awaitFirstByte(), false
@@ -198,8 +212,12 @@
 // fill reads into the buffer until the value is whole, and returns what hold does.
 func (h *valueHold) fill() (end transport.End, isWhole bool) {
 	for len(h.conn.Unread()) < h.response.valueEnd() {
-		if h.hasFirstByte() && !time.Now().Before(h.end) {
-			return h.endIncomplete(), false
+		now := time.Now()
+		if h.mayPassOn(now) {
+			return transport.Open, false
+		}
+		if h.mustRetry(now) {
+			return transport.Malformed, false
 		}
 		if end := h.readMore(); end != transport.Open {
 			return end, false
@@ -223,24 +241,58 @@
 	return limit - limit*loneValueNumerator/loneValueDenominator
 }
 
-// readMore reads once, until the end of the hold, or after that until the attempt's deadline. It tells the policy if nothing arrives
+// mayPassOn reports whether the value is to be passed on before it is whole. While other replies wait its server must go on writing
+// it, as they are lost if it breaks. At the limit of the hold a server that pauses again as it did before counts as going on.
+func (h *valueHold) mayPassOn(now time.Time) bool {
+	switch {
+	case now.Before(h.end) || !h.hasFirstByte():
+		return false
+	case !h.exchange.client.othersWait():
+		return true
+	case now.Before(h.limit):
+		return now.Before(h.usefulUntil) && h.goesOn(now, nextPieceTimeout)
+	}
+	return h.goesOn(now, h.longestPause+nextPieceTimeout)
+}
+
+// goesOn reports whether the server has kept writing the value for a while, with no pause now that is over maxPause.
+func (h *valueHold) goesOn(now time.Time, maxPause time.Duration) bool {
+	return now.Sub(h.startedAt) >= nextPieceTimeout && now.Sub(h.progressAt) <= maxPause
+}
+
+// mustRetry reports whether a value that may not be passed on has been held for as long as it may be, with time for a retry.
+func (h *valueHold) mustRetry(now time.Time) bool {
+	return h.hasFirstByte() && !now.Before(h.limit) && h.deadline.Sub(now) > maxHoldReserve
+}
+
+// nextDecision returns when the time decides next on a value from which nothing arrives.
+func (h *valueHold) nextDecision(now time.Time) time.Time {
+	switch {
+	case now.Before(h.end):
+		return h.end
+	case now.Before(h.limit):
+		return h.limit
+	}
+	return h.deadline
+}
+
+// readMore reads once, until the next decision. It tells the policy if nothing arrives
 // for nextPieceTimeout, and if the value goes on after that.
 func (h *valueHold) readMore() transport.End {
 	now := time.Now()
 	if !now.Before(h.deadline) {
 		return transport.ResponseTimedOut
 	}
-	until := h.deadline
-	if now.Before(h.end) {
-		until = h.end
-	}
+	until := h.nextDecision(now)
 	stalledAt := h.progressAt.Add(nextPieceTimeout)
 	if !h.isStalled {
 		until = earlier(until, stalledAt)
 	}
 	switch end := h.conn.Fill(until); end {
 	case transport.Open:
-		h.progressAt = time.Now()
+		now = time.Now()
+		h.longestPause = max(h.longestPause, now.Sub(h.progressAt))
+		h.progressAt = now
 		h.result.valueRecord.recordReceived(min(h.response.size, len(h.conn.Unread())-h.response.start), h.progressAt)
 		if h.isStalled {
 			h.reportContinued()
@@ -274,19 +326,6 @@
 	b.policy.HandleResponseContinued(h.exchange.slot, h.result.number)
 }
 
-// endIncomplete decides what becomes of a value that is not whole at the end of the hold. It returns Open if it is to be
-// passed on. One that does not go on ends the attempt if replies to other commands would be lost with it.
-func (h *valueHold) endIncomplete() transport.End {
-	switch {
-	case !h.isStalled || !h.exchange.client.othersWait():
-		return transport.Open
-	case time.Until(h.deadline) > maxHoldReserve:
-		return transport.Malformed // There is time for a retry.
-	default:
-		return transport.ResponseTimedOut
-	}
-}
-
 // isCutOff reports whether the server has closed the connection and the rest of the value is not in the kernel either.
 func (h *valueHold) isCutOff() bool {
 	return h.conn.HasEnded() && len(h.conn.Unread())+h.conn.UnreadInKernel() < h.response.valueEnd()
--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -3,12 +3,16 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 )
 
+// clientPatience is for how long a client takes what its host has given before it counts as held back.
+const clientPatience = 2 * time.Second
+
 // lookupDeadline is longer than the objective of the class lookup, whose late answers have no value.
 const lookupDeadline = 1500 * time.Millisecond
 
@@ -35,6 +39,15 @@
 	size  int
 }
 
+// evenParts divides a value into parts with pauses between them.
+func evenParts(size, count int, pause time.Duration) (parts []valuePart) {
+	for range count {
+		parts = append(parts, valuePart{pause, size / count})
+	}
+	parts[0].pause = 0
+	return parts
+}
+
 // withDefaults sets what the value leaves open.
 func (v slowValue) withDefaults() slowValue {
 	v.class, v.size, v.deadline = cmp.Or(v.class, "lookup"), cmp.Or(v.size, 500<<10), cmp.Or(v.deadline, lookupDeadline)
@@ -124,3 +137,64 @@
 		})
 	}
 }
+
+// expectValue reads the value, and fails the test unless it is whole and its first byte comes within a time.
+func (v slowValue) expectValue(c client, most time.Duration) {
+	c.t.Helper()
+	sent := time.Now()
+	v.send(c)
+	head, err := c.in.ReadString('\n')
+	if took := time.Since(sent); err != nil || head != fmt.Sprintf("$%d\r\n", v.size) || took > most {
+		c.t.Fatalf("%.40q, %v after %v; want the head of the value in %v", head, err, took, most)
+	}
+	if n, err := io.CopyN(io.Discard, c.in, int64(v.size+len("\r\n"))); err != nil {
+		c.t.Fatalf("the value ends after %d bytes: %v", n, err)
+	}
+	v.expectBehind(c)
+}
+
+func TestValueWhoseHostPausesIsServedWithOthersBehind(t *testing.T) {
+	const size, count, pause = 500 << 10, 5, 600 * time.Millisecond
+	for name, v := range map[string]slowValue{
+		"worthless late": {},
+		"late value":     {class: "read"},
+		"little memory":  {memoryMB: 32},
+		"long deadline":  {class: "read", deadline: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := v.withDefaults()
+			v.parts, v.behind = evenParts(size, count, pause), readsBehind
+			var attempts atomic.Int32
+			p := v.start(t, &attempts)
+			for range 3 {
+				v.expectValue(p.connect(), min(v.deadline+answerSlack, clientPatience))
+			}
+		})
+	}
+}
+
+func TestValueThatStopsIsNotPassedOnBeforeOthers(t *testing.T) {
+	const size = 500 << 10
+	for name, v := range map[string]slowValue{
+		"worthless late": {},
+		"late value":     {class: "read"},
+		"paused before":  {parts: []valuePart{{0, size / 4}, {100 * time.Millisecond, size / 4}}},
+		"brief":          {deadline: 600 * time.Millisecond},
+		"idempotent":     {class: "report"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := v.withDefaults()
+			v.behind = readsBehind
+			if v.parts == nil {
+				v.parts = []valuePart{{0, size / 2}}
+			}
+			var attempts atomic.Int32
+			p := v.start(t, &attempts)
+			for range 4 {
+				v.expectErrorInTime(p.connect())
+			}
+		})
+	}
+}
