--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -198,3 +199,20 @@
 		})
 	}
 }
+
+func TestStopAnswersARequestWhoseValueHasNoFirstByte(t *testing.T) {
+	t.Parallel()
+	const deadline = 3 * time.Second
+	at, came := startHost(t)
+	p := startProgram(t, endpointList(0, true, listEntry("s", at, "Ready")), nil)
+	c, sent := p.connect(), time.Now()
+	c.send("C.GET", "large", "a", fmt.Sprintf("c=read,d=%d", deadline.Milliseconds()))
+	receive(t, came, "the request").Reply(valueReplyStart(500 << 10))
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if got, err := readMessage(c.in); err != nil || !strings.HasPrefix(got[0], "-") || time.Since(sent) > deadline+answerSlack {
+		t.Errorf("%.40q, %v after %v; want an error in %v", got, err, time.Since(sent), deadline)
+	}
+	if err := receive(t, p.exited, "the end of the process"); err != nil {
+		t.Error(err)
+	}
+}
