A booking whose receipt pauses is waited for until its deadline

Callers saw -ERR after some 250 ms for a single-shot request whose receipt (up to 64 KiB) paused for longer than that in the middle, although it had run and its host went on writing.

Cause, the same mistake on a related path: a pause of 250 ms is taken for the end of what a host writes. That bound leaves time for a retry, and a single-shot request has none once it was sent, so that ending its attempt gains nothing.

Change: the attempt's deadline bounds the wait for the rest of such an answer. All other answers are as before.

Evidence: TestBookingWhoseReceiptPausesIsServed (60,000 bytes in three parts 0.4 s apart) failed before (-ERR after 254 ms) and passes. What it costs: a receipt that never ends holds its request until the deadline (1,195 ms at d=1200) where it was failed after 254 ms.

--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -97,10 +97,11 @@
 	}
 }
 
-// readMore reads the next part of a reply. A reply that has begun must go on within nextPieceTimeout.
+// readMore reads the next part of a reply. A reply that has begun must go on within nextPieceTimeout, unless it is the only one that
+// the request can get.
 func (x *exchange) readMore(conn *transport.PooledConn, deadline time.Time) transport.End {
 	hasBegun := len(conn.Unread()) > 0
-	if hasBegun && time.Until(deadline) > nextPieceTimeout {
+	if hasBegun && !x.balancer.catalog.isSingleShot[x.workload] && time.Until(deadline) > nextPieceTimeout {
 		deadline = time.Now().Add(nextPieceTimeout)
 	}
 	end := x.fillWithinRepeatWindow(conn, deadline)
--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -216,3 +216,14 @@
 		t.Error(err)
 	}
 }
+
+func TestBookingWhoseReceiptPausesIsServed(t *testing.T) {
+	t.Parallel()
+	const size = 60_000
+	v := slowValue{class: "book", size: size, parts: evenParts(size, 3, 400*time.Millisecond)}.withDefaults()
+	var attempts atomic.Int32
+	v.expectValue(v.start(t, &attempts).connect(), v.deadline)
+	if n := attempts.Load(); n != 1 {
+		t.Errorf("the booking is sent %d times, want once", n)
+	}
+}
