Soak: servers that give the head of a long value and nothing more

Half of the plans have one to three such events now, drawn by a chance of their own: all other events of a seed are as they were.

--- a/fakes/soak/plan.go
+++ b/fakes/soak/plan.go
@@ -15,22 +15,23 @@
 
 // The kinds of events.
 const (
-	HoldUp       Kind = iota // a process does not run for a while
-	Terminate                // SIGTERM, SIGKILL as early as the protocol allows, and a new process
-	Reload                   // a series of SIGHUP
-	Hang                     // a server answers nothing for a while
-	Busy                     // a server turns everything away
-	Reset                    // a server resets connections under requests
-	Slow                     // a server takes most of the deadline
-	Drain                    // discovery says that a server drains, and takes that back
-	Discovery                // discovery ends all watches
-	AcceptFault              // the system fails accepts of a process for a moment
-	ConnectFault             // and its new connections
-	Interrupts               // and interrupts its reads and writes
-	kinds
+	HoldUp       Kind         = iota // a process does not run for a while
+	Terminate                        // SIGTERM, SIGKILL as early as the protocol allows, and a new process
+	Reload                           // a series of SIGHUP
+	Hang                             // a server answers nothing for a while
+	Busy                             // a server turns everything away
+	Reset                            // a server resets connections under requests
+	Slow                             // a server takes most of the deadline
+	Drain                            // discovery says that a server drains, and takes that back
+	Discovery                        // discovery ends all watches
+	AcceptFault                      // the system fails accepts of a process for a moment
+	ConnectFault                     // and its new connections
+	Interrupts                       // and interrupts its reads and writes
+	drawnKinds                       // how many kinds above are drawn alike
+	Stall        = drawnKinds        // a server gives no more than the head of a long value
 )
 
-var kindNames = [...]string{"hold-up", "terminate", "reload", "hang", "busy", "reset", "slow", "drain", "discovery", "accept-fault", "connect-fault", "interrupts"}
+var kindNames = [...]string{"hold-up", "terminate", "reload", "hang", "busy", "reset", "slow", "drain", "discovery", "accept-fault", "connect-fault", "interrupts", "stall"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -77,6 +78,7 @@
 	maxHoldUp                = 150 * time.Millisecond
 	warmUp                   = 500 * time.Millisecond // before the first event
 	quietEnd                 = time.Second            // after the last
+	maxStalls                = 3                      // in one plan
 )
 
 // NewPlan draws a plan. systemFaults: the processes' system calls can be made to fail.
@@ -90,7 +92,7 @@
 	if chance.IntN(3) == 0 {
 		p.Crowd = 150 + chance.IntN(150)
 	}
-	limit := kinds
+	limit := drawnKinds
 	if !systemFaults {
 		limit = AcceptFault
 	}
@@ -105,10 +107,21 @@
 			p.Events = append(p.Events, Event{At: e.At, Kind: HoldUp, Process: e.Process, For: maxHoldUp})
 		}
 	}
+	p.Events = append(p.Events, stalls(p)...)
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
 	return p
 }
 
+// stalls draws the events of kind Stall: of half of the plans, and by chance of their own, so that the others stay as they are.
+func stalls(p Plan) (events []Event) {
+	chance := rand.New(rand.NewPCG(p.Seed, 77))
+	for range chance.IntN(2) * (1 + chance.IntN(maxStalls)) {
+		events = append(events, Event{At: between(chance, warmUp, p.Length-quietEnd), Kind: Stall, Server: chance.IntN(p.Servers),
+			For: between(chance, 50*time.Millisecond, p.Length/3)})
+	}
+	return events
+}
+
 func between(chance *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(chance.Int64N(int64(most-least)))
 }
--- a/fakes/soak/run.go
+++ b/fakes/soak/run.go
@@ -114,7 +114,7 @@
 			p.signal(syscall.SIGHUP)
 			time.Sleep(between(chance, time.Millisecond, 20*time.Millisecond))
 		}
-	case Hang, Busy, Reset, Slow:
+	case Hang, Busy, Reset, Slow, Stall:
 		s.mode(e.Kind, 1)
 		time.Sleep(e.For)
 		s.mode(e.Kind, -1)
--- a/fakes/soak/server.go
+++ b/fakes/soak/server.go
@@ -19,6 +19,9 @@
 	drains   []drain
 }
 
+// stalledValue is the length in bytes of a value of which a server gives the head alone.
+const stalledValue = 500 << 10
+
 // drain is a span in which discovery said that the server drains; a zero end: it still does.
 type drain struct{ from, to time.Time }
 
@@ -42,6 +45,8 @@
 		return fakes.Busy(a)
 	case s.modes[Reset] > 0 && s.chance.IntN(2) == 0:
 		return fakes.Response{After: response.After, Reset: true}
+	case s.modes[Stall] > 0:
+		return fakes.Response{After: response.After, Text: fakes.ValueReplyStart(stalledValue)}
 	case s.modes[Slow] > 0:
 		response.After = time.Duration((0.2 + s.chance.Float64()) * float64(s.deadline))
 	}
--- a/fakes/wire.go
+++ b/fakes/wire.go
@@ -40,6 +40,9 @@
 // ValueReply is a host's answer that holds a value, found in its cache.
 func ValueReply(value string) string { return valueReply(value, "hit") }
 
+// ValueReplyStart is the beginning of a host's answer with a value of so many bytes.
+func ValueReplyStart(size int) string { return fmt.Sprintf("*3\r\n$%d\r\n", size) }
+
 func valueReply(value, how string) string {
 	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$-1\r\n", len(value), value, len(how), how)
 }
--- a/server/helper_test.go
+++ b/server/helper_test.go
@@ -54,7 +54,7 @@
 
 const unavailable = fakes.Unavailable
 
-var encodeCommand, valueReply, endpointList, readMessage = fakes.EncodeCommand, fakes.ValueReply, fakes.List, fakes.ReadMessage
+var encodeCommand, valueReply, valueReplyStart, endpointList, readMessage = fakes.EncodeCommand, fakes.ValueReply, fakes.ValueReplyStart, fakes.List, fakes.ReadMessage
 
 func listEntry(name, address, status string) string { return fakes.Entry(name, address, status) }
 
--- a/server/large_test.go
+++ b/server/large_test.go
@@ -13,8 +13,6 @@
 
 const valueReplyEnd = "\r\n$3\r\nhit\r\n$-1\r\n"
 
-func valueReplyStart(size int) string { return fmt.Sprintf("*3\r\n$%d\r\n", size) }
-
 // expectBytes reads so many bytes.
 func (c client) expectBytes(want string) {
 	c.t.Helper()
