The hold of a value begins with its first byte, and so does what it takes

Callers saw the connection cut, and the requests behind a value lost, where its first bytes came right before the objective and nothing after them. Cause: what tells that a host goes on writing, the time since the value began, counted from its head. The head alone also took the buffer for the whole value, up to 4 MiB, for as long as nothing came.

Change: the times of the hold, what it knows of the host's pace and its buffer begin with the first byte. Until then the attempt waits as for an answer without a head.

Evidence: TestValueThatStopsIsNotPassedOnBeforeOthers/begins_late failed before (unexpected EOF after 3.58 s) and passes.

--- a/routing/heldvalue.go
+++ b/routing/heldvalue.go
@@ -96,30 +96,37 @@
 	conn     *transport.PooledConn
 	response largeResponse
 	result   *attemptResult
+	deadline time.Time // of the attempt
 
+	// Set once the value's first byte has arrived.
 	usefulUntil time.Time // the first byte has no value after it
-	end         time.Time // until when the value is held in any case; its first byte is still in time
+	end         time.Time // until when the value is held in any case; its first byte is still in time then
 	limit       time.Time // until when it is held if it stands still and other replies wait
-	deadline    time.Time // of the attempt
 
 	hasBuffer    bool          // the connection has a buffer for the whole response
-	startedAt    time.Time     // when reading into the buffer began
-	progressAt   time.Time     // when the last bytes arrived; startedAt if none have
+	startedAt    time.Time     // when reading into the buffer began; the value's first byte had arrived
+	progressAt   time.Time     // when the last bytes arrived, or reading began
 	longestPause time.Duration // between bytes that arrived
 	isStalled    bool          // nothing has arrived for nextPieceTimeout
 }
 
 func (x *exchange) newValueHold(conn *transport.PooledConn, response largeResponse, deadline time.Time, result *attemptResult) *valueHold {
-	now, b := time.Now(), x.balancer
+	now := time.Now()
 	result.valueRecord = newValueRecord(response.size, now)
-	result.valueRecord.recordReceived(min(response.size, len(conn.Unread())-response.start), now)
-	useful := deadline
-	if b.catalog.isWorthlessLate[x.workload] {
-		useful = earlier(useful, x.client.receivedAt.Add(time.Duration(b.catalog.expectedTimes[x.workload])))
+	h := &valueHold{exchange: x, conn: conn, response: response, result: result, deadline: deadline, progressAt: now}
+	h.recordReceived(now)
+	return h
+}
+
+// begin sets the times of the hold once the value's first byte has arrived.
+func (h *valueHold) begin(now time.Time) {
+	x := h.exchange
+	h.usefulUntil = h.deadline
+	if catalog := &x.balancer.catalog; catalog.isWorthlessLate[x.workload] {
+		h.usefulUntil = earlier(h.deadline, x.client.receivedAt.Add(time.Duration(catalog.expectedTimes[x.workload])))
 	}
-	limit := earlier(now.Add(maxHoldTime), reserveBefore(deadline, now))
-	return &valueHold{exchange: x, conn: conn, response: response, result: result, usefulUntil: useful, end: earlier(limit, reserveBefore(useful, now)),
-		limit: limit, deadline: deadline, startedAt: now, progressAt: now}
+	h.limit = earlier(now.Add(maxHoldTime), reserveBefore(h.deadline, now))
+	h.end = earlier(h.limit, reserveBefore(h.usefulUntil, now))
 }
 
 // reserveBefore returns the time at which a value has to be passed on for its first bytes to reach the client by a deadline.
@@ -129,24 +136,25 @@
 }
 
 // hold reads the response until its value is whole. It returns Open and false if the value is to be passed on before that, and
-// how the attempt ended if it did.
+// how the attempt ended if it did. A value takes a buffer only once its first byte has arrived.
 func (h *valueHold) hold() (end transport.End, isWhole bool) {
+	if end := h.awaitFirstByte(); end != transport.Open {
+		return end, false
+	}
+	h.begin(time.Now())
 	if !h.takeBuffer() {
-		if end := h.awaitMemory(); end != transport.Open {
+		if end := h.awaitMemory(); end != transport.Open || !h.hasBuffer {
 			return end, false
 		}
-		h.startedAt = time.Now()
-		h.progressAt = h.startedAt
-	}
-	if !h.hasBuffer {
-		return h.awaitFirstByte(), false
 	}
+	h.startedAt = time.Now()
+	h.progressAt, h.longestPause = h.startedAt, 0
 	return h.fill()
 }
 
 // awaitFirstByte reads until a byte of the value has arrived. It returns Open then.
 func (h *valueHold) awaitFirstByte() transport.End {
-	for !h.hasFirstByte() {
+	for len(h.conn.Unread()) <= h.response.start {
 		if end := h.readMore(); end != transport.Open {
 			return end
 		}
@@ -154,9 +162,6 @@
 	return transport.Open
 }
 
-// hasFirstByte reports whether a byte of the value has arrived.
-func (h *valueHold) hasFirstByte() bool { return len(h.conn.Unread()) > h.response.start }
-
 // takeBuffer takes a buffer for the whole response, and reports whether there was memory for it.
 func (h *valueHold) takeBuffer() bool {
 	h.hasBuffer = h.conn.GrowLeaving(h.response.bufferSize(), h.memoryForOthers()) == transport.Open
@@ -245,7 +250,7 @@
 // it, as they are lost if it breaks. At the limit of the hold a server that pauses again as it did before counts as going on.
 func (h *valueHold) mayPassOn(now time.Time) bool {
 	switch {
-	case now.Before(h.end) || !h.hasFirstByte():
+	case now.Before(h.end):
 		return false
 	case !h.exchange.client.othersWait():
 		return true
@@ -262,7 +267,7 @@
 
 // mustRetry reports whether a value that may not be passed on has been held for as long as it may be, with time for a retry.
 func (h *valueHold) mustRetry(now time.Time) bool {
-	return h.hasFirstByte() && !now.Before(h.limit) && h.deadline.Sub(now) > maxHoldReserve
+	return !now.Before(h.limit) && h.deadline.Sub(now) > maxHoldReserve
 }
 
 // nextDecision returns when the time decides next on a value from which nothing arrives.
@@ -276,8 +281,8 @@
 	return h.deadline
 }
 
-// readMore reads once, until the next decision. It tells the policy if nothing arrives
-// for nextPieceTimeout, and if the value goes on after that.
+// readMore reads once, until the next decision. It tells the policy if nothing arrives for nextPieceTimeout, and if the value goes on
+// after that.
 func (h *valueHold) readMore() transport.End {
 	now := time.Now()
 	if !now.Before(h.deadline) {
@@ -293,7 +298,7 @@
 		now = time.Now()
 		h.longestPause = max(h.longestPause, now.Sub(h.progressAt))
 		h.progressAt = now
-		h.result.valueRecord.recordReceived(min(h.response.size, len(h.conn.Unread())-h.response.start), h.progressAt)
+		h.recordReceived(now)
 		if h.isStalled {
 			h.reportContinued()
 		}
@@ -308,6 +313,11 @@
 	}
 }
 
+// recordReceived notes for the request log how much of the value has arrived.
+func (h *valueHold) recordReceived(now time.Time) {
+	h.result.valueRecord.recordReceived(min(h.response.size, len(h.conn.Unread())-h.response.start), now)
+}
+
 // reportStalled tells the policy that the value does not go on.
 func (h *valueHold) reportStalled() {
 	h.isStalled = true
--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -181,6 +181,7 @@
 		"worthless late": {},
 		"late value":     {class: "read"},
 		"paused before":  {parts: []valuePart{{0, size / 4}, {100 * time.Millisecond, size / 4}}},
+		"begins late":    {parts: []valuePart{{550 * time.Millisecond, size / 2}}},
 		"brief":          {deadline: 600 * time.Millisecond},
 		"idempotent":     {class: "report"},
 	} {
