A value that is written since shortly before its deadline is passed on with others behind

Callers saw a refusal where a host wrote steadily, since 400 ms, a value that was due after 600 ms and had requests behind it.

Change: at the limit the host must have written for as long as it pauses now. Before it, where holding on costs no refusal, 250 ms as before.

Evidence: TestValueWhoseHostPausesIsServedWithOthersBehind/begins_late (ten parts 60 ms apart) failed before (-BUSY after 596 ms) and passes, and so do all cases of TestValueThatStopsIsNotPassedOnBeforeOthers.

--- a/routing/heldvalue.go
+++ b/routing/heldvalue.go
@@ -247,22 +247,19 @@
 }
 
 // mayPassOn reports whether the value is to be passed on before it is whole. While other replies wait its server must go on writing
-// it, as they are lost if it breaks. At the limit of the hold a server that pauses again as it did before counts as going on.
+// it, as they are lost if it breaks: before the limit it must have written for a while without a long pause; at the limit it must
+// have written for as long as it pauses now, and a pause may be longer by nextPieceTimeout than the ones before it.
 func (h *valueHold) mayPassOn(now time.Time) bool {
+	written, pause := h.progressAt.Sub(h.startedAt), now.Sub(h.progressAt)
 	switch {
 	case now.Before(h.end):
 		return false
 	case !h.exchange.client.othersWait():
 		return true
 	case now.Before(h.limit):
-		return now.Before(h.usefulUntil) && h.goesOn(now, nextPieceTimeout)
+		return now.Before(h.usefulUntil) && written >= nextPieceTimeout && pause <= nextPieceTimeout
 	}
-	return h.goesOn(now, h.longestPause+nextPieceTimeout)
-}
-
-// goesOn reports whether the server has kept writing the value for a while, with no pause now that is over maxPause.
-func (h *valueHold) goesOn(now time.Time, maxPause time.Duration) bool {
-	return now.Sub(h.startedAt) >= nextPieceTimeout && now.Sub(h.progressAt) <= maxPause
+	return pause <= min(written, h.longestPause+nextPieceTimeout)
 }
 
 // mustRetry reports whether a value that may not be passed on has been held for as long as it may be, with time for a retry.
--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -155,8 +155,9 @@
 }
 
 func TestValueWhoseHostPausesIsServedWithOthersBehind(t *testing.T) {
-	const size, count, pause = 500 << 10, 5, 600 * time.Millisecond
+	const size, pause = 500 << 10, 600 * time.Millisecond
 	for name, v := range map[string]slowValue{
+		"begins late":    {deadline: 600 * time.Millisecond, before: 400 * time.Millisecond, parts: evenParts(size, 10, 60*time.Millisecond)},
 		"worthless late": {},
 		"late value":     {class: "read"},
 		"little memory":  {memoryMB: 32},
@@ -165,7 +166,10 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			v := v.withDefaults()
-			v.parts, v.behind = evenParts(size, count, pause), readsBehind
+			v.behind = readsBehind
+			if v.parts == nil {
+				v.parts = evenParts(size, 5, pause)
+			}
 			var attempts atomic.Int32
 			p := v.start(t, &attempts)
 			for range 3 {
