A value that stands still is held on while a hedged attempt may answer

Callers saw the connection cut after one byte of a value, 3.6 s after the request, although a hedged request was out at a host that answered 0.2 s after the objective. Cause: at the objective the first attempt passed on what it had, although nothing had come for over 250 ms; that cancels all other attempts. The same class: a commitment that rests on what a host may not deliver.

Change: a value alone on its connection that stands still is held to the limit if the request was sent once more since. The latest attempt passes its value on at the objective as before.

--- a/routing/valuehold.go
+++ b/routing/valuehold.go
@@ -149,22 +149,26 @@
 	return transport.Open, true
 }
 
-// mayPassOn reports whether the value is to be passed on before it is whole. While other replies wait its server must go on writing
-// it, as they are lost if it breaks: before the limit it must have written for a while without a long pause; at the limit it must
-// have written for as long as it pauses now, and a pause may be longer by nextPieceTimeout than the ones before it.
+// mayPassOn reports whether the value is to be passed on before it is whole. One that stands still is held on while a later attempt
+// may answer. While other replies wait its server must go on writing it, as they are lost if it breaks: before the limit it must have
+// written for a while without a long pause; at the limit it must have written for as long as it pauses now, and a pause may be longer
+// by nextPieceTimeout than the ones before it.
 func (h *valueHold) mayPassOn(now time.Time) bool {
 	written, pause := h.progressAt.Sub(h.startedAt), now.Sub(h.progressAt)
 	switch {
 	case now.Before(h.end):
 		return false
 	case !h.exchange.client.othersWait():
-		return true
+		return !now.Before(h.limit) || !h.isStalled || !h.hasLaterAttempt()
 	case now.Before(h.limit):
 		return now.Before(h.usefulUntil) && written >= nextPieceTimeout && pause <= nextPieceTimeout
 	}
 	return pause <= min(written, h.longestPause+nextPieceTimeout)
 }
 
+// hasLaterAttempt reports whether the request was sent once more since.
+func (h *valueHold) hasLaterAttempt() bool { return h.exchange.attemptsStarted() > h.result.number+1 }
+
 // mustRetry reports whether a value that may not be passed on has been held for as long as it may be, with time for a retry.
 func (h *valueHold) mustRetry(now time.Time) bool {
 	return !now.Before(h.limit) && h.deadline.Sub(now) > maxHoldReserve
--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -232,3 +232,24 @@
 		t.Errorf("the booking is sent %d times, want once", n)
 	}
 }
+
+func TestStalledValueIsNotPassedOnBeforeAHedgedAttemptAnswers(t *testing.T) {
+	t.Parallel()
+	v := slowValue{}.withDefaults()
+	stalled, slow := v, v
+	stalled.parts = []valuePart{{0, 1}}
+	slow.before, slow.parts = 500*time.Millisecond, []valuePart{{0, v.size}}
+	var attempts atomic.Int32
+	p := startProgram(t, startValueHosts(t, func(h command) {
+		if attempts.Add(1) == 1 {
+			stalled.give(h)
+		} else {
+			slow.give(h)
+		}
+	}), settingsWith(lookupWorkloads))
+	c := p.connect()
+	for n := range 20 * valueHosts { // Successes pay for the hedged request.
+		c.send("C.GET", fmt.Sprint("k", n), fmt.Sprint(n), "c=lookup,t=acme,d=1500").expectReply(fmt.Sprint(n))
+	}
+	v.expectValue(c, v.deadline)
+}
