Test: a booking that comes again is answered by its own deadline

The wait for the result of an earlier request of the id is bounded by what is left to the one that came again, whatever the first one's host does.

--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -253,3 +253,23 @@
 	}
 	v.expectValue(c, v.deadline)
 }
+
+func TestRepeatedBookingIsAnsweredByItsOwnDeadline(t *testing.T) {
+	for name, start := range map[string]string{"silent host": "", "value without its first byte": valueReplyStart(500 << 10)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const deadline = 400 * time.Millisecond
+			at, came := startHost(t)
+			p := startProgram(t, endpointList(0, true, listEntry("s", at, "Ready")), nil)
+			first := p.connect().send("C.SET", "k", "a", "c=book,t=acme,d=3000", "v")
+			receive(t, came, "the booking").Reply(start)
+			first.Close()
+			c, sent := p.connect(), time.Now()
+			c.send("C.SET", "k", "a", fmt.Sprintf("c=book,t=acme,d=%d", deadline.Milliseconds()), "v")
+			if got, err := readMessage(c.in); err != nil || !strings.HasPrefix(got[0], "-ERR") || time.Since(sent) > deadline+answerSlack {
+				t.Errorf("%.40q, %v after %v; want an error in %v", got, err, time.Since(sent), deadline)
+			}
+			expectNoCommand(t, came)
+		})
+	}
+}
