A value that stands still waits for a later attempt only while that is in flight

Found on reading the change once more. Callers saw the first byte of a value after 1,471 ms where it came after 575 ms on: its host paused at the objective, and a hedged request had been rejected long before.

Change: the policy tells whether a later attempt is in flight.

Evidence: TestFailedHedgedAttemptDoesNotHoldUpAValue failed before (2 of 2, 1,471 ms) and passes, as does TestStalledValueIsNotPassedOnBeforeAHedgedAttemptAnswers, four plays each.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -201,6 +201,16 @@
 	b.executor.SetTimer(timerRequest+index, overdueAt-now)
 }
 
+// HasLaterAttemptInFlight reports whether a later attempt of a request than the given one is in flight.
+func (b *Balancer) HasLaterAttemptInFlight(index, attempt int) bool {
+	for _, later := range b.requests[index].attempts[attempt+1:] {
+		if later.state == inFlight {
+			return true
+		}
+	}
+	return false
+}
+
 // AttemptResult describes how an attempt ended.
 type AttemptResult struct {
 	Attempt     int // number of the attempt: its position among the request's Sends, from 0
--- a/routing/valuehold.go
+++ b/routing/valuehold.go
@@ -166,8 +166,13 @@
 	return pause <= min(written, h.longestPause+nextPieceTimeout)
 }
 
-// hasLaterAttempt reports whether the request was sent once more since.
-func (h *valueHold) hasLaterAttempt() bool { return h.exchange.attemptsStarted() > h.result.number+1 }
+// hasLaterAttempt reports whether a later attempt of the request may still answer.
+func (h *valueHold) hasLaterAttempt() bool {
+	b := h.exchange.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.policy.HasLaterAttemptInFlight(h.exchange.slot, h.result.number)
+}
 
 // mustRetry reports whether a value that may not be passed on has been held for as long as it may be, with time for a retry.
 func (h *valueHold) mustRetry(now time.Time) bool {
--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -14,8 +14,11 @@
 // clientPatience is for how long a client takes what its host has given before it counts as held back.
 const clientPatience = 2 * time.Second
 
-// lookupDeadline is longer than the objective of the class lookup, whose late answers have no value.
-const lookupDeadline = 1500 * time.Millisecond
+// lookupObjective and lookupDeadline are those of the class lookup, whose late answers have no value.
+const (
+	lookupObjective = 600 * time.Millisecond
+	lookupDeadline  = 1500 * time.Millisecond
+)
 
 const lookupWorkloads = `"workloads":[
 {"name":"lookup","effect":"free","group":"all","expectedTime":600,"hardStop":1500,"value":3,"tardyValue":0},
@@ -233,6 +236,14 @@
 	}
 }
 
+// payForHedging sends requests whose successes pay for a hedged one.
+func payForHedging(c client) {
+	c.t.Helper()
+	for n := range 20 * valueHosts {
+		c.send("C.GET", fmt.Sprint("k", n), fmt.Sprint(n), "c=lookup,t=acme,d=1500").expectReply(fmt.Sprint(n))
+	}
+}
+
 func TestStalledValueIsNotPassedOnBeforeAHedgedAttemptAnswers(t *testing.T) {
 	t.Parallel()
 	v := slowValue{}.withDefaults()
@@ -248,12 +259,30 @@
 		}
 	}), settingsWith(lookupWorkloads))
 	c := p.connect()
-	for n := range 20 * valueHosts { // Successes pay for the hedged request.
-		c.send("C.GET", fmt.Sprint("k", n), fmt.Sprint(n), "c=lookup,t=acme,d=1500").expectReply(fmt.Sprint(n))
-	}
+	payForHedging(c)
 	v.expectValue(c, v.deadline)
 }
 
+func TestFailedHedgedAttemptDoesNotHoldUpAValue(t *testing.T) {
+	t.Parallel()
+	v := slowValue{}.withDefaults()
+	v.parts = []valuePart{{0, 1}, {lookupDeadline, v.size - 1}}
+	var attempts atomic.Int32
+	p := startProgram(t, startValueHosts(t, func(h command) {
+		if attempts.Add(1) == 1 {
+			go v.give(h)
+		} else {
+			h.Reply("-BUSY\r\n")
+		}
+	}), settingsWith(lookupWorkloads))
+	c := p.connect()
+	payForHedging(c)
+	v.expectValue(c, lookupObjective+answerSlack)
+	if n := attempts.Load(); n < 2 {
+		t.Errorf("%d attempts, want a hedged one too", n)
+	}
+}
+
 func TestRepeatedBookingIsAnsweredByItsOwnDeadline(t *testing.T) {
 	for name, start := range map[string]string{"silent host": "", "value without its first byte": valueReplyStart(500 << 10)} {
 		t.Run(name, func(t *testing.T) {
