A booking whose long receipt pauses is waited for until its deadline, with others behind

Cause, as with short receipts: the limit of the hold ends the attempt for the sake of a retry, which a single-shot request does not have once it was sent.

Change: at the limit a single-shot attempt goes on to its deadline; with its next bytes the receipt is passed on.

The half that came first is held for 2.5 s there; the other choice is the error.

--- a/routing/valuehold.go
+++ b/routing/valuehold.go
@@ -176,7 +176,8 @@
 
 // mustRetry reports whether a value that may not be passed on has been held for as long as it may be, with time for a retry.
 func (h *valueHold) mustRetry(now time.Time) bool {
-	return !now.Before(h.limit) && h.deadline.Sub(now) > maxHoldReserve
+	isRepeatable := !h.exchange.balancer.catalog.isSingleShot[h.exchange.workload]
+	return isRepeatable && !now.Before(h.limit) && h.deadline.Sub(now) > maxHoldReserve
 }
 
 // nextDecision returns when the time decides next on a value from which nothing arrives.
--- a/server/slowvalue_test.go
+++ b/server/slowvalue_test.go
@@ -236,6 +236,18 @@
 	}
 }
 
+func TestBookingWhoseLongReceiptPausesIsServedWithOthersBehind(t *testing.T) {
+	t.Parallel()
+	const size = 500 << 10
+	v := slowValue{class: "book", size: size, deadline: 3 * time.Second, behind: readsBehind}.withDefaults()
+	v.parts = []valuePart{{0, size / 2}, {2500 * time.Millisecond, size / 2}}
+	var attempts atomic.Int32
+	v.expectValue(v.start(t, &attempts).connect(), v.deadline+answerSlack)
+	if n := attempts.Load(); n != 1 {
+		t.Errorf("the booking is sent %d times, want once", n)
+	}
+}
+
 // payForHedging sends requests whose successes pay for a hedged one.
 func payForHedging(c client) {
 	c.t.Helper()
