--- a/fakes/soak/plan.go
+++ b/fakes/soak/plan.go
@@ -79,6 +79,7 @@
 	warmUp                   = 500 * time.Millisecond // before the first event
 	quietEnd                 = time.Second            // after the last
 	maxStalls                = 3                      // in one plan
+	stallStream              = 77                     // of the seed's random numbers: that of no other draw
 )
 
 // NewPlan draws a plan. systemFaults: the processes' system calls can be made to fail.
@@ -112,9 +113,10 @@
 	return p
 }
 
-// stalls draws the events of kind Stall: of half of the plans, and by chance of their own, so that the others stay as they are.
+// stalls draws the events of kind Stall, for half of the plans. Their chance is their own, so that a seed's other events stay as they
+// were before there were stalls.
 func stalls(p Plan) (events []Event) {
-	chance := rand.New(rand.NewPCG(p.Seed, 77))
+	chance := rand.New(rand.NewPCG(p.Seed, stallStream))
 	for range chance.IntN(2) * (1 + chance.IntN(maxStalls)) {
 		events = append(events, Event{At: between(chance, warmUp, p.Length-quietEnd), Kind: Stall, Server: chance.IntN(p.Servers),
 			For: between(chance, 50*time.Millisecond, p.Length/3)})
--- a/fakes/soak/run.go
+++ b/fakes/soak/run.go
@@ -82,8 +82,12 @@
 // playEvents begins each event at its time.
 func (r *run) playEvents(begin time.Time) {
 	var stopping sync.Map // processes that are being stopped, by index
-	for n, e := range r.plan.Events {
-		chance := rand.New(rand.NewPCG(r.plan.Seed, uint64(n)))
+	drawn := uint64(0)    // events before this one, without stalls, which take no chance
+	for _, e := range r.plan.Events {
+		chance := rand.New(rand.NewPCG(r.plan.Seed, drawn))
+		if e.Kind != Stall {
+			drawn++
+		}
 		r.events.Go(func() {
 			time.Sleep(time.Until(begin.Add(e.At)))
 			r.play(e, chance, &stopping)
