--- a/routing/admission.go
+++ b/routing/admission.go
@@ -37,7 +37,7 @@
 		x.bytes += int64(len(argument))
 	}
 	x.record.timeout = time.Duration(attributes.TimeoutNanos)
-	x.record.received, x.record.waited = x.client.receivedAt, time.Since(x.client.receivedAt)
+	x.record.receivedAt, x.record.waited = x.client.receivedAt, time.Since(x.client.receivedAt)
 	x.id = string(x.arguments[2])
 	x.identify(attributes.Workload)
 	isUnread := x.client.isUnread()
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// readMore reads the next part of a reply. A reply that has begun must go on within nextPieceTimeout, unless it is the only one that
-// the request can get.
+// readMore reads the next part of a reply. A reply that has begun must go on within nextPieceTimeout, so that there is time for a retry.
+// A single-shot request has none once it was sent, and its reply may take until the deadline.
 func (x *exchange) readMore(conn *transport.PooledConn, deadline time.Time) transport.End {
 	hasBegun := len(conn.Unread()) > 0
 	if hasBegun && !x.balancer.catalog.isSingleShot[x.workload] && time.Until(deadline) > nextPieceTimeout {
--- a/routing/counters.go
+++ b/routing/counters.go
@@ -25,7 +25,7 @@
 	counterWatchesFailed       = "lists_failed"        // watches on the endpoint list that broke or fell silent
 	counterNotAdmitted         = "sent_back"           // requests rejected at admission, by workload
 	counterMalformed           = "sent_back_wrong"     // requests answered with an error at admission
-	counterLate                = "requests_late"       // the final answer was sent after the client's timeout
+	counterLate                = "requests_late"       // the final answer, or the first byte of a large value, was sent after the client's timeout
 	counterCut                 = "requests_cut"        // a large value had begun to be passed on, and the rest did not come
 	counterUnanswered          = "requests_unanswered" // the client stayed connected and did not get its final answer: it did not read, or its connection was cut off
 	counterExpired             = "requests_expired"    // ended before their deadline by the shutdown of the process
--- a/routing/largevalue.go
+++ b/routing/largevalue.go
@@ -60,8 +60,8 @@
 	return transport.Succeeded, isWhole
 }
 
-// writeTo streams the value to the client. Its header is written with its first bytes, in place of which a client whose disconnect has
-// ended the value gets an error.
+// writeTo streams the value to the client. Its header is written with its first bytes. If the client's disconnect has ended the value
+// before that, an error is written instead.
 func (v *largeValue) writeTo(c *transport.Client) delivery {
 	defer func() { _ = v.body.Close() }() // Further writes by the attempt fail.
 	piece := make([]byte, v.pieceSize)
--- a/routing/requestlog.go
+++ b/routing/requestlog.go
@@ -34,12 +34,12 @@
 
 // requestRecord is what the request log states about a request. Only the request's goroutine writes it.
 type requestRecord struct {
-	received time.Time     // when its last byte had arrived
-	waited   time.Duration // from receipt until it was handled
-	timeout  time.Duration // as stated by its client
-	outcome  string        // one of the outcome constants
-	answered time.Duration // from receipt until delivery of its reply ended
-	attempts []attemptRecord
+	receivedAt time.Time     // when its last byte had arrived
+	waited     time.Duration // from receipt until it was handled
+	timeout    time.Duration // as stated by its client
+	outcome    string        // one of the outcome constants
+	answered   time.Duration // from receipt until delivery of its reply ended
+	attempts   []attemptRecord
 }
 
 // String lists the attempts, each with its server, when it was decided on, when its first and last byte were sent, what
@@ -47,7 +47,7 @@
 func (r *requestRecord) String() string {
 	var all []string
 	for _, a := range r.attempts {
-		all = append(all, a.describe(r.received))
+		all = append(all, a.describe(r.receivedAt))
 	}
 	return strings.Join(all, "; ")
 }
--- a/routing/valuehold.go
+++ b/routing/valuehold.go
@@ -23,6 +23,9 @@
 	maxHoldReserve = 25 * time.Millisecond
 	// holdReserveDivisor: an attempt's remaining time divided by this is reserved for the first bytes, up to maxHoldReserve.
 	holdReserveDivisor = 8
+	// minWritingTime is how long a server must have written a value before it counts as going on: of one that has only just begun
+	// nothing tells whether it will stop.
+	minWritingTime = 250 * time.Millisecond
 )
 
 // largeResponse is what the beginning of a response tells of its large value.
@@ -65,9 +68,9 @@
 	deadline time.Time // of the attempt
 
 	// Set once the value's first byte has arrived.
-	usefulUntil time.Time // the first byte has no value after it
-	end         time.Time // until when the value is held in any case; its first byte is still in time then
-	limit       time.Time // until when it is held if it stands still and other replies wait
+	usefulUntil time.Time // the first byte has no value for the client after it
+	passOnFrom  time.Time // from when the value may be passed on before it is whole; its first byte is still of use then
+	holdLimit   time.Time // until when it is held at the longest while its server writes it
 
 	hasBuffer    bool          // the connection has a buffer for the whole response
 	startedAt    time.Time     // when reading into the buffer began; the value's first byte had arrived
@@ -76,6 +79,7 @@
 	isStalled    bool          // nothing has arrived for nextPieceTimeout
 }
 
+// newValueHold returns the hold of a value whose header has arrived.
 func (x *exchange) newValueHold(conn *transport.PooledConn, response largeResponse, deadline time.Time, result *attemptResult) *valueHold {
 	now := time.Now()
 	result.valueRecord = newValueRecord(response.size, now)
@@ -84,15 +88,15 @@
 	return h
 }
 
-// begin sets the times of the hold once the value's first byte has arrived.
+// begin sets the times of the hold. The value's first byte has arrived.
 func (h *valueHold) begin(now time.Time) {
 	x := h.exchange
 	h.usefulUntil = h.deadline
 	if catalog := &x.balancer.catalog; catalog.isWorthlessLate[x.workload] {
 		h.usefulUntil = earlier(h.deadline, x.client.receivedAt.Add(time.Duration(catalog.expectedTimes[x.workload])))
 	}
-	h.limit = earlier(now.Add(maxHoldTime), reserveBefore(h.deadline, now))
-	h.end = earlier(h.limit, reserveBefore(h.usefulUntil, now))
+	h.holdLimit = earlier(now.Add(maxHoldTime), reserveBefore(h.deadline, now))
+	h.passOnFrom = earlier(h.holdLimit, reserveBefore(h.usefulUntil, now))
 }
 
 // reserveBefore returns the time at which a value has to be passed on for its first bytes to reach the client by a deadline.
@@ -102,7 +106,7 @@
 }
 
 // hold reads the response until its value is whole. It returns Open and false if the value is to be passed on before that, and
-// how the attempt ended if it did. A value takes a buffer only once its first byte has arrived.
+// how the attempt ended if it did. A value takes a buffer only once its first byte has arrived, so that headers alone take no memory.
 func (h *valueHold) hold() (end transport.End, isWhole bool) {
 	if end := h.awaitFirstByte(); end != transport.Open {
 		return end, false
@@ -149,20 +153,30 @@
 	return transport.Open, true
 }
 
-// mayPassOn reports whether the value is to be passed on before it is whole. One that stands still is held on while a later attempt
-// may answer. While other replies wait its server must go on writing it, as they are lost if it breaks: before the limit it must have
-// written for a while without a long pause; at the limit it must have written for as long as it pauses now, and a pause may be longer
-// by nextPieceTimeout than the ones before it.
+// mayPassOn reports whether the value is to be passed on before it is whole.
 func (h *valueHold) mayPassOn(now time.Time) bool {
-	written, pause := h.progressAt.Sub(h.startedAt), now.Sub(h.progressAt)
+	isAtLimit := !now.Before(h.holdLimit)
 	switch {
-	case now.Before(h.end):
+	case now.Before(h.passOnFrom):
 		return false
 	case !h.exchange.client.othersWait():
-		return !now.Before(h.limit) || !h.isStalled || !h.hasLaterAttempt()
-	case now.Before(h.limit):
-		return now.Before(h.usefulUntil) && written >= nextPieceTimeout && pause <= nextPieceTimeout
+		return isAtLimit || !h.isStalled || !h.hasLaterAttempt()
+	case isAtLimit:
+		return h.mayGoOn(now)
 	}
+	return now.Before(h.usefulUntil) && h.goesOn(now)
+}
+
+// goesOn reports whether the server has written the value for a while and still does. If the value breaks once it is passed on, the
+// replies behind it are lost, and before the limit nothing is lost by holding it on.
+func (h *valueHold) goesOn(now time.Time) bool {
+	return h.progressAt.Sub(h.startedAt) >= minWritingTime && now.Sub(h.progressAt) <= nextPieceTimeout
+}
+
+// mayGoOn reports whether a value that is passed on or given up now is likely to go on: its server has written it for as long as it
+// pauses now, and pauses little longer than it did before. Of a value that has come in one burst nothing tells that.
+func (h *valueHold) mayGoOn(now time.Time) bool {
+	written, pause := h.progressAt.Sub(h.startedAt), now.Sub(h.progressAt)
 	return pause <= min(written, h.longestPause+nextPieceTimeout)
 }
 
@@ -174,19 +188,20 @@
 	return b.policy.HasLaterAttemptInFlight(h.exchange.slot, h.result.number)
 }
 
-// mustRetry reports whether a value that may not be passed on has been held for as long as it may be, with time for a retry.
+// mustRetry reports whether a value that may not be passed on has been held for as long as it may be, and a retry is possible: there is
+// time for one, and the request may be sent again.
 func (h *valueHold) mustRetry(now time.Time) bool {
 	isRepeatable := !h.exchange.balancer.catalog.isSingleShot[h.exchange.workload]
-	return isRepeatable && !now.Before(h.limit) && h.deadline.Sub(now) > maxHoldReserve
+	return isRepeatable && !now.Before(h.holdLimit) && h.deadline.Sub(now) > maxHoldReserve
 }
 
 // nextDecision returns when the time decides next on a value from which nothing arrives.
 func (h *valueHold) nextDecision(now time.Time) time.Time {
 	switch {
-	case now.Before(h.end):
-		return h.end
-	case now.Before(h.limit):
-		return h.limit
+	case now.Before(h.passOnFrom):
+		return h.passOnFrom
+	case now.Before(h.holdLimit):
+		return h.holdLimit
 	}
 	return h.deadline
 }
--- a/routing/valuememory.go
+++ b/routing/valuememory.go
@@ -22,7 +22,7 @@
 	return h.hasBuffer
 }
 
-// awaitMemory waits for the memory that streaming takes, and then for a buffer until the end of the hold, if replies to other
+// awaitMemory waits for the memory that streaming takes, and then for a buffer until the value may be passed on, if replies to other
 // commands would be lost with the value. A value alone is passed on at once.
 func (h *valueHold) awaitMemory() transport.End {
 	x := h.exchange
@@ -34,8 +34,8 @@
 	if end := x.awaitLargeValueMemory(h.conn, pieceSize, h.deadline, h.result); end != transport.Open {
 		return end
 	}
-	for mayWait && !h.takeBuffer() && time.Now().Before(h.end) {
-		if end := x.awaitMemoryRetry(h.conn, h.end); end != transport.Open && end != transport.ResponseTimedOut {
+	for mayWait && !h.takeBuffer() && time.Now().Before(h.passOnFrom) {
+		if end := x.awaitMemoryRetry(h.conn, h.passOnFrom); end != transport.Open && end != transport.ResponseTimedOut {
 			return end
 		}
 		mayWait = h.mayWaitForBuffer()
