A drain that discovery told one process is known to the next while discovery is down

A host that started cold gets twice the share that it can take.

That is written each second, only if a request came, and refused as a whole when it is over 30 s old or the settings differ; the next process then starts from the list in its configuration, where the host is ready. Each of these reasons is right for what was learned and wrong for what discovery told.

Change: each process saves the list as it was told, in a file of its own (hollylever.list.N under $TMPDIR), at once when discovery tells of a change; while the list changes without end, saving takes one 25th of the time at most and a change waits 250 ms at most. The next process applies the newest by discovery's index before it serves, whatever its age and the settings, and says so (endpoint list restored). A generation orders lists of a server that was rebuilt, whose index starts again. The list in the configuration counts if it is as new, or if it is another one than the writer knew and has under half of the saved hosts.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -10,8 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"hollylever/policy"
+	"hollylever/protocol"
 	"hollylever/siblings"
-	"hollylever/snapshot"
 	"hollylever/transport"
 )
 
@@ -27,6 +27,7 @@
 	deadlineDrift  int64         // how long after its timeout a client may still be waiting, in ns
 	expired        chan struct{} // closed at the shutdown deadline
 	watchRequested chan struct{} // signals that the policy requests a watch on the endpoint list
+	saveRequested  chan struct{} // signals that the endpoint list is to be saved
 	watchTimeouts  watchTimeouts
 	wallClock      func() time.Time // may be stepped while the process runs
 	dialDiscovery  func(ctx context.Context, network, address string) (net.Conn, error)
@@ -51,11 +52,11 @@
 }
 
 // New returns a balancer that starts with the endpoint list in known, encoded as discovery sends it. It holds at most
-// maxBytes of requests at once, and persists manual ejections at ejectionPath unless that is empty. previous is the
-// snapshot of an earlier process, or nil; if it cannot be restored, the balancer starts without it. New fails if known
-// cannot be parsed.
+// maxBytes of requests at once, and persists manual ejections at ejectionPath unless that is empty. previous is what
+// other processes have left; of what cannot be restored the balancer starts without. New fails if known cannot be
+// parsed.
 func New(settings map[string]any, known []byte, discovery string, seed uint64, pool *transport.Pool, maxBytes int64, ejectionPath string,
-	previous *snapshot.Snapshot, log zerolog.Logger) (*Balancer, error) {
+	previous Previous, log zerolog.Logger) (*Balancer, error) {
 	b := &Balancer{
 		log:            log,
 		settings:       settings,
@@ -66,6 +67,7 @@
 		deadlineDrift:  int64(settingNumber(settings, "invariants.deadlineDrift") * 1e6),
 		expired:        make(chan struct{}),
 		watchRequested: make(chan struct{}, 1),
+		saveRequested:  make(chan struct{}, 1),
 		watchTimeouts:  protocolTimeouts,
 		wallClock:      time.Now,
 		dialDiscovery:  dialDiscovery,
@@ -81,17 +83,29 @@
 		b.WatchEndpoints() // The settings ask for polling; a watch delivers the changes too.
 	}
 	b.reloadEjections()
-	if err := b.applyList(context.Background(), known, true); err != nil || previous == nil {
+	if err := b.applyList(context.Background(), known, listFromConfiguration); err != nil {
 		return b, err
 	}
-	if endpoints, err := b.restoreSnapshot(previous, known); err != nil {
-		log.Warn().Err(err).Msg("snapshot not restored") // Starts without it.
-	} else {
-		log.Info().Int("endpoints", endpoints).Int("keys", len(previous.BalancerState.Keys)).Int64("age_ms", previous.Age.Milliseconds()).Msg("snapshot restored")
-	}
+	b.restore(previous, known)
 	return b, nil
 }
 
+// restore restores what other processes have left. What cannot be restored is logged.
+func (b *Balancer) restore(previous Previous, known []byte) {
+	configured, _ := protocol.ParseEndpointList(known) // New has parsed it already.
+	b.restoreList(previous.Lists, configured)
+	if previous.Snapshot == nil {
+		return
+	}
+	endpoints, err := b.restoreSnapshot(previous.Snapshot)
+	if err != nil {
+		b.log.Warn().Err(err).Msg("snapshot not restored")
+		return
+	}
+	b.log.Info().Int("endpoints", endpoints).Int("keys", len(previous.Snapshot.BalancerState.Keys)).Int64("age_ms", previous.Snapshot.Age.Milliseconds()).
+		Msg("snapshot restored")
+}
+
 // now returns the time by the policy's clock: the Unix time at which the balancer started plus the monotonic time
 // elapsed since.
 func (b *Balancer) now() int64 { return b.startedAt.UnixNano() + int64(time.Since(b.startedAt)) }
--- a/routing/benchmark_test.go
+++ b/routing/benchmark_test.go
@@ -24,13 +24,13 @@
 	}
 	whole := []byte(strings.Replace(incrementalList(entries...), "false", "true", 1))
 	pool := transport.NewPool(8, time.Minute, time.Second)
-	balancer, err := New(settings.Flatten(gjson.Parse(testSettings)), whole, "", 1, pool, 1<<20, "", nil, zerolog.Nop())
+	balancer, err := New(settings.Flatten(gjson.Parse(testSettings)), whole, "", 1, pool, 1<<20, "", Previous{}, zerolog.Nop())
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Run("list", func(b *testing.B) {
 		for b.Loop() {
-			balancer.applyList(context.Background(), whole, false)
+			balancer.applyList(context.Background(), whole, listFromDiscovery)
 		}
 	})
 	b.Run("scrape", func(b *testing.B) {
--- a/routing/endpointlist.go
+++ b/routing/endpointlist.go
@@ -12,6 +12,7 @@
 // listState is the state of the endpoint list as a whole and of the watches on it. Balancer.mu guards it.
 type listState struct {
 	discovery         string       // address of the discovery service
+	generation        uint64       // see snapshot.EndpointList
 	index             uint64       // of the last list applied
 	updates           int          // number of lists applied
 	watches           []*listWatch // open watches, oldest first; at most maxWatches
@@ -19,6 +20,7 @@
 	lastDeliveryAt    time.Time    // when a watch last delivered data or broke; zero after a change of discovery
 	requiredDiscovery string       // from the fleet's configuration; "": each process uses its own
 	minIndex          uint64       // minimum index of a list that is applied in full, from the fleet's configuration
+	configuredDigest  uint64       // of the list in the configuration
 }
 
 // appliesInFull reports whether the fleet's configuration allows a list to be applied in full.
@@ -26,19 +28,44 @@
 	return index >= s.minIndex && (s.requiredDiscovery == "" || s.requiredDiscovery == s.discovery)
 }
 
-// applyList applies a list to the endpoints and the policy. isSaved is set for a list from before the start of the
-// process. applyList fails if the list cannot be parsed or its watch was cancelled. It acquires b.mu.
-func (b *Balancer) applyList(watch context.Context, text []byte, isSaved bool) error {
+// applyList applies a list that the context's end withdraws. It fails if the list cannot be parsed or the context has
+// ended. It acquires b.mu.
+func (b *Balancer) applyList(ctx context.Context, text []byte, source listSource) error {
 	// Parsing thousands of endpoints takes as long as handling many requests, so it is done before locking.
 	list, err := protocol.ParseEndpointList(text)
 	if err != nil {
 		return err
 	}
-	update := listUpdate{balancer: b, list: list, isSaved: isSaved}
+	return b.applyParsedList(list, source, ctx.Err)
+}
+
+// applyWatchedList applies a list that a watch of this process delivered. It fails if the list cannot be parsed or the
+// watch was cancelled. It acquires b.mu.
+func (b *Balancer) applyWatchedList(watch *listWatch, text []byte) error {
+	list, err := protocol.ParseEndpointList(text)
+	if err != nil {
+		return err
+	}
+	return b.applyParsedList(list, listFromDiscovery, func() error {
+		if err := watch.ctx.Err(); err != nil {
+			return err
+		}
+		if list.Index < watch.index {
+			b.list.generation++ // The server was rebuilt.
+		}
+		watch.index = list.Index
+		return nil
+	})
+}
+
+// applyParsedList applies a list to the endpoints and the policy, unless mayApply, which is called with b.mu held,
+// returns an error. It acquires b.mu.
+func (b *Balancer) applyParsedList(list protocol.EndpointList, source listSource, mayApply func() error) error {
+	update := listUpdate{balancer: b, list: list, source: source}
 	defer func() { update.changes.log(b.log) }() // Without the lock held: writing the log may block on a slow reader.
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if err := watch.Err(); err != nil {
+	if err := mayApply(); err != nil {
 		return err
 	}
 	update.now = b.now()
@@ -50,15 +77,18 @@
 type listUpdate struct {
 	balancer *Balancer
 	list     protocol.EndpointList
-	isSaved  bool  // the list is from before the start of the process
+	source   listSource
 	now      int64 // by the policy's clock
 	changes  listChanges
 }
 
 func (u *listUpdate) apply() {
 	b := u.balancer
-	if !u.isSaved && !b.list.appliesInFull(u.list.Index) {
-		u.keepDrainsOnly()
+	if u.source.isTold() {
+		if !b.list.appliesInFull(u.list.Index) {
+			u.keepDrainsOnly()
+		}
+		b.requestListSave()
 	}
 	b.list.index, u.changes.index = u.list.Index, u.list.Index
 	b.list.updates++
@@ -84,14 +114,17 @@
 
 func (u *listUpdate) kind() policy.UpdateKind {
 	switch {
-	case u.isSaved:
-		return policy.SavedList
-	case u.list.IsSnapshot:
+	case u.isComplete() && u.source == listFromDiscovery:
 		return policy.FullList
+	case u.isComplete():
+		return policy.SavedList
 	}
 	return policy.IncrementalList
 }
 
+// isComplete reports whether endpoints that the list does not have are removed.
+func (u *listUpdate) isComplete() bool { return u.list.IsSnapshot || u.source == listFromConfiguration }
+
 // applyEntry applies one endpoint of the list.
 func (u *listUpdate) applyEntry(entry protocol.Endpoint) {
 	b := u.balancer
@@ -137,7 +170,7 @@
 // belongs to another endpoint.
 func (u *listUpdate) removeUnlistedAndDisplaced() {
 	b := u.balancer
-	removesUnlisted := u.isSaved || u.list.IsSnapshot
+	removesUnlisted := u.isComplete()
 	ownerByAddress := map[string]int{}
 	for i := range b.endpoints.all {
 		e := &b.endpoints.all[i]
@@ -178,7 +211,7 @@
 func (u *listUpdate) setHealth(i int, previousStatus string, health policy.Health) {
 	b := u.balancer
 	e := &b.endpoints.all[i]
-	if statusByHealth[health] != previousStatus && !u.isSaved {
+	if statusByHealth[health] != previousStatus && u.source.isTold() {
 		u.changes.add(e.name, health)
 		if health != policy.Ready && previousStatus == statusByHealth[policy.Ready] {
 			b.drains.add(e.name, b.list.index)
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -245,6 +245,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.list.discovery, b.list.index = discovery, 0 // Another discovery service may number its lists differently.
+	b.list.generation++                           // A list that was saved from this service long ago may have a higher index.
 	for _, watch := range b.list.watches {
 		watch.cancel(errDiscoveryChanged)
 	}
--- a/routing/golden_test.go
+++ b/routing/golden_test.go
@@ -42,7 +42,7 @@
 	file := filepath.Join(t.TempDir(), "hollylever.bans")
 	newBalancer := func() *Balancer {
 		b, err := New(settings.Flatten(gjson.Parse(fakes.Settings)), []byte(fakes.List(1, true, fakes.Entry("a/1", "127.0.0.1:1", "Ready"), fakes.Entry("b", "127.0.0.1:2", "Ready"),
-			fakes.Entry("ü<\"", "127.0.0.1:3", "Terminating"))), "", 1, transport.NewPool(8, time.Minute, time.Second), 1<<20, file, nil, zerolog.Nop())
+			fakes.Entry("ü<\"", "127.0.0.1:3", "Terminating"))), "", 1, transport.NewPool(8, time.Minute, time.Second), 1<<20, file, Previous{}, zerolog.Nop())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -45,7 +45,7 @@
 func newTestBalancerWith(t *testing.T, maxBytes int64, values map[string]any) *Balancer {
 	pool := transport.NewPool(8, time.Minute, time.Second)
 	b, err := New(values, []byte(strings.Replace(initialList, "ADDRESS", closedAddress(t), 1)), "", 1, pool, maxBytes, "",
-		nil, zerolog.Nop())
+		Previous{}, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +59,7 @@
 
 // applyTestList applies an endpoint list in the way a watch does.
 func (b *Balancer) applyTestList(t *testing.T, line string) {
-	if err := b.applyList(context.Background(), []byte(line), false); err != nil {
+	if err := b.applyList(context.Background(), []byte(line), listFromDiscovery); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -105,7 +105,7 @@
 		values[name] = value
 	}
 	pool := transport.NewPool(64, time.Minute, time.Duration(values["allowed.dialTimeout"].(float64))*time.Millisecond)
-	b, err := New(values, []byte(fakes.List(1, true, fakes.Entry("s", address, "Ready"))), "", seed, pool, 64<<20, "", nil, zerolog.Nop())
+	b, err := New(values, []byte(fakes.List(1, true, fakes.Entry("s", address, "Ready"))), "", seed, pool, 64<<20, "", Previous{}, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/routing/listwatch.go
+++ b/routing/listwatch.go
@@ -21,7 +21,7 @@
 	ctx       context.Context // once it is done, nothing that the watch still delivers is applied
 	cancel    context.CancelCauseFunc
 	discovery string
-	index     uint64 // the watch requests the changes after this index
+	index     uint64 // of the last list that the watch delivered; at first, the watch requests the changes after it
 	err       error  // why the watch ended; set before the watch is sent on follower.ended
 
 	// Guarded by Balancer.mu.
@@ -75,7 +75,7 @@
 		}
 		stream.listEnded(lists.Buffered())
 		w.balancer.watchDelivered(w)
-		if err := w.balancer.applyList(w.ctx, list, false); err != nil {
+		if err := w.balancer.applyWatchedList(w, list); err != nil {
 			return err
 		}
 		w.balancer.watchRecovered(w)
--- /dev/null
+++ b/routing/savedlist.go
@@ -0,0 +1,141 @@
+package routing
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"time"
+
+	"hollylever/monotime"
+	"hollylever/protocol"
+	"hollylever/snapshot"
+)
+
+// firstGeneration is the generation of the lists of a process that found none of another process.
+const firstGeneration = 1
+
+// Reasons for which a saved endpoint list is not restored.
+var (
+	errOlderThanConfigured = errors.New("older than the list in the configuration")
+	errOtherDiscovery      = errors.New("from another discovery server")
+)
+
+// Previous is what other processes of this balancer have left for a process that starts.
+type Previous struct {
+	Snapshot *snapshot.Snapshot       // what one of them learned; nil: nothing
+	Lists    []*snapshot.EndpointList // the endpoint lists that discovery told them
+}
+
+// restoreList applies the newest endpoint list that another process saved, as if this process had been told of it: the
+// processes are one balancer, so a drain that one of them was told of binds all, also while discovery is down.
+func (b *Balancer) restoreList(lists []*snapshot.EndpointList, configured protocol.EndpointList) {
+	b.list.configuredDigest = listDigest(configured)
+	b.list.generation = firstGeneration
+	for _, list := range lists {
+		b.list.generation = max(b.list.generation, list.Generation)
+	}
+	saved := newestList(lists, b.list.discovery)
+	if saved == nil {
+		return
+	}
+	parsed, err := protocol.ParseEndpointList(saved.Endpoints)
+	if err == nil {
+		err = b.checkRestorable(saved, parsed, configured)
+	}
+	if err != nil {
+		if !errors.Is(err, errOlderThanConfigured) {
+			b.list.generation++ // What this process is told from now on must count as newer than the refused list.
+		}
+		b.log.Warn().Err(err).Uint64("index", saved.Index).Msg("endpoint list not restored")
+		return
+	}
+	b.list.generation = saved.Generation
+	_ = b.applyParsedList(parsed, listFromProcess, func() error { return nil })
+	if saved.DiscoveryServer != b.list.discovery {
+		b.list.index = 0 // The servers may number their lists differently: the first watch asks for the whole list.
+		b.list.generation++
+	}
+	b.log.Info().Uint64("index", saved.Index).Int("endpoints", len(parsed.Endpoints)).Int("draining", countDraining(parsed)).
+		Int64("age_ms", saved.Age.Milliseconds()).Msg("endpoint list restored")
+}
+
+// newestList returns the newest list of a discovery server, or if there is none the last written one of another server,
+// or nil.
+func newestList(lists []*snapshot.EndpointList, discovery string) (newest *snapshot.EndpointList) {
+	for _, list := range lists {
+		switch isOwn := list.DiscoveryServer == discovery; {
+		case newest == nil:
+			newest = list
+		case isOwn != (newest.DiscoveryServer == discovery):
+			if isOwn {
+				newest = list
+			}
+		case isOwn && list.IsNewerThan(newest), !isOwn && list.WrittenAt > newest.WrittenAt:
+			newest = list
+		}
+	}
+	return newest
+}
+
+// checkRestorable returns an error unless a saved list is to replace the configured one. It always does if the process
+// that saved it was started with the same configured list, as it was told of it after that. With another configured
+// list, it does if that one is older and has at least half of its endpoints: a discovery server that was rebuilt starts
+// with a low index again, and its endpoints must not be replaced by those of the server before.
+func (b *Balancer) checkRestorable(saved *snapshot.EndpointList, parsed, configured protocol.EndpointList) error {
+	switch {
+	case saved.ConfiguredDigest == b.list.configuredDigest:
+		return nil
+	case saved.DiscoveryServer != b.list.discovery:
+		return fmt.Errorf("%w: %s", errOtherDiscovery, saved.DiscoveryServer)
+	case saved.Index <= configured.Index:
+		return fmt.Errorf("%w: index %d, configured %d", errOlderThanConfigured, saved.Index, configured.Index)
+	}
+	return checkSameEndpoints(parsed, configured)
+}
+
+// listDigest returns a digest of a list that does not depend on the order of its endpoints.
+func listDigest(list protocol.EndpointList) uint64 {
+	digest := list.Index
+	hash := fnv.New64a()
+	var fields []byte
+	for _, e := range list.Endpoints {
+		fields = fields[:0]
+		for _, text := range []string{e.Name, e.Address, e.Kind, e.Zone} {
+			fields = binary.LittleEndian.AppendUint32(fields, uint32(len(text)))
+			fields = append(fields, text...)
+		}
+		for _, number := range []uint64{uint64(e.Status), uint64(e.StartedAtNanos), uint64(e.Group), math.Float64bits(e.Weight)} {
+			fields = binary.LittleEndian.AppendUint64(fields, number)
+		}
+		hash.Reset()
+		hash.Write(fields)
+		digest += hash.Sum64()
+	}
+	return digest
+}
+
+func countDraining(list protocol.EndpointList) (count int) {
+	for _, e := range list.Endpoints {
+		if e.Status == protocol.EndpointDraining {
+			count++
+		}
+	}
+	return count
+}
+
+// toSave returns what is to be saved of the endpoint list, except for the endpoints, which it copies to entries. b.mu
+// must be held.
+func (b *Balancer) toSave(entries []snapshotEntry) (snapshot.EndpointList, []snapshotEntry) {
+	entries = b.appendEntries(entries)
+	return snapshot.EndpointList{
+		DiscoveryServer:  b.list.discovery,
+		Generation:       b.list.generation,
+		Index:            b.list.index,
+		ConfiguredDigest: b.list.configuredDigest,
+		WrittenAt:        time.Now().UnixNano(),
+		BootID:           monotime.BootID(),
+		SinceBoot:        monotime.Now(),
+	}, entries
+}
--- /dev/null
+++ b/routing/savedlist_test.go
@@ -0,0 +1,194 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
+
+	"hollylever/fakes"
+	"hollylever/policy"
+	"hollylever/protocol"
+	"hollylever/settings"
+	"hollylever/snapshot"
+	"hollylever/transport"
+)
+
+const (
+	testDiscovery  = "127.0.0.1:1"
+	otherDiscovery = "127.0.0.1:2"
+)
+
+// newListBalancer returns a balancer that was started with a configured list and what other processes left.
+func newListBalancer(t *testing.T, configured string, previous Previous, values map[string]any) *Balancer {
+	t.Helper()
+	all := settings.Flatten(gjson.Parse(testSettings))
+	for name, value := range values {
+		all[name] = value
+	}
+	pool := transport.NewPool(8, time.Minute, time.Second)
+	b, err := New(all, []byte(configured), testDiscovery, 1, pool, 1<<20, "", previous, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// savedBy returns the list that a process saves which was started with a configured list.
+func savedBy(t *testing.T, configured, discovery string, generation, index uint64, entries ...string) *snapshot.EndpointList {
+	t.Helper()
+	list, err := protocol.ParseEndpointList([]byte(configured))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &snapshot.EndpointList{DiscoveryServer: discovery, Generation: generation, Index: index, ConfiguredDigest: listDigest(list),
+		WrittenAt: int64(index), Endpoints: []byte(fakes.List(int(index), true, entries...))}
+}
+
+// readyEndpoints returns the names of the endpoints that may be sent to.
+func (b *Balancer) readyEndpoints() (names []string) {
+	for _, e := range b.endpoints.all {
+		if e.name != "" && b.effectiveHealth(&e) == policy.Ready {
+			names = append(names, e.name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func readyEntry(name string) string { return fakes.Entry(name, "127.0.0.1:9"+name, "Ready") }
+
+func drainingEntry(name string) string { return fakes.Entry(name, "127.0.0.1:9"+name, "Terminating") }
+
+// A saved list is as long valid as discovery has told nothing else. Guards against a drain that is lost because the
+// saved list is refused, and against an old list that replaces a newer one, or hides the lists of a server that was
+// rebuilt: each combination of a configured and saved lists has the endpoints, the index to ask discovery for changes
+// after, and the generation that are stated here.
+func TestWhichSavedListIsRestored(t *testing.T) {
+	abc := []string{readyEntry("1"), readyEntry("2"), readyEntry("3")}
+	configured, refreshed := fakes.List(10, true, abc...), fakes.List(12, true, abc...)
+	replaced := fakes.List(3, true, readyEntry("7"), readyEntry("8"))
+	drains2 := []string{readyEntry("1"), drainingEntry("2"), readyEntry("3")}
+	drains3 := []string{readyEntry("1"), readyEntry("2"), drainingEntry("3")}
+	moved := []string{readyEntry("4"), readyEntry("5"), readyEntry("6"), readyEntry("1")}
+	for name, c := range map[string]struct {
+		configured     string
+		lists          []*snapshot.EndpointList
+		want           []string
+		wantIndex      uint64
+		wantGeneration uint64
+	}{
+		"none": {configured, nil, []string{"1", "2", "3"}, 10, 1},
+		"a drain after the same configured list": {configured,
+			[]*snapshot.EndpointList{savedBy(t, configured, testDiscovery, 1, 11, drains2...)}, []string{"1", "3"}, 11, 1},
+		"the newest of several, whoever wrote last": {configured,
+			[]*snapshot.EndpointList{savedBy(t, configured, testDiscovery, 1, 12, drains2...), savedBy(t, configured, testDiscovery, 1, 11, drains3...)}, []string{"1", "3"}, 12, 1},
+		"the later generation, with a lower index": {configured,
+			[]*snapshot.EndpointList{savedBy(t, configured, testDiscovery, 1, 50, drains2...), savedBy(t, configured, testDiscovery, 2, 4, drains3...)}, []string{"1", "2"}, 4, 2},
+		"a configured list that is as new": {refreshed,
+			[]*snapshot.EndpointList{savedBy(t, configured, testDiscovery, 1, 12, drains2...)}, []string{"1", "2", "3"}, 12, 1},
+		"another configured list that is older": {refreshed,
+			[]*snapshot.EndpointList{savedBy(t, configured, testDiscovery, 1, 13, drains2...)}, []string{"1", "3"}, 13, 1},
+		"most endpoints replaced since the same configured list": {configured,
+			[]*snapshot.EndpointList{savedBy(t, configured, testDiscovery, 1, 90, moved...)}, []string{"1", "4", "5", "6"}, 90, 1},
+		"a rebuilt server with other endpoints": {replaced,
+			[]*snapshot.EndpointList{savedBy(t, configured, testDiscovery, 1, 11, drains2...)}, []string{"7", "8"}, 3, 2},
+		"another server, after the same configured list": {configured,
+			[]*snapshot.EndpointList{savedBy(t, configured, otherDiscovery, 1, 70, drains2...)}, []string{"1", "3"}, 0, 2},
+		"another server and another configured list": {refreshed,
+			[]*snapshot.EndpointList{savedBy(t, configured, otherDiscovery, 1, 70, drains2...)}, []string{"1", "2", "3"}, 12, 2},
+		"this server rather than another": {configured,
+			[]*snapshot.EndpointList{savedBy(t, configured, otherDiscovery, 1, 70, drains2...), savedBy(t, configured, testDiscovery, 1, 11, drains3...)}, []string{"1", "2"}, 11, 1},
+		"not a list": {configured, []*snapshot.EndpointList{{DiscoveryServer: testDiscovery, Generation: 1, Index: 11, Endpoints: []byte("{")}}, []string{"1", "2", "3"}, 10, 2},
+	} {
+		b := newListBalancer(t, c.configured, Previous{Lists: c.lists}, nil)
+		if got := b.readyEndpoints(); !slices.Equal(got, c.want) || b.list.index != c.wantIndex || b.list.generation != c.wantGeneration {
+			t.Errorf("%s: ready %v, index %d, generation %d; want %v, %d, %d", name, got, b.list.index, b.list.generation, c.want, c.wantIndex, c.wantGeneration)
+		}
+	}
+}
+
+// The previous version saves its list with what it learned, and nowhere else. Guards against a drain that is lost, or
+// undone, by an upgrade from that version, or by one back to it and forth again.
+func TestListOfPreviousVersionIsRestoredIfNewer(t *testing.T) {
+	configured := fakes.List(10, true, readyEntry("1"), readyEntry("2"))
+	learned := func(index, generation uint64, entries ...string) *snapshot.Snapshot {
+		return &snapshot.Snapshot{DiscoveryServer: testDiscovery, ListIndex: index, ListGeneration: generation, EndpointList: []byte(fakes.List(int(index), true, entries...))}
+	}
+	drained := savedBy(t, configured, testDiscovery, 2, 20, readyEntry("1"), drainingEntry("2"))
+	for name, c := range map[string]struct {
+		list *snapshot.EndpointList
+		from *snapshot.Snapshot
+		want []string
+	}{
+		"no saved list":                {nil, learned(11, 0, readyEntry("1"), drainingEntry("2")), []string{"1"}},
+		"newer than the saved list":    {drained, learned(21, 0, drainingEntry("1"), readyEntry("2")), []string{"2"}},
+		"older than the saved list":    {drained, learned(19, 0, drainingEntry("1"), readyEntry("2")), []string{"1"}},
+		"of an earlier generation":     {drained, learned(40, 1, drainingEntry("1"), readyEntry("2")), []string{"1"}},
+		"as new as the saved list":     {drained, learned(20, 2, drainingEntry("1"), readyEntry("2")), []string{"1"}},
+		"newer, of the own generation": {drained, learned(21, 2, drainingEntry("1"), readyEntry("2")), []string{"2"}},
+	} {
+		previous := Previous{Snapshot: c.from}
+		if c.list != nil {
+			previous.Lists = append(previous.Lists, c.list)
+		}
+		if got := newListBalancer(t, configured, previous, nil).readyEndpoints(); !slices.Equal(got, c.want) {
+			t.Errorf("%s: ready %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// A change may come while the list is being saved, or shortly after that. Guards against a change that no save has: what
+// is saved in the end is the last list.
+func TestLastChangeIsSaved(t *testing.T) {
+	directory := t.TempDir()
+	files := func(own int) *snapshot.EndpointListFiles {
+		return snapshot.NewEndpointListFiles(filepath.Join(directory, "list"), 2, own)
+	}
+	configured := fakes.List(1, true, readyEntry("1"), readyEntry("2"), readyEntry("3"), readyEntry("4"))
+	b := newListBalancer(t, configured, Previous{}, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { b.KeepList(ctx, files(0)); close(done) }()
+	defer func() { cancel(); <-done }()
+	for n := range 200 {
+		status := []string{"Ready", "Terminating"}[n%2]
+		b.applyTestList(t, fakes.List(2+n, false, fakes.Entry("2", "127.0.0.1:92", status), fakes.Entry("3", "127.0.0.1:93", "Terminating")))
+	}
+	b.applyTestList(t, fakes.List(500, false, fakes.Entry("3", "127.0.0.1:93", "Gone"), fakes.Entry("4", "127.0.0.1:94", "Gone")))
+	var last *snapshot.EndpointList
+	for end := time.Now().Add(eventTimeout); last == nil || last.Index != 500; time.Sleep(time.Millisecond) {
+		lists, err := files(1).ReadChanged(time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(lists) > 0 {
+			last = lists[0]
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the last list is not saved; saved is %+v", last)
+		}
+	}
+	list, err := protocol.ParseEndpointList(last.Endpoints)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]protocol.EndpointStatus{}
+	for _, e := range list.Endpoints {
+		got[e.Name] = e.Status
+	}
+	want := map[string]protocol.EndpointStatus{"1": protocol.EndpointReady, "2": protocol.EndpointDraining}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("saved is %v, want %v", got, want)
+	}
+	entries, _ := os.ReadDir(directory)
+	if len(entries) != 1 {
+		t.Errorf("%v are left, want one file", entries)
+	}
+}
--- a/routing/snapshot.go
+++ b/routing/snapshot.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -105,16 +104,20 @@
 		list = b.snapshotList()
 	}
 	w.listUpdates = b.list.updates
-	s.DiscoveryServer, s.ListIndex = b.list.discovery, b.list.index
+	s.DiscoveryServer, s.ListGeneration, s.ListIndex = b.list.discovery, b.list.generation, b.list.index
 	return list, isListNew, true
 }
 
 // snapshotList copies the endpoint list. b.mu must be held.
 func (b *Balancer) snapshotList() snapshotList {
-	list := snapshotList{Index: b.list.index, IsFull: true}
+	return snapshotList{Index: b.list.index, IsFull: true, Endpoints: b.appendEntries(nil)}
+}
+
+// appendEntries appends the endpoints that are ready or drain. b.mu must be held.
+func (b *Balancer) appendEntries(entries []snapshotEntry) []snapshotEntry {
 	for i := range b.endpoints.all {
 		if e := &b.endpoints.all[i]; e.isPresent() {
-			list.Endpoints = append(list.Endpoints, snapshotEntry{
+			entries = append(entries, snapshotEntry{
 				Name:    e.name,
 				Address: e.address,
 				Zone:    nameAt(b.catalog.zoneNames, e.zone),
@@ -126,7 +129,7 @@
 			})
 		}
 	}
-	return list
+	return entries
 }
 
 // startMillis converts a start time to discovery's unit, milliseconds. It rounds, as the nanoseconds come from
@@ -135,44 +138,55 @@
 	return (started + int64(time.Millisecond/2)) / int64(time.Millisecond)
 }
 
-// restoreSnapshot restores the state that another process saved, as if this process had learned it. If the known list
-// of the configuration is newer than the saved one, it is kept. restoreSnapshot returns the number of endpoints
-// restored, and fails if the snapshot belongs to a different list.
-func (b *Balancer) restoreSnapshot(s *snapshot.Snapshot, known []byte) (int, error) {
-	index, err := checkSameList(s.EndpointList, known)
+// restoreSnapshot restores the state that another process saved, as if this process had learned it. If the snapshot's
+// list is newer than the one in effect, it is applied: the version before this one saves its list nowhere else.
+// restoreSnapshot returns the number of endpoints restored, and fails if the snapshot belongs to a different list.
+func (b *Balancer) restoreSnapshot(s *snapshot.Snapshot) (int, error) {
+	saved, err := protocol.ParseEndpointList(s.EndpointList)
 	if err != nil {
 		return 0, err
 	}
-	if s.ListIndex > index && s.DiscoveryServer == b.list.discovery {
-		if err := b.applyList(context.Background(), s.EndpointList, true); err != nil {
-			return 0, err
-		}
+	if err := checkSameEndpoints(saved, b.presentEndpoints()); err != nil {
+		return 0, err
+	}
+	if b.isNewerList(s) {
+		_ = b.applyParsedList(saved, listFromProcess, func() error { return nil })
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.policy.RestoreState(b.now(), &s.BalancerState, int64(s.Age)), nil
 }
 
-// checkSameList returns the index of the known list. It fails if that list has endpoints, but less than half of the
-// saved list's.
-func checkSameList(saved, known []byte) (index uint64, err error) {
-	savedList, err := protocol.ParseEndpointList(saved)
-	if err != nil {
-		return 0, err
+// isNewerList reports whether a snapshot's list is newer than the one in effect.
+func (b *Balancer) isNewerList(s *snapshot.Snapshot) bool {
+	hasGeneration := s.ListGeneration > 0
+	return s.DiscoveryServer == b.list.discovery && s.ListIndex > b.list.index && (!hasGeneration || s.ListGeneration >= b.list.generation)
+}
+
+// presentEndpoints returns the names of the endpoints that are ready or drain, as a list.
+func (b *Balancer) presentEndpoints() (list protocol.EndpointList) {
+	for i := range b.endpoints.all {
+		if e := &b.endpoints.all[i]; e.isPresent() {
+			list.Endpoints = append(list.Endpoints, protocol.Endpoint{Name: e.name})
+		}
 	}
+	return list
+}
+
+// checkSameEndpoints fails if a list has endpoints, but less than half of the saved list's.
+func checkSameEndpoints(saved, list protocol.EndpointList) error {
 	isSaved := map[string]bool{}
-	for _, endpoint := range savedList.Endpoints {
+	for _, endpoint := range saved.Endpoints {
 		isSaved[endpoint.Name] = true
 	}
-	knownList, _ := protocol.ParseEndpointList(known) // New has parsed it already.
-	listed, common := len(knownList.Endpoints), 0
-	for _, endpoint := range knownList.Endpoints {
+	common := 0
+	for _, endpoint := range list.Endpoints {
 		if isSaved[endpoint.Name] {
 			common++
 		}
 	}
-	if listed > 0 && 2*common < len(isSaved) {
-		return 0, fmt.Errorf("belongs to another endpoint list: %d of its %d endpoints are in the known list", common, len(isSaved))
+	if len(list.Endpoints) > 0 && 2*common < len(isSaved) {
+		return fmt.Errorf("belongs to another endpoint list: %d of its %d endpoints are in the known list", common, len(isSaved))
 	}
-	return knownList.Index, nil
+	return nil
 }
--- a/server/run.go
+++ b/server/run.go
@@ -54,6 +54,9 @@
 		s.snapshotIntervals <- s.settings.Duration("learnt.every")
 		go writeSnapshots(ctx, s.balancer.NewSnapshotWriter(s.snapshotPath, s.configuration.Name), s.siblings, s.snapshotIntervals, s.log)
 	}
+	if s.listFiles != nil {
+		go s.balancer.KeepList(ctx, s.listFiles)
+	}
 	if s.fleet != nil {
 		s.fleetDone = make(chan struct{})
 		go func() { s.fleet.Run(ctx); close(s.fleetDone) }()
--- a/server/server.go
+++ b/server/server.go
@@ -45,8 +45,9 @@
 
 // Files in $TMPDIR; docs/upgrades.md lists them.
 const (
-	ejectionsFile = "hollylever.bans"   // cache hosts that operators took out by hand
-	snapshotFile  = "hollylever.learnt" // what the balancer learned
+	ejectionsFile  = "hollylever.bans"   // cache hosts that operators took out by hand
+	snapshotFile   = "hollylever.learnt" // what the balancer learned
+	listFilePrefix = "hollylever.list"   // the endpoint list, a file for each process: followed by the process's number
 )
 
 // Server is one balancer process. New and Run are called by one goroutine, which owns all fields; what it shares with
@@ -64,10 +65,11 @@
 	logWrites *stallwatch.Timer // times the writes to standard error
 	flushLog  func()
 
-	ejectionsPath     string             // empty: ejections by hand last as long as the process
-	snapshotPath      string             // empty: none is written
-	restored          *snapshot.Snapshot // what an earlier process learned; nil: nothing
-	snapshotIntervals chan time.Duration // tells the writer of snapshots its interval
+	ejectionsPath     string                      // empty: ejections by hand last as long as the process
+	snapshotPath      string                      // empty: none is written
+	snapshotIntervals chan time.Duration          // tells the writer of snapshots its interval
+	listFiles         *snapshot.EndpointListFiles // nil: the endpoint list is not saved
+	previous          routing.Previous            // what other processes have left
 
 	siblings  *siblings.Group // nil: no other process of this balancer can run, or nothing is known of them
 	resources resourceLimits
@@ -148,8 +150,8 @@
 
 func (s *Server) inFleet() bool { return s.settings.Boolean("fleet.on") }
 
-// openStateDirectory joins the other processes of this balancer and reads the snapshot of an earlier one, both in
-// $TMPDIR. Neither is needed to serve: an error is logged, and the process runs as without.
+// openStateDirectory joins the other processes of this balancer and reads what they, or earlier ones, have left, all in
+// $TMPDIR. None of it is needed to serve: an error is logged, and the process runs as without.
 func (s *Server) openStateDirectory() {
 	directory := os.Getenv("TMPDIR")
 	if directory == "" {
@@ -162,17 +164,32 @@
 			s.log.Warn().Err(err).Msg("sibling processes not joined")
 		}
 	}
+	s.readEndpointLists(directory)
 	if s.settings.Boolean("learnt.on") {
 		s.snapshotPath = filepath.Join(directory, snapshotFile)
 		s.readSnapshot()
 	}
 }
 
+// readEndpointLists reads the endpoint lists that other processes have saved. A process that knows of no others has the
+// last file, which no process of a group uses.
+func (s *Server) readEndpointLists(directory string) {
+	own := siblings.MaxProcesses
+	if s.siblings != nil {
+		own = s.siblings.Slot()
+	}
+	s.listFiles = snapshot.NewEndpointListFiles(filepath.Join(directory, listFilePrefix), siblings.MaxProcesses+1, own)
+	var err error
+	if s.previous.Lists, err = s.listFiles.ReadChanged(time.Now()); err != nil {
+		s.log.Warn().Err(err).Msg("endpoint list not read")
+	}
+}
+
 func (s *Server) readSnapshot() {
 	var err error
 	file := snapshot.File{Path: s.snapshotPath}
 	fingerprint := routing.Fingerprint(s.configuration.Settings)
-	s.restored, err = file.Read(s.configuration.Name, fingerprint, time.Now(), s.settings.Duration("learnt.lasts"))
+	s.previous.Snapshot, err = file.Read(s.configuration.Name, fingerprint, time.Now(), s.settings.Duration("learnt.lasts"))
 	if err != nil {
 		s.log.Warn().Err(err).Msg("snapshot not restored")
 	}
@@ -181,7 +198,7 @@
 func (s *Server) startBalancer() (err error) {
 	c := s.configuration
 	s.balancer, err = routing.New(c.Settings, c.EndpointList, c.DiscoveryAddress, c.Seed, s.pool, requestMemoryLimit(s.capacity.memoryBytes),
-		s.ejectionsPath, s.restored, s.log)
+		s.ejectionsPath, s.previous, s.log)
 	if err != nil {
 		return fmt.Errorf("%s: known: %w", c.File, err)
 	}
--- a/siblings/group.go
+++ b/siblings/group.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// maxProcesses is the maximum number of processes of one balancer. An upgrade needs two, and an upgrade that is
+	// MaxProcesses is the maximum number of processes of one balancer. An upgrade needs two, and an upgrade that is
 	// started during another one needs three.
-	maxProcesses = 8
+	MaxProcesses = 8
 	// attemptDecay is the time constant with which counted attempts decay, to 1/e. It matches how quickly clients move
 	// over to a new process.
 	attemptDecay = 300 * time.Millisecond
@@ -27,8 +27,8 @@
 	raiseLockFile   = "hollylever.kin.turn"
 )
 
-// ErrTooManyProcesses is returned by Join if the balancer already has maxProcesses processes.
-var ErrTooManyProcesses = fmt.Errorf("already %d processes of this balancer running", maxProcesses)
+// ErrTooManyProcesses is returned by Join if the balancer already has MaxProcesses processes.
+var ErrTooManyProcesses = fmt.Errorf("already %d processes of this balancer running", MaxProcesses)
 
 // Group is this process's membership in the group of processes of its balancer. Its methods are safe for concurrent
 // use.
@@ -41,7 +41,7 @@
 	slot         int
 	stateFile    *os.File                  // state file of the slot, held under an exclusive flock
 	raiseLock    *os.File                  // locked by the process that may raise its claim
-	runningSlots [maxProcesses]atomic.Bool // as last read
+	runningSlots [MaxProcesses]atomic.Bool // as last read
 
 	mu           sync.Mutex // guards the fields below
 	own          processState
@@ -61,7 +61,7 @@
 	}
 	g := &Group{total: total, directory: directory, raiseLock: raiseLock,
 		own: processState{PID: os.Getpid(), StartedAt: startedAtBase + monotime.Now(), Phase: Starting}}
-	for slot := range maxProcesses {
+	for slot := range MaxProcesses {
 		stateFile, err := openFile(g.statePath(slot), os.O_CREATE)
 		if err != nil {
 			raiseLock.Close()
@@ -78,6 +78,9 @@
 	return nil, ErrTooManyProcesses
 }
 
+// Slot returns the number of this process's slot, below MaxProcesses. No other running process of the group has it.
+func (g *Group) Slot() int { return g.slot }
+
 // openFile opens a file for reading and writing. It does not follow symbolic links, as other users may be able to write
 // to the directory.
 func openFile(path string, flags int) (*os.File, error) {
@@ -108,7 +111,7 @@
 // readOthers reads the states of the other processes. The caller must hold g.mu.
 func (g *Group) readOthers() {
 	g.others = g.others[:0]
-	for slot := range maxProcesses {
+	for slot := range MaxProcesses {
 		if slot == g.slot {
 			continue
 		}
--- a/siblings/group_test.go
+++ b/siblings/group_test.go
@@ -144,7 +144,7 @@
 			case action == 2 && len(running) > 0:
 				running[random.IntN(len(running))].SetPhase([]Phase{Serving, Draining}[random.IntN(2)])
 			case action == 3:
-				os.WriteFile(fmt.Sprintf("%s/hollylever.kin.%d", directory, random.IntN(maxProcesses)), []byte(`{"pid":`), 0o600) // partially written
+				os.WriteFile(fmt.Sprintf("%s/hollylever.kin.%d", directory, random.IntN(MaxProcesses)), []byte(`{"pid":`), 0o600) // partially written
 			case len(running) > 0:
 				g := running[random.IntN(len(running))]
 				allowed := allowance(g.total, g.own, g.others)
@@ -182,12 +182,12 @@
 	}
 }
 
-// Guards against more than maxProcesses processes, whose claims the others would not read. A ninth process must be
+// Guards against more than MaxProcesses processes, whose claims the others would not read. A ninth process must be
 // rejected; once a process has ended, a new one can join.
 func TestJoinFailsWithoutFreeSlot(t *testing.T) {
 	directory := t.TempDir()
 	var running []*Group
-	for range maxProcesses {
+	for range MaxProcesses {
 		running = append(running, join(t, directory))
 	}
 	if _, err := Join(directory, limits); !errors.Is(err, ErrTooManyProcesses) {
--- a/siblings/results.go
+++ b/siblings/results.go
@@ -101,7 +101,7 @@
 	openedAtUptime int64 // the same, by package monotime
 	group          *Group
 	own            *resultTable
-	others         [maxProcesses]atomic.Pointer[resultTable]
+	others         [MaxProcesses]atomic.Pointer[resultTable]
 }
 
 // ResultHandle is a request in this process's file. The zero handle is in none.
--- a/snapshot/file.go
+++ b/snapshot/file.go
@@ -12,9 +12,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrLocked reports that another process is writing the snapshot. This is not a fault: the other process's snapshot
-// serves as well.
-var ErrLocked = errors.New("another process is writing the snapshot")
+// ErrLocked reports that another process is writing the file. For a snapshot this is not a fault: the other process's
+// snapshot serves as well.
+var ErrLocked = errors.New("another process is writing the file")
 
 // Errors for files that other users put in the directory, which may be world-writable.
 var (
@@ -30,29 +30,35 @@
 	buffer []byte // reused by each Write
 }
 
-// Write replaces the file's content with a snapshot and returns its size in bytes. It writes PATH.new and renames it,
-// so that a process that dies during the write leaves the old snapshot intact. It does not sync: Read refuses a
-// snapshot that is some seconds old, and a restart after a power loss takes longer than that.
+// Write replaces the file's content with a snapshot and returns its size in bytes. A process that dies during the write
+// leaves the old snapshot intact.
 func (f *File) Write(s *Snapshot) (size int, err error) {
-	if f.buffer, err = encode(f.buffer[:0], s); err != nil {
+	if f.buffer, err = snapshotFormat.encode(f.buffer[:0], s); err != nil {
 		return 0, fmt.Errorf("encode snapshot: %w", err)
 	}
-	replacement, err := openLocked(f.Path + ".new")
+	return len(f.buffer), replaceFile(f.Path, f.buffer)
+}
+
+// replaceFile replaces a file's content. It writes PATH.new and renames it, so that a process that dies during the
+// write leaves the old content intact. It does not sync: what the files hold is of use to a process that starts while
+// the machine stays up.
+func replaceFile(path string, content []byte) error {
+	replacement, err := openLocked(path + ".new")
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer replacement.Close()
 	if err := replacement.Truncate(0); err != nil {
-		return 0, fmt.Errorf("truncate snapshot: %w", err)
+		return fmt.Errorf("truncate new file: %w", err)
 	}
-	if _, err := replacement.Write(f.buffer); err != nil {
-		// Frees the space of the incomplete snapshot, as the disk may be full.
-		return 0, fmt.Errorf("write snapshot: %w", errors.Join(err, replacement.Truncate(0)))
+	if _, err := replacement.Write(content); err != nil {
+		// Frees the space of the incomplete file, as the disk may be full.
+		return fmt.Errorf("write new file: %w", errors.Join(err, replacement.Truncate(0)))
 	}
-	if err := os.Rename(replacement.Name(), f.Path); err != nil {
-		return 0, fmt.Errorf("rename new snapshot over old snapshot: %w", err)
+	if err := os.Rename(replacement.Name(), path); err != nil {
+		return fmt.Errorf("rename new file over old file: %w", err)
 	}
-	return len(f.buffer), nil
+	return nil
 }
 
 // openLocked opens or creates a file for writing and locks it until it is closed. It returns ErrLocked if another
@@ -60,7 +66,7 @@
 func openLocked(path string) (*os.File, error) {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|unix.O_NOFOLLOW, 0o600)
 	if err != nil {
-		return nil, fmt.Errorf("open new snapshot: %w", err)
+		return nil, fmt.Errorf("open new file: %w", err)
 	}
 	if err := lock(file); err != nil {
 		file.Close()
@@ -73,16 +79,16 @@
 // opened.
 func lock(file *os.File) error {
 	if err := checkOwnership(file); err != nil {
-		return fmt.Errorf("new snapshot %s: %w", file.Name(), err)
+		return fmt.Errorf("new file %s: %w", file.Name(), err)
 	}
 	if err := unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
 		return ErrLocked
 	}
-	// Another writer may have renamed the file between open and lock. The open file would then be the current snapshot,
-	// which must not be truncated.
+	// Another writer may have renamed the file between open and lock. The open file would then be the current one, which
+	// must not be truncated.
 	opened, err := file.Stat()
 	if err != nil {
-		return fmt.Errorf("new snapshot: %w", err)
+		return fmt.Errorf("new file: %w", err)
 	}
 	if named, err := os.Lstat(file.Name()); err != nil || !os.SameFile(opened, named) {
 		return ErrLocked
@@ -112,18 +118,18 @@
 // report a snapshot that is refused; other errors come from the file system or a file that is not regular or not this
 // user's.
 func (f *File) Read(balancerName string, settingsFingerprint uint64, now time.Time, maxAge time.Duration) (*Snapshot, error) {
-	content, err := f.readFile()
+	content, err := readFile(f.Path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, fmt.Errorf("read snapshot %s: %w", f.Path, err)
 	}
-	s, err := decode(content)
+	s, err := decodeSnapshot(content)
 	if err != nil {
 		return nil, fmt.Errorf("read snapshot %s: %w", f.Path, err)
 	}
-	s.Age = s.age(now)
+	s.Age = age(now, s.WrittenAt, s.BootID, s.SinceBoot)
 	if err := s.checkApplies(balancerName, settingsFingerprint, maxAge); err != nil {
 		return nil, fmt.Errorf("read snapshot %s: %w", f.Path, err)
 	}
@@ -131,10 +137,10 @@
 	return s, nil
 }
 
-// readFile returns the file's content, limited to one byte more than maxFileSize. A pipe in its place does not block
-// the open, and is refused.
-func (f *File) readFile() ([]byte, error) {
-	file, err := os.OpenFile(f.Path, os.O_RDONLY|unix.O_NOFOLLOW|unix.O_NONBLOCK, 0)
+// readFile returns a file's content, limited to one byte more than maxFileSize. A pipe in its place does not block the
+// open, and is refused.
+func readFile(path string) ([]byte, error) {
+	file, err := os.OpenFile(path, os.O_RDONLY|unix.O_NOFOLLOW|unix.O_NONBLOCK, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/snapshot/file_test.go
+++ b/snapshot/file_test.go
@@ -110,7 +110,7 @@
 		}
 	}
 	f, content := writeSnapshot(t, sampleSnapshot(0))
-	binary.LittleEndian.PutUint32(content[len(fileMagic):], formatVersion+1)
+	binary.LittleEndian.PutUint32(content[magicSize:], snapshotFormat.version+1)
 	if _, err := writeAndRead(t, f, content); !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), "version") {
 		t.Errorf("of another version: %v", err)
 	}
@@ -143,10 +143,10 @@
 	f.Add(body)
 	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, body []byte) {
-		content := binary.LittleEndian.AppendUint32([]byte(fileMagic), formatVersion)
+		content := binary.LittleEndian.AppendUint32([]byte(snapshotFormat.magic), snapshotFormat.version)
 		content = binary.LittleEndian.AppendUint32(content, uint32(len(body)))
 		content = binary.LittleEndian.AppendUint32(content, crc32.Checksum(body, castagnoli))
-		if s, err := decode(append(content, body...)); err == nil && s.BalancerState.Check() != nil {
+		if s, err := decodeSnapshot(append(content, body...)); err == nil && s.BalancerState.Check() != nil {
 			t.Error("an inconsistent snapshot is returned")
 		}
 	})
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -5,7 +5,10 @@
 // (file.go), and reads it back only if it is complete, recent, and written by the same balancer under the same
 // settings. Anything else is refused with an error, and the process starts as if there were no file.
 //
-// The file consists of a header of fixed size and the snapshot in CBOR (format.go).
+// The endpoint list, as discovery told it, has files of its own (endpointlist.go), one for each process: unlike what was
+// learned it does not age, does not depend on the settings, and counts as soon as any process has been told of it.
+//
+// A file consists of a header of fixed size and its content in CBOR (format.go).
 package snapshot
 
 import (
@@ -42,21 +45,23 @@
 
 	DiscoveryServer string `cbor:"Discovery"` // address of the discovery server that assigned ListIndex
 	ListIndex       uint64 `cbor:"Index"`     // revision of the endpoint list
-	EndpointList    []byte `cbor:"List"`      // in the JSON format of the discovery server
+	// ListGeneration is as EndpointList.Generation. It is 0 in a snapshot of a version that has no generations.
+	ListGeneration uint64 `cbor:"ListGeneration,omitempty"`
+	EndpointList   []byte `cbor:"List"` // in the JSON format of the discovery server
 
 	BalancerState policy.State `cbor:"State"` // what package policy has learned
 
 	Age time.Duration `cbor:"-"` // age at the time of reading; set by Read, ignored by Write
 }
 
-// age returns the age of the snapshot. As the wall clock may have been stepped since the snapshot was written, the age
-// is measured by the monotonic clock if the machine has not rebooted since. Otherwise it is measured by the wall clock
-// and may be negative.
-func (s *Snapshot) age(now time.Time) time.Duration {
-	if s.BootID != "" && s.BootID == monotime.BootID() {
-		return time.Duration(monotime.Now() - s.SinceBoot)
+// age returns how long ago something was written, at writtenAt by the wall clock and sinceBoot by the clock of the boot
+// bootID. As the wall clock may have been stepped since, the age is measured by the monotonic clock if the machine has
+// not rebooted. Otherwise it is measured by the wall clock and may be negative.
+func age(now time.Time, writtenAt int64, bootID string, sinceBoot int64) time.Duration {
+	if bootID != "" && bootID == monotime.BootID() {
+		return time.Duration(monotime.Now() - sinceBoot)
 	}
-	return time.Duration(now.UnixNano() - s.WrittenAt)
+	return time.Duration(now.UnixNano() - writtenAt)
 }
 
 // checkApplies returns ErrNotApplicable if the snapshot is from another balancer, from other settings, or too old. A
