What discovery tells one process of an upgrade reaches the other one while both run

What callers saw: discovery takes no new calls, goes on telling the old process's watch, and tells it of a drain after SIGTERM; the new process goes on sending to the host until discovery takes its call.

Cause: a process that runs learned of a list from its own watch only. Saved lists were read at the start.

Change: a process that may have others beside it looks at their saved lists every 50 ms, as it does at the ejections by hand, and adopts one of the same discovery server with a higher index. A list that its own watch delivers later and that is older than the adopted one is skipped: what it states is in that one, and may have changed since. A list of a server that was rebuilt is told from that by the index that the same watch had before, and counts.

TestAdoptedListIsNotUndoneByLateWatch guards the order of lists against this change itself.

--- a/routing/endpointlist.go
+++ b/routing/endpointlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -46,18 +47,30 @@
 	if err != nil {
 		return err
 	}
-	return b.applyParsedList(list, listFromDiscovery, func() error {
+	err = b.applyParsedList(list, listFromDiscovery, func() error {
 		if err := watch.ctx.Err(); err != nil {
 			return err
 		}
-		if list.Index < watch.index {
+		previousIndex := watch.index
+		watch.index = list.Index
+		switch {
+		case list.Index < previousIndex:
 			b.list.generation++ // The server was rebuilt.
+		case list.Index < b.list.index:
+			return errSuperseded
 		}
-		watch.index = list.Index
 		return nil
 	})
+	if errors.Is(err, errSuperseded) {
+		return nil
+	}
+	return err
 }
 
+// errSuperseded is returned for a list that is older than one adopted from another process of this balancer. What it
+// states is in that one already, and may have changed since.
+var errSuperseded = errors.New("a newer list has been adopted")
+
 // applyParsedList applies a list to the endpoints and the policy, unless mayApply, which is called with b.mu held,
 // returns an error. It acquires b.mu.
 func (b *Balancer) applyParsedList(list protocol.EndpointList, source listSource, mayApply func() error) error {
--- a/routing/listkeeper.go
+++ b/routing/listkeeper.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// savedListPollInterval is how often the lists that other processes of this balancer save are looked at.
+	savedListPollInterval = 50 * time.Millisecond
 	// saveCostShare bounds the part of the time that is spent on saving the list, while it changes without end, to one in
 	// so many.
 	saveCostShare = 25
@@ -19,7 +21,8 @@
 	saveRetryInterval = time.Second
 )
 
-// listKeeper saves the endpoint list when this process is told of a change. Only the goroutine of KeepList uses it.
+// listKeeper saves the endpoint list when this process is told of a change, and adopts newer lists that other processes
+// of this balancer save. Only the goroutine of KeepList uses it.
 type listKeeper struct {
 	balancer *Balancer
 	files    *snapshot.EndpointListFiles
@@ -32,12 +35,18 @@
 	encoded bytes.Buffer
 }
 
-// KeepList saves the endpoint list in a file whenever discovery tells of a change. It returns when the context ends. It
-// must be called only once.
-func (b *Balancer) KeepList(ctx context.Context, files *snapshot.EndpointListFiles) {
+// KeepList saves the endpoint list in a file whenever discovery tells of a change, and, if other processes of this
+// balancer may run beside this one, adopts what they are told. It returns when the context ends. It must be called only
+// once.
+func (b *Balancer) KeepList(ctx context.Context, files *snapshot.EndpointListFiles, hasSiblings bool) {
 	k := &listKeeper{balancer: b, files: files, save: time.NewTimer(0)}
 	defer k.save.Stop()
 	k.save.Stop()
+	poll := time.NewTicker(savedListPollInterval)
+	defer poll.Stop()
+	if !hasSiblings {
+		poll.Stop()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -46,6 +55,8 @@
 			k.save.Reset(time.Until(k.nextSave))
 		case <-k.save.C:
 			k.saveList()
+		case <-poll.C:
+			k.adoptLists()
 		}
 	}
 }
@@ -88,3 +99,16 @@
 	list.Endpoints = k.encoded.Bytes()
 	return k.files.Write(&list)
 }
+
+// adoptLists adopts what other processes have saved since the last call.
+func (k *listKeeper) adoptLists() {
+	lists, err := k.files.ReadChanged(time.Now())
+	if err != nil {
+		k.balancer.log.Warn().Err(err).Msg("endpoint list not read")
+	}
+	for _, list := range lists {
+		if err := k.balancer.adoptList(list); err != nil {
+			k.balancer.log.Warn().Err(err).Msg("endpoint list not read")
+		}
+	}
+}
--- a/routing/savedlist.go
+++ b/routing/savedlist.go
@@ -125,6 +125,39 @@
 	return count
 }
 
+// adoptList applies the list that a running process of this balancer has saved, if it is newer than this process's own.
+// During an upgrade the watch of one process may still deliver while that of the other is down.
+func (b *Balancer) adoptList(saved *snapshot.EndpointList) error {
+	errNotNewer := errors.New("not newer")
+	isNewer := func() error {
+		if saved.DiscoveryServer != b.list.discovery || saved.Generation < b.list.generation || saved.Index <= b.list.index {
+			return errNotNewer
+		}
+		return nil
+	}
+	b.mu.Lock()
+	err := isNewer()
+	b.mu.Unlock()
+	if err != nil {
+		return nil
+	}
+	parsed, err := protocol.ParseEndpointList(saved.Endpoints)
+	if err != nil {
+		return err
+	}
+	err = b.applyParsedList(parsed, listFromProcess, func() error {
+		if err := isNewer(); err != nil {
+			return err
+		}
+		b.list.generation = saved.Generation
+		return nil
+	})
+	if errors.Is(err, errNotNewer) {
+		return nil
+	}
+	return err
+}
+
 // toSave returns what is to be saved of the endpoint list, except for the endpoints, which it copies to entries. b.mu
 // must be held.
 func (b *Balancer) toSave(entries []snapshotEntry) (snapshot.EndpointList, []snapshotEntry) {
--- a/routing/savedlist_test.go
+++ b/routing/savedlist_test.go
@@ -144,6 +144,53 @@
 	}
 }
 
+// Both processes of an upgrade watch discovery, and one may be told later than the other. Guards against a list that
+// the late watch delivers and that undoes what the other process was told since, and against an adopted list that hides
+// one of a rebuilt server.
+func TestAdoptedListIsNotUndoneByLateWatch(t *testing.T) {
+	configured := fakes.List(10, true, readyEntry("1"), readyEntry("2"))
+	b := newListBalancer(t, configured, Previous{}, nil)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	watch := &listWatch{balancer: b, ctx: ctx, cancel: cancel, index: 10}
+	deliver := func(index int, isFull bool, entries ...string) {
+		t.Helper()
+		if err := b.applyWatchedList(watch, []byte(fakes.List(index, isFull, entries...))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect := func(what string, index, generation uint64, want ...string) {
+		t.Helper()
+		if got := b.readyEndpoints(); !slices.Equal(got, want) || b.list.index != index || b.list.generation != generation {
+			t.Errorf("%s: ready %v, index %d, generation %d; want %v, %d, %d", what, got, b.list.index, b.list.generation, want, index, generation)
+		}
+	}
+	adopt := func(list *snapshot.EndpointList) {
+		t.Helper()
+		if err := b.adoptList(list); err != nil {
+			t.Fatal(err)
+		}
+	}
+	adopt(savedBy(t, configured, testDiscovery, 1, 13, readyEntry("1"), drainingEntry("2")))
+	expect("adopted", 13, 1, "1")
+	deliver(12, false, readyEntry("2"))
+	expect("a late change", 13, 1, "1")
+	deliver(12, true, readyEntry("1"), readyEntry("2"))
+	expect("a late full list", 13, 1, "1")
+	adopt(savedBy(t, configured, testDiscovery, 1, 12, drainingEntry("1"), readyEntry("2")))
+	expect("an older list of another process", 13, 1, "1")
+	adopt(savedBy(t, configured, otherDiscovery, 1, 99, drainingEntry("1"), readyEntry("2")))
+	expect("a list of another server", 13, 1, "1")
+	deliver(14, false, readyEntry("2"))
+	expect("taken back", 14, 1, "1", "2")
+	deliver(2, true, drainingEntry("1"), readyEntry("2"))
+	expect("a rebuilt server", 2, 2, "2")
+	adopt(savedBy(t, configured, testDiscovery, 1, 15, readyEntry("1"), drainingEntry("2")))
+	expect("a list of the server before", 2, 2, "2")
+	deliver(3, false, readyEntry("1"))
+	expect("and its next list", 3, 2, "1", "2")
+}
+
 // A change may come while the list is being saved, or shortly after that. Guards against a change that no save has: what
 // is saved in the end is the last list.
 func TestLastChangeIsSaved(t *testing.T) {
@@ -155,7 +202,7 @@
 	b := newListBalancer(t, configured, Previous{}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { b.KeepList(ctx, files(0)); close(done) }()
+	go func() { b.KeepList(ctx, files(0), true); close(done) }()
 	defer func() { cancel(); <-done }()
 	for n := range 200 {
 		status := []string{"Ready", "Terminating"}[n%2]
--- a/server/run.go
+++ b/server/run.go
@@ -55,7 +55,7 @@
 		go writeSnapshots(ctx, s.balancer.NewSnapshotWriter(s.snapshotPath, s.configuration.Name), s.siblings, s.snapshotIntervals, s.log)
 	}
 	if s.listFiles != nil {
-		go s.balancer.KeepList(ctx, s.listFiles)
+		go s.balancer.KeepList(ctx, s.listFiles, s.siblings != nil)
 	}
 	if s.fleet != nil {
 		s.fleetDone = make(chan struct{})
--- a/server/savedlist_test.go
+++ b/server/savedlist_test.go
@@ -8,17 +8,18 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"hollylever/fakes"
 )
 
-// tellOld has discovery change entries, and waits until a process has been told.
-func (w *testBed) tellOld(t *testing.T, old *fakes.Process, name string, entries map[string]string) {
+// tell has discovery change entries, and waits until a process logs what it has been told.
+func (w *testBed) tell(t *testing.T, p *fakes.Process, entries map[string]string, logged string) {
 	t.Helper()
 	w.discovery.Tell(entries)
-	waitForLogLine(t, old, fmt.Sprintf(`%q]`, name))
+	waitForLogLine(t, p, logged)
 }
 
 func (w *testBed) entry(host int, status string, sinceMS ...int64) map[string]string {
@@ -123,7 +124,7 @@
 			if c.tell != nil {
 				told = c.tell(w)
 			}
-			w.tellOld(t, old, w.hosts[1].Name, told)
+			w.tell(t, old, told, `["s-1"]`)
 			w.discovery.Close()
 			if c.change != nil {
 				c.change(t, w)
@@ -150,6 +151,47 @@
 	return false
 }
 
+// Discovery takes no new watches, and tells the old process's watch of a drain after SIGTERM. Guards against news that
+// only the old process of an upgrade hears: the new one would send to the host until discovery takes its call.
+func TestDrainToldToOldProcessHoldsAtNewProcess(t *testing.T) {
+	t.Parallel()
+	a, fromA := startHost(t)
+	b, fromB := startHost(t)
+	d, calls := startDiscovery(t)
+	platform, err := fakes.NewPlatform(t.TempDir(), fakes.Setup{Discovery: d, Limits: testBedLimits, Core: -1, Program: os.Args[0],
+		Known: endpointList(4, true, listEntry("a", a, "Ready"), listEntry("b", b, "Ready")), Variables: []string{programVariable + "=1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(platform.Close)
+	w := &testBed{Platform: platform}
+	old := w.start(t)
+	watch := receive(t, calls, "the old process's watch")
+	watch.Say("")
+	p := &program{t: t, address: platform.Address}
+	open := p.connect().send("C.GET", "k", "1", "c=read,t=acme,d=3000") // Keeps the old process from ending.
+	var held command
+	select {
+	case held = <-fromA:
+	case held = <-fromB:
+	}
+	young := w.start(t)
+	receive(t, calls, "the new process's watch")
+	old.Cmd.Process.Signal(syscall.SIGTERM)
+	waitForLogLine(t, old, `"message":"stopping"`)
+	watch.Say(endpointList(5, false, listEntry("a", a, "Terminating")))
+	waitForLogLine(t, young, `"index":5,"changed":1,"ready":[],"draining":["a"],"gone":[]`)
+	c := p.connect()
+	for n := range 20 {
+		c.send("C.GET", fmt.Sprint(n), "id", "c=read,t=acme,d=3000")
+		receive(t, fromB, "the request").Reply(valueReply("v"))
+		c.expectReply("v")
+	}
+	expectNoCommand(t, fromA)
+	held.Reply(valueReply("held"))
+	open.expectReply("held")
+}
+
 // A host starts anew, cold, in a quiet time, and the next process starts while discovery is down. Guards against a start
 // that is known to one process only: the next one would push the cold host over with a warm host's share.
 func TestStartOfHostIsKnownAtNextProcessWhileDiscoveryIsDown(t *testing.T) {
@@ -188,7 +230,7 @@
 	w := newTestBed(t, 3, -1, testBedLimits)
 	w.discovery.Count(50)
 	old := w.start(t)
-	w.tellOld(t, old, "s-1", w.entry(1, "Terminating"))
+	w.tell(t, old, w.entry(1, "Terminating"), `"draining":["s-1"]`)
 	waitUntil(t, "the saved list", func() bool { return isListSaved(w, "Terminating") })
 	old.Kill()
 	w.discovery.Count(2)
@@ -214,7 +256,7 @@
 	t.Parallel()
 	w := newTestBed(t, 3, -1, testBedLimits)
 	old := w.start(t)
-	w.tellOld(t, old, "s-1", w.entry(1, "Terminating"))
+	w.tell(t, old, w.entry(1, "Terminating"), `"draining":["s-1"]`)
 	waitUntil(t, "the saved list", func() bool { return isListSaved(w, "Terminating") })
 	old.Kill()
 	w.discovery.Close()
@@ -249,9 +291,9 @@
 		t.Fatal(err)
 	}
 	p := w.start(t)
-	w.tellOld(t, p, "s-1", w.entry(1, "Terminating"))
+	w.tell(t, p, w.entry(1, "Terminating"), `"draining":["s-1"]`)
 	waitForLogLine(t, p, `"message":"endpoint list not saved"`)
-	w.tellOld(t, p, "s-2", w.entry(2, "Terminating"))
+	w.tell(t, p, w.entry(2, "Terminating"), `"draining":["s-2"]`)
 	if err := os.Remove(blocked); err != nil {
 		t.Fatal(err)
 	}
