A host that drained before it was removed stays out at the next process

What callers saw: where the settings have only drains bind (invariants.onlyDrainingBinds), a host that drained and is then removed gets requests from the next process for a minute, also with discovery up.

Cause: such a host may be sent to if it is merely missing from the list. That it drained is known to the process that was told so, and to nobody once the host is out of the list; the next process finds it ready in its configuration, then missing.

Change: a process keeps the names of those that drained, or lost their address to another, until a list has them as ready (the last 4,096), and saves those that are no longer listed with its list, as gone. The next process keeps them out, and hands them on.

TestLastChangeIsSaved holds what is saved.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -46,6 +46,7 @@
 	ejections       ejections
 	list            listState
 	drains          drainLog
+	retired         drainLog // endpoints that a list drained, or whose address it gave to another, and that are not ready since
 	counters        counters
 	leaseCheck      func()          // called before each decision; nil without a fleet
 	outlierExchange OutlierExchange // nil without a fleet
--- a/routing/drains.go
+++ b/routing/drains.go
@@ -20,15 +20,21 @@
 	if l.byHost == nil {
 		l.byHost = map[string]*list.Element{}
 	}
-	if earlier := l.byHost[host]; earlier != nil {
-		l.order.Remove(earlier)
-	}
+	l.remove(host)
 	l.byHost[host] = l.order.PushBack(Drain{host, index})
 	if l.order.Len() > maxEndpoints {
 		delete(l.byHost, l.order.Remove(l.order.Front()).(Drain).Host)
 	}
 }
 
+// remove removes the drain of an endpoint, if there is one.
+func (l *drainLog) remove(host string) {
+	if drain := l.byHost[host]; drain != nil {
+		l.order.Remove(drain)
+		delete(l.byHost, host)
+	}
+}
+
 // each calls f for each drain, oldest first.
 func (l *drainLog) each(f func(Drain)) {
 	for e := l.order.Front(); e != nil; e = e.Next() {
--- a/routing/endpointlist.go
+++ b/routing/endpointlist.go
@@ -144,6 +144,9 @@
 	health := healthByStatus[entry.Status]
 	b.endpoints.everListed.add(entry.Name)
 	i, isKnown := b.endpoints.byName[entry.Name]
+	if health == policy.Removed && u.source == listFromProcess {
+		b.retired.add(entry.Name, u.list.Index) // The saved list has such endpoints only.
+	}
 	if !isKnown && health == policy.Removed {
 		return
 	}
@@ -174,7 +177,7 @@
 		weight:       entry.Weight,
 		isListed:     true,
 		attempts:     previous.attempts,
-		isRetired:    previous.isRetired,
+		isRetired:    previous.isRetired || health == policy.Removed && u.source == listFromProcess,
 	}
 	u.setHealth(i, previousStatus, health)
 }
@@ -232,5 +235,10 @@
 	}
 	e.health, e.removedAt = health, u.now
 	e.isRetired = health == policy.Draining || health == policy.Removed && e.isRetired
+	if e.isRetired {
+		b.retired.add(e.name, b.list.index)
+	} else if health == policy.Ready {
+		b.retired.remove(e.name)
+	}
 	b.updatePolicyEndpoint(u.now, i)
 }
--- a/routing/savedlist.go
+++ b/routing/savedlist.go
@@ -162,6 +162,11 @@
 // must be held.
 func (b *Balancer) toSave(entries []snapshotEntry) (snapshot.EndpointList, []snapshotEntry) {
 	entries = b.appendEntries(entries)
+	b.retired.each(func(d Drain) {
+		if i, isListed := b.endpoints.byName[d.Host]; !isListed || !b.endpoints.all[i].isPresent() {
+			entries = append(entries, snapshotEntry{Name: d.Host, Status: protocol.EndpointGone.String()})
+		}
+	})
 	return snapshot.EndpointList{
 		DiscoveryServer:  b.list.discovery,
 		Generation:       b.list.generation,
--- a/routing/savedlist_test.go
+++ b/routing/savedlist_test.go
@@ -192,7 +192,7 @@
 }
 
 // A change may come while the list is being saved, or shortly after that. Guards against a change that no save has: what
-// is saved in the end is the last list.
+// is saved in the end is the last list, and it names only endpoints that drained as gone.
 func TestLastChangeIsSaved(t *testing.T) {
 	directory := t.TempDir()
 	files := func(own int) *snapshot.EndpointListFiles {
@@ -230,7 +230,7 @@
 	for _, e := range list.Endpoints {
 		got[e.Name] = e.Status
 	}
-	want := map[string]protocol.EndpointStatus{"1": protocol.EndpointReady, "2": protocol.EndpointDraining}
+	want := map[string]protocol.EndpointStatus{"1": protocol.EndpointReady, "2": protocol.EndpointDraining, "3": protocol.EndpointGone}
 	if fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Errorf("saved is %v, want %v", got, want)
 	}
--- a/routing/snapshot.go
+++ b/routing/snapshot.go
@@ -177,7 +177,9 @@
 func checkSameEndpoints(saved, list protocol.EndpointList) error {
 	isSaved := map[string]bool{}
 	for _, endpoint := range saved.Endpoints {
-		isSaved[endpoint.Name] = true
+		if endpoint.Status != protocol.EndpointGone {
+			isSaved[endpoint.Name] = true
+		}
 	}
 	common := 0
 	for _, endpoint := range list.Endpoints {
--- a/server/savedlist_test.go
+++ b/server/savedlist_test.go
@@ -192,6 +192,31 @@
 	open.expectReply("held")
 }
 
+// A host drains and is then removed, where the settings have only drains bind: a host that is merely missing may still be
+// sent to. Guards against a next process that knows that the host is gone and not that it drained, also with discovery up.
+func TestHostThatDrainedAndIsGoneStaysOutAtNextProcess(t *testing.T) {
+	t.Parallel()
+	for _, isDown := range []bool{true, false} {
+		t.Run(fmt.Sprint("discovery_down_", isDown), func(t *testing.T) {
+			t.Parallel()
+			w := newTestBed(t, 5, -1, testBedLimits)
+			w.changeConfiguration(t, `"invariants":{`, `"invariants":{"onlyDrainingBinds":true,`)
+			old := w.start(t)
+			w.tell(t, old, w.entry(1, "Terminating"), `"draining":["s-1"]`)
+			w.tell(t, old, w.entry(1, "Gone"), `"gone":["s-1"]`)
+			w.ask(t, 100)
+			if isDown {
+				w.discovery.Close()
+			}
+			w.start(t)
+			old.Stop(3700 * time.Millisecond)
+			if got := w.ask(t, 400); got[1] > 0 {
+				t.Errorf("the next process sends %d requests to the host that drained; each of %v", got[1], got)
+			}
+		})
+	}
+}
+
 // A host starts anew, cold, in a quiet time, and the next process starts while discovery is down. Guards against a start
 // that is known to one process only: the next one would push the cold host over with a warm host's share.
 func TestStartOfHostIsKnownAtNextProcessWhileDiscoveryIsDown(t *testing.T) {
--- a/snapshot/endpointlist.go
+++ b/snapshot/endpointlist.go
@@ -26,7 +26,8 @@
 	BootID    string `cbor:"Boot"`   // ID of the machine's boot; "" if unknown
 	SinceBoot int64  `cbor:"BootAt"` // nanoseconds since that boot
 
-	// Endpoints is the list in the JSON format of the discovery server.
+	// Endpoints is the list in the JSON format of the discovery server. Besides the endpoints that are ready or drain it
+	// has, as gone, those that drained before they were removed.
 	Endpoints []byte `cbor:"List"`
 
 	Age time.Duration `cbor:"-"` // age at the time of reading; set by ReadChanged, ignored by Write
