--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -84,16 +84,17 @@
 		b.WatchEndpoints() // The settings ask for polling; a watch delivers the changes too.
 	}
 	b.reloadEjections()
-	if err := b.applyList(context.Background(), known, listFromConfiguration); err != nil {
+	configured, err := protocol.ParseEndpointList(known)
+	if err != nil {
 		return b, err
 	}
-	b.restore(previous, known)
+	b.applyListAtStart(configured, listFromConfiguration)
+	b.restore(previous, configured)
 	return b, nil
 }
 
 // restore restores what other processes have left. What cannot be restored is logged.
-func (b *Balancer) restore(previous Previous, known []byte) {
-	configured, _ := protocol.ParseEndpointList(known) // New has parsed it already.
+func (b *Balancer) restore(previous Previous, configured protocol.EndpointList) {
 	b.restoreList(previous.Lists, configured)
 	if previous.Snapshot == nil {
 		return
--- a/routing/endpointlist.go
+++ b/routing/endpointlist.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"time"
@@ -29,20 +28,15 @@
 	return index >= s.minIndex && (s.requiredDiscovery == "" || s.requiredDiscovery == s.discovery)
 }
 
-// applyList applies a list that the context's end withdraws. It fails if the list cannot be parsed or the context has
-// ended. It acquires b.mu.
-func (b *Balancer) applyList(ctx context.Context, text []byte, source listSource) error {
-	// Parsing thousands of endpoints takes as long as handling many requests, so it is done before locking.
-	list, err := protocol.ParseEndpointList(text)
-	if err != nil {
-		return err
-	}
-	return b.applyParsedList(list, source, ctx.Err)
+// applyListAtStart applies a list while no watch is open yet. It acquires b.mu.
+func (b *Balancer) applyListAtStart(list protocol.EndpointList, source listSource) {
+	_ = b.applyParsedList(list, source, func() error { return nil })
 }
 
 // applyWatchedList applies a list that a watch of this process delivered. It fails if the list cannot be parsed or the
 // watch was cancelled. It acquires b.mu.
 func (b *Balancer) applyWatchedList(watch *listWatch, text []byte) error {
+	// Parsing thousands of endpoints takes as long as handling many requests, so it is done before locking.
 	list, err := protocol.ParseEndpointList(text)
 	if err != nil {
 		return err
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -59,7 +59,8 @@
 
 // applyTestList applies an endpoint list in the way a watch does.
 func (b *Balancer) applyTestList(t *testing.T, line string) {
-	if err := b.applyList(context.Background(), []byte(line), listFromDiscovery); err != nil {
+	watch := &listWatch{balancer: b, ctx: context.Background(), index: b.list.index}
+	if err := b.applyWatchedList(watch, []byte(line)); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/routing/listkeeper.go
+++ b/routing/listkeeper.go
@@ -27,8 +27,9 @@
 	balancer *Balancer
 	files    *snapshot.EndpointListFiles
 	save     *time.Timer
-	nextSave time.Time // not before; a change that comes earlier waits
-	isFailed bool      // the last write failed
+	nextSave time.Time     // not before; a change that comes earlier waits
+	isFailed bool          // the last write failed
+	lockHeld time.Duration // how long the last write held Balancer.mu
 
 	// Reused, to avoid allocations.
 	entries []snapshotEntry
@@ -89,7 +90,9 @@
 func (k *listKeeper) write() error {
 	b := k.balancer
 	b.mu.Lock()
+	lockedAt := time.Now()
 	list, entries := b.toSave(k.entries[:0])
+	k.lockHeld = time.Since(lockedAt)
 	b.mu.Unlock()
 	k.entries = entries
 	k.encoded.Reset()
--- a/routing/savedlist.go
+++ b/routing/savedlist.go
@@ -52,7 +52,7 @@
 		return
 	}
 	b.list.generation = saved.Generation
-	_ = b.applyParsedList(parsed, listFromProcess, func() error { return nil })
+	b.applyListAtStart(parsed, listFromProcess)
 	if saved.DiscoveryServer != b.list.discovery {
 		b.list.index = 0 // The servers may number their lists differently: the first watch asks for the whole list.
 		b.list.generation++
--- a/routing/snapshot.go
+++ b/routing/snapshot.go
@@ -142,21 +142,28 @@
 // list is newer than the one in effect, it is applied: the version before this one saves its list nowhere else.
 // restoreSnapshot returns the number of endpoints restored, and fails if the snapshot belongs to a different list.
 func (b *Balancer) restoreSnapshot(s *snapshot.Snapshot) (int, error) {
-	saved, err := protocol.ParseEndpointList(s.EndpointList)
-	if err != nil {
-		return 0, err
-	}
-	if err := checkSameEndpoints(saved, b.presentEndpoints()); err != nil {
-		return 0, err
-	}
-	if b.isNewerList(s) {
-		_ = b.applyParsedList(saved, listFromProcess, func() error { return nil })
+	if !b.isListInEffect(s) {
+		saved, err := protocol.ParseEndpointList(s.EndpointList)
+		if err != nil {
+			return 0, err
+		}
+		if err := checkSameEndpoints(saved, b.presentEndpoints()); err != nil {
+			return 0, err
+		}
+		if b.isNewerList(s) {
+			b.applyListAtStart(saved, listFromProcess)
+		}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.policy.RestoreState(b.now(), &s.BalancerState, int64(s.Age)), nil
 }
 
+// isListInEffect reports whether a snapshot's list is the one in effect.
+func (b *Balancer) isListInEffect(s *snapshot.Snapshot) bool {
+	return s.DiscoveryServer == b.list.discovery && s.ListGeneration == b.list.generation && s.ListIndex == b.list.index
+}
+
 // isNewerList reports whether a snapshot's list is newer than the one in effect.
 func (b *Balancer) isNewerList(s *snapshot.Snapshot) bool {
 	hasGeneration := s.ListGeneration > 0
