A saved list states when discovery last confirmed it; an old one is asked for whole

Cause (seen by reading, a risk of the saved lists themselves): a saved list has no age limit. If no process runs for hours and discovery is rebuilt meanwhile, its index may be past the saved one, and it would tell the next process only of what changed after that.

Change: the file has the time at which discovery last delivered anything, also an empty line, brought up to date each minute; it is kept when another process adopts the list. If that is over 10 min ago, discovery is asked for the whole list. Drains of the list hold until then.

TestHostsThatMayServeAreUsedAtNextProcess: a host that was added, or whose drain was taken back, serves at the next process while discovery is down.

--- a/routing/endpointlist.go
+++ b/routing/endpointlist.go
@@ -17,6 +17,7 @@
 	updates           int          // number of lists applied
 	watches           []*listWatch // open watches, oldest first; at most maxWatches
 	isFailing         bool         // a watch was lost, and none has delivered a valid list or empty line since
+	toldAt            time.Time    // when a watch of this process, or of the one that the list was adopted from, last delivered data
 	lastDeliveryAt    time.Time    // when a watch last delivered data or broke; zero after a change of discovery
 	requiredDiscovery string       // from the fleet's configuration; "": each process uses its own
 	minIndex          uint64       // minimum index of a list that is applied in full, from the fleet's configuration
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -204,7 +204,7 @@
 		return
 	}
 	watch.lastDeliveryAt, watch.isEstablished = time.Now(), true
-	b.list.lastDeliveryAt = watch.lastDeliveryAt
+	b.list.lastDeliveryAt, b.list.toldAt = watch.lastDeliveryAt, watch.lastDeliveryAt
 	isOlder := true
 	for _, other := range b.list.watches {
 		if other == watch {
--- a/routing/listkeeper.go
+++ b/routing/listkeeper.go
@@ -14,9 +14,11 @@
 	savedListPollInterval = 50 * time.Millisecond
 	// saveCostShare bounds the part of the time that is spent on saving the list, while it changes without end, to one in
 	// so many.
-	saveCostShare = 25
+	saveCostShare = 50
 	// maxSaveDelay bounds how long a change may wait to be saved.
 	maxSaveDelay = 250 * time.Millisecond
+	// confirmInterval is how often the list is saved while discovery confirms that it holds, for the time that it states.
+	confirmInterval = time.Minute
 	// saveRetryInterval is the wait after a write that failed.
 	saveRetryInterval = time.Second
 )
@@ -48,6 +50,8 @@
 	if !hasSiblings {
 		poll.Stop()
 	}
+	confirm := time.NewTicker(confirmInterval)
+	defer confirm.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -58,6 +62,8 @@
 			k.saveList()
 		case <-poll.C:
 			k.adoptLists()
+		case <-confirm.C:
+			b.saveConfirmedList()
 		}
 	}
 }
@@ -70,6 +76,15 @@
 	}
 }
 
+// saveConfirmedList has the list saved if the watch is open and delivers data.
+func (b *Balancer) saveConfirmedList() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.list.watches) > 0 && time.Since(b.list.toldAt) < lineTimeout {
+		b.requestListSave()
+	}
+}
+
 // saveList saves the list, and plans when the next save may be.
 func (k *listKeeper) saveList() {
 	startedAt := time.Now()
--- a/routing/savedlist.go
+++ b/routing/savedlist.go
@@ -13,6 +13,10 @@
 	"hollylever/snapshot"
 )
 
+// maxIndexAge is how old a saved list may be for discovery to be asked only for what changed after its index. A server
+// that was rebuilt since may have a higher index by then, and would not tell of all that is different.
+const maxIndexAge = 10 * time.Minute
+
 // firstGeneration is the generation of the lists of a process that found none of another process.
 const firstGeneration = 1
 
@@ -53,16 +57,17 @@
 	}
 	b.list.generation = saved.Generation
 	b.applyListAtStart(parsed, listFromProcess)
-	if saved.DiscoveryServer != b.list.discovery {
-		b.list.index = 0 // The servers may number their lists differently: the first watch asks for the whole list.
+	b.list.toldAt = time.Now().Add(-saved.Age)
+	if saved.DiscoveryServer != b.list.discovery || saved.Age > maxIndexAge {
+		b.list.index = 0 // The server may number its lists differently: the first watch asks for the whole list.
 		b.list.generation++
 	}
 	b.log.Info().Uint64("index", saved.Index).Int("endpoints", len(parsed.Endpoints)).Int("draining", countDraining(parsed)).
 		Int64("age_ms", saved.Age.Milliseconds()).Msg("endpoint list restored")
 }
 
-// newestList returns the newest list of a discovery server, or if there is none the last written one of another server,
-// or nil.
+// newestList returns the newest list of a discovery server, or if there is none the last told one of another server, or
+// nil.
 func newestList(lists []*snapshot.EndpointList, discovery string) (newest *snapshot.EndpointList) {
 	for _, list := range lists {
 		switch isOwn := list.DiscoveryServer == discovery; {
@@ -72,7 +77,7 @@
 			if isOwn {
 				newest = list
 			}
-		case isOwn && list.IsNewerThan(newest), !isOwn && list.WrittenAt > newest.WrittenAt:
+		case isOwn && list.IsNewerThan(newest), !isOwn && list.ToldAt > newest.ToldAt:
 			newest = list
 		}
 	}
@@ -149,7 +154,7 @@
 		if err := isNewer(); err != nil {
 			return err
 		}
-		b.list.generation = saved.Generation
+		b.list.generation, b.list.toldAt = saved.Generation, time.Now().Add(-saved.Age)
 		return nil
 	})
 	if errors.Is(err, errNotNewer) {
@@ -167,13 +172,14 @@
 			entries = append(entries, snapshotEntry{Name: d.Host, Status: protocol.EndpointGone.String()})
 		}
 	})
+	toldAgo := time.Since(b.list.toldAt)
 	return snapshot.EndpointList{
 		DiscoveryServer:  b.list.discovery,
 		Generation:       b.list.generation,
 		Index:            b.list.index,
 		ConfiguredDigest: b.list.configuredDigest,
-		WrittenAt:        time.Now().UnixNano(),
+		ToldAt:           time.Now().Add(-toldAgo).UnixNano(),
 		BootID:           monotime.BootID(),
-		SinceBoot:        monotime.Now(),
+		SinceBoot:        monotime.Now() - int64(toldAgo),
 	}, entries
 }
--- a/routing/savedlist_test.go
+++ b/routing/savedlist_test.go
@@ -48,7 +48,12 @@
 		t.Fatal(err)
 	}
 	return &snapshot.EndpointList{DiscoveryServer: discovery, Generation: generation, Index: index, ConfiguredDigest: listDigest(list),
-		WrittenAt: int64(index), Endpoints: []byte(fakes.List(int(index), true, entries...))}
+		ToldAt: int64(index), Endpoints: []byte(fakes.List(int(index), true, entries...))}
+}
+
+func longAgo(list *snapshot.EndpointList) *snapshot.EndpointList {
+	list.Age = maxIndexAge + 1
+	return list
 }
 
 // readyEndpoints returns the names of the endpoints that may be sent to.
@@ -105,6 +110,8 @@
 			[]*snapshot.EndpointList{savedBy(t, configured, otherDiscovery, 1, 70, drains2...)}, []string{"1", "2", "3"}, 12, 2},
 		"this server rather than another": {configured,
 			[]*snapshot.EndpointList{savedBy(t, configured, otherDiscovery, 1, 70, drains2...), savedBy(t, configured, testDiscovery, 1, 11, drains3...)}, []string{"1", "2"}, 11, 1},
+		"told long ago, by a server that may have been rebuilt": {configured,
+			[]*snapshot.EndpointList{longAgo(savedBy(t, configured, testDiscovery, 1, 11, drains2...))}, []string{"1", "3"}, 0, 2},
 		"not a list": {configured, []*snapshot.EndpointList{{DiscoveryServer: testDiscovery, Generation: 1, Index: 11, Endpoints: []byte("{")}}, []string{"1", "2", "3"}, 10, 2},
 	} {
 		b := newListBalancer(t, c.configured, Previous{Lists: c.lists}, nil)
--- a/routing/snapshot.go
+++ b/routing/snapshot.go
@@ -50,7 +50,7 @@
 	file         snapshot.File
 	snapshot     snapshot.Snapshot // reused, to avoid allocations
 	requestCount int               // as of the last snapshot
-	listUpdates  int               // as of the list in the last snapshot
+	listUpdates  int               // as of the list in the last snapshot; -1: there is none
 	LockHeld     time.Duration     // how long the last snapshot held Balancer.mu
 }
 
@@ -152,6 +152,7 @@
 		}
 		if b.isNewerList(s) {
 			b.applyListAtStart(saved, listFromProcess)
+			b.list.toldAt = time.Now().Add(-s.Age)
 		}
 	}
 	b.mu.Lock()
--- a/server/savedlist_test.go
+++ b/server/savedlist_test.go
@@ -140,6 +140,24 @@
 	}
 }
 
+// A host is added, and another one's drain is taken back, in a quiet time; the next process starts while discovery is
+// down. Guards against hosts that serve nothing until discovery is back.
+func TestHostsThatMayServeAreUsedAtNextProcess(t *testing.T) {
+	t.Parallel()
+	w := newTestBed(t, 5, -1, testBedLimits)
+	w.changeConfiguration(t, w.entry(4, "Ready")["s-4"], w.entry(4, "Terminating")["s-4"])
+	old := w.start(t)
+	w.tell(t, old, w.entry(1, "Terminating"), `"draining":["s-1"]`)
+	w.ask(t, 100)
+	w.tell(t, old, w.entry(1, "Ready"), `"ready":["s-1"]`)
+	w.discovery.Close()
+	w.start(t)
+	old.Stop(3700 * time.Millisecond)
+	if got := w.ask(t, 400); got[1] < 20 || got[4] < 20 {
+		t.Errorf("the next process sends %v, want some to each", got)
+	}
+}
+
 // isListSaved reports whether a process has saved a list with this text.
 func isListSaved(w *testBed, text string) bool {
 	files, _ := filepath.Glob(filepath.Join(w.Place, "hollylever.list.?"))
--- a/snapshot/endpointlist.go
+++ b/snapshot/endpointlist.go
@@ -21,8 +21,8 @@
 	// ConfiguredDigest identifies the list in the configuration of the process that wrote this one.
 	ConfiguredDigest uint64 `cbor:"Configured"`
 
-	// The time at which the list was written, by two clocks: see age.
-	WrittenAt int64  `cbor:"At"`     // wall clock, Unix nanoseconds
+	// The time at which discovery last delivered anything to the process, so that the list held, by two clocks: see age.
+	ToldAt    int64  `cbor:"At"`     // wall clock, Unix nanoseconds
 	BootID    string `cbor:"Boot"`   // ID of the machine's boot; "" if unknown
 	SinceBoot int64  `cbor:"BootAt"` // nanoseconds since that boot
 
@@ -114,7 +114,7 @@
 	if list.Generation == 0 {
 		return nil, fmt.Errorf("%w: generation 0", ErrInvalid)
 	}
-	list.Age = max(0, age(now, list.WrittenAt, list.BootID, list.SinceBoot))
+	list.Age = max(0, age(now, list.ToldAt, list.BootID, list.SinceBoot))
 	return list, nil
 }
 
--- a/snapshot/endpointlist_test.go
+++ b/snapshot/endpointlist_test.go
@@ -13,7 +13,7 @@
 )
 
 func fixtureList() *EndpointList {
-	return &EndpointList{DiscoveryServer: "127.0.0.1:7000", Generation: 3, Index: 99, ConfiguredDigest: 0x1122334455667788, WrittenAt: now.UnixNano(),
+	return &EndpointList{DiscoveryServer: "127.0.0.1:7000", Generation: 3, Index: 99, ConfiguredDigest: 0x1122334455667788, ToldAt: now.UnixNano(),
 		BootID: "another start", SinceBoot: 77, Endpoints: []byte(`{"index":99}`)}
 }
 
