--- a/routing/savedlist_test.go
+++ b/routing/savedlist_test.go
@@ -151,6 +151,33 @@
 	}
 }
 
+// Discovery tells of a drain in a quiet time, and an operator goes back to the version before, which reads the snapshot
+// only. Guards against a snapshot that is not written for want of requests.
+func TestSnapshotIsDueWhenListChanges(t *testing.T) {
+	b := newListBalancer(t, fakes.List(10, true, readyEntry("1"), readyEntry("2")), Previous{}, nil)
+	path := filepath.Join(t.TempDir(), "learnt")
+	writer := b.NewSnapshotWriter(path, "n1")
+	write := func() {
+		t.Helper()
+		if err := writer.Write(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if write(); writer.LockHeld != 0 {
+		t.Error("a snapshot is written before any request or change")
+	}
+	b.applyTestList(t, fakes.List(11, false, drainingEntry("2")))
+	write()
+	read, err := (&snapshot.File{Path: path}).Read("n1", Fingerprint(b.settings), time.Now(), time.Minute)
+	if err != nil || read == nil || read.ListIndex != 11 {
+		t.Fatalf("the snapshot is %+v, %v; want one with the list of index 11", read, err)
+	}
+	writer.LockHeld = 0
+	if write(); writer.LockHeld != 0 {
+		t.Error("another snapshot is written without a request or a change")
+	}
+}
+
 // Both processes of an upgrade watch discovery, and one may be told later than the other. Guards against a list that
 // the late watch delivers and that undoes what the other process was told since, and against an adopted list that hides
 // one of a rebuilt server.
--- a/routing/snapshot.go
+++ b/routing/snapshot.go
@@ -50,6 +50,7 @@
 	file         snapshot.File
 	snapshot     snapshot.Snapshot // reused, to avoid allocations
 	requestCount int               // as of the last snapshot
+	updatesSeen  int               // number of lists applied, as of the last snapshot or of the start
 	listUpdates  int               // as of the list in the last snapshot; -1: there is none
 	LockHeld     time.Duration     // how long the last snapshot held Balancer.mu
 }
@@ -60,12 +61,14 @@
 		balancer:    b,
 		file:        snapshot.File{Path: path},
 		snapshot:    snapshot.Snapshot{BalancerName: name, SettingsFingerprint: Fingerprint(b.settings)},
+		updatesSeen: b.list.updates,
 		listUpdates: -1,
 	}
 }
 
-// Write writes a snapshot if any request has been admitted since the last one. It copies the state with Balancer.mu
-// held, and encodes and writes it without.
+// Write writes a snapshot if any request has been admitted, or a list applied, since the last one. The version before
+// this one knows of a drain by the snapshot only. Write copies the state with Balancer.mu held, and encodes and writes it
+// without.
 func (w *SnapshotWriter) Write() error {
 	list, isListNew, isDue := w.copyState()
 	if !isDue {
@@ -82,7 +85,7 @@
 }
 
 // copyState copies the balancer's state into the snapshot, except for the list, which it returns if the list has
-// changed. isDue reports whether a request has been admitted since the last snapshot.
+// changed. isDue reports whether a request has been admitted, or a list applied, since the last snapshot.
 func (w *SnapshotWriter) copyState() (list snapshotList, isListNew, isDue bool) {
 	b, s := w.balancer, &w.snapshot
 	began := time.Now()
@@ -94,10 +97,11 @@
 		}
 	}()
 	requestCount := b.counters.total(counterRequests)
-	if requestCount == w.requestCount {
+	if requestCount == w.requestCount && b.list.updates == w.updatesSeen {
 		return list, false, false
 	}
-	w.requestCount, s.WrittenAt = requestCount, time.Now().UnixNano()
+	w.requestCount, w.updatesSeen = requestCount, b.list.updates
+	s.WrittenAt = time.Now().UnixNano()
 	s.BootID, s.SinceBoot = monotime.BootID(), monotime.Now()
 	b.policy.SaveState(b.now(), &s.BalancerState)
 	if isListNew = w.listUpdates != b.list.updates; isListNew {
