A stamped write keeps its window at the other process of an upgrade

What callers saw: a write of a guarded workload may have run, its process is killed or its time is over; the same id at the other process of an upgrade is sent again after the time in which the host knows it, and runs twice.

Cause: the record that processes share of a request says that it may have run and not when; the other process began a window of its own. Change: the window at the other process begins with the first process's record of the request.

--- a/routing/repeatwindow.go
+++ b/routing/repeatwindow.go
@@ -46,6 +46,19 @@
 	return true
 }
 
+// attemptElsewhere is the number of an attempt that another process may have sent. No attempt of this process has it.
+const attemptElsewhere = -1
+
+// admitElsewhere counts an attempt of the same request that another process may have sent, no sooner than at a time.
+func (w *repeatWindow) admitElsewhere(notBefore time.Time) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.admitted = append(w.admitted, admittedAttempt{attemptElsewhere, notBefore, notBefore})
+}
+
 // firstSent returns when the first of the attempts was sent.
 func firstSent(attempts []admittedAttempt) time.Time {
 	return slices.MinFunc(attempts, func(one, other admittedAttempt) int { return one.sent.Compare(other.sent) }).sent
--- a/routing/results.go
+++ b/routing/results.go
@@ -48,6 +48,7 @@
 
 	isElsewhere     bool                 // another process runs it, or has run it
 	clientElsewhere siblings.ClientState // of its client there, when it was found
+	begunElsewhere  time.Time            // before any of its attempts there
 	window          *repeatWindow        // of its attempts; nil: none
 	windowBase      int                  // number of its first attempt in the window
 }
@@ -81,6 +82,8 @@
 	case repeated != nil && repeated.window != nil:
 		own.window, own.windowBase = repeated.window, repeated.windowBase+maxAttemptsInWindow
 		s.forget(repeated)
+	case repeated != nil && repeated.isElsewhere:
+		window.admitElsewhere(repeated.begunElsewhere)
 	case s.shared != nil && repeated == nil:
 		handle, shared := s.shared.Begin(request, resultRetention)
 		if shared.State != siblings.ResultNone {
@@ -95,7 +98,7 @@
 // resultElsewhere returns the result of a request that another process has begun.
 func resultElsewhere(digest siblings.RequestDigest, shared siblings.SharedResult) *requestResult {
 	result := &requestResult{digest: digest, content: shared.Content, done: make(chan struct{}), state: shared.State, answer: shared.Answer,
-		isElsewhere: true, clientElsewhere: shared.Client}
+		isElsewhere: true, clientElsewhere: shared.Client, begunElsewhere: time.Now().Add(shared.ExpiresIn - resultRetention)}
 	if shared.State != siblings.ResultOpen && shared.State != siblings.ResultClaimed {
 		close(result.done)
 	}
--- a/server/repeatedid_test.go
+++ b/server/repeatedid_test.go
@@ -185,9 +185,15 @@
 
 // startUpgrade starts two processes of a balancer, with clients that are connected to the first one.
 func startUpgrade(t *testing.T, host *bookingHosts, clients int) (old *program, connected []client, young *program) {
+	return startUpgradeWith(t, host, clients, map[string]any{})
+}
+
+// startUpgradeWith is startUpgrade with changes of the configuration.
+func startUpgradeWith(t *testing.T, host *bookingHosts, clients int, changes map[string]any) (old *program, connected []client, young *program) {
 	socket, shared := openListeningSocket(t), "TMPDIR="+t.TempDir()
+	changes["known"] = json.RawMessage(endpointList(0, true, host.entries...))
 	start := func() *program {
-		file := configurationFile(t, map[string]any{"known": json.RawMessage(endpointList(0, true, host.entries...))})
+		file := configurationFile(t, changes)
 		cmd := programCommand(file, "LB_LISTEN_FD=3", shared, "LB_MGMT=127.0.0.1:0")
 		cmd.ExtraFiles = append(cmd.ExtraFiles, socket)
 		return startCommand(t, file, cmd)
@@ -200,3 +206,37 @@
 	}
 	return old, connected, start()
 }
+
+// A stamped write may have run, and comes again at the other process of an upgrade after the time in which its host knows
+// it. Guards against a window that begins anew at the process that did not send it first: the write would run twice.
+func TestStampedWriteIsNotRunAgainAfterItsWindowAtTheOtherProcess(t *testing.T) {
+	const window = 600 * time.Millisecond
+	for _, isKilled := range []bool{true, false} {
+		t.Run(fmt.Sprint("killed_", isKilled), func(t *testing.T) {
+			t.Parallel()
+			at, came := startHost(t) // It never answers.
+			changes := settingsWith(fmt.Sprintf(`"workloads":[{"name":"report","effect":"guarded","group":"all","dedupWindow":%d,"expectedTime":400,"hardStop":400,"value":1,"tardyValue":0.2}]`,
+				window.Milliseconds()))
+			old, clients, young := startUpgradeWith(t, &bookingHosts{entries: []string{listEntry("s", at, "Ready")}}, 1, changes)
+			report := func(c client) client { return c.send("C.SET", "k", "report-1", "c=report,t=acme,d=400,k=mark", "v") }
+			first := report(clients[0])
+			receive(t, came, "the write")
+			firstAt := time.Now()
+			if isKilled {
+				old.cmd.Process.Kill()
+				receive(t, old.exited, "the end of the old process")
+			} else if got, err := readMessage(first.in); err != nil || !strings.HasPrefix(got[0], "-") {
+				t.Fatalf("the answer is %q, %v; want none of a host that does not answer", got, err)
+			}
+			time.Sleep(time.Until(firstAt.Add(window)))
+			for len(came) > 0 {
+				<-came // An attempt within the window, which the host knows for the same.
+			}
+			got, err := readMessage(report(young.connect()).in)
+			if err != nil || !strings.HasPrefix(got[0], "-ERR") {
+				t.Errorf("the answer is %q, %v; want an error, as it may have run", got, err)
+			}
+			expectNoCommand(t, came)
+		})
+	}
+}
--- a/siblings/results.go
+++ b/siblings/results.go
@@ -57,6 +57,8 @@
 	Answer  []byte // if State is ResultAnswer
 	Content RequestContent
 	Client  ClientState
+	// ExpiresIn is for how much longer the request is known: the retention that Begin was given, less the time since.
+	ExpiresIn time.Duration
 }
 
 // ResultState is what is known of a request.
@@ -235,7 +237,7 @@
 	if record == nil {
 		return false
 	}
-	other := record.read(r.isRunning(slot))
+	other := record.read(r.isRunning(slot), r.now())
 	return other.State == ResultOpen && other.Content != request.Content
 }
 
@@ -268,7 +270,7 @@
 		if record == nil {
 			return SharedResult{}
 		}
-		result := record.read(r.isRunning(slot))
+		result := record.read(r.isRunning(slot), r.now())
 		if result.State != ResultClaimed || slot < r.group.slot || time.Now().After(end) {
 			return result
 		}
@@ -278,10 +280,10 @@
 // Find returns what is known of a request at the other processes, and of earlier ones in this process's slot.
 func (r *Results) Find(digest RequestDigest) SharedResult {
 	if record := r.own.find(digest, r.now()); record != nil {
-		return record.read(true)
+		return record.read(true, r.now())
 	}
 	if slot, record := r.findOther(digest); record != nil {
-		return record.read(r.isRunning(slot))
+		return record.read(r.isRunning(slot), r.now())
 	}
 	return SharedResult{}
 }
@@ -322,14 +324,19 @@
 	return r.expiresAt.Load() < other.expiresAt.Load()
 }
 
-// read returns what a record says. What a process that has ended left open is not known, and its clients have lost their
+// read returns what a record says at a time. What a process that has ended left open is not known, and its clients have lost their
 // connections.
-func (r *resultRecord) read(isRunning bool) SharedResult {
-	result := SharedResult{State: ResultState(r.state.Load()), Content: RequestContent{r.content[0].Load(), r.content[1].Load()}, Client: ClientState(r.client.Load())}
+func (r *resultRecord) read(isRunning bool, now int64) SharedResult {
+	result := SharedResult{
+		State:     ResultState(r.state.Load()),
+		Content:   RequestContent{r.content[0].Load(), r.content[1].Load()},
+		Client:    ClientState(r.client.Load()),
+		ExpiresIn: time.Duration(r.expiresAt.Load() - now),
+	}
 	length := int(r.length.Load())
 	switch {
 	case result.State == ResultAnswer && length > MaxSharedAnswer: // Recorded by an earlier version, in place of what follows the answer.
-		return SharedResult{State: ResultUnknown}
+		return SharedResult{State: ResultUnknown, ExpiresIn: result.ExpiresIn}
 	case result.State == ResultAnswer:
 		result.Answer = append([]byte(nil), r.answer[:length]...)
 	case result.State == ResultOpen && !isRunning:
