A saved list keeps zones and machine types that the writer's settings do not name

Cause (a fault of the saved lists): an endpoint held its zone and type as indices into the settings, and the list was saved with the names of those. A process with other settings, which name a zone more, never learned the hosts' zone, as it asks discovery for later changes only. Change: an endpoint keeps the names as listed.

Besides: a list that repeats a draining endpoint does not record it anew under the lock, and a saved list that gives way to a configuration as new is logged at info.

--- a/routing/drains.go
+++ b/routing/drains.go
@@ -27,6 +27,9 @@
 	}
 }
 
+// has reports whether there is a drain of an endpoint.
+func (l *drainLog) has(host string) bool { return l.byHost[host] != nil }
+
 // remove removes the drain of an endpoint, if there is one.
 func (l *drainLog) remove(host string) {
 	if drain := l.byHost[host]; drain != nil {
--- a/routing/endpointlist.go
+++ b/routing/endpointlist.go
@@ -168,6 +168,8 @@
 		startedAt:    startedAt,
 		machineType:  b.catalog.machineType(entry.Kind),
 		zone:         b.catalog.zone(entry.Zone),
+		typeName:     entry.Kind,
+		zoneName:     entry.Zone,
 		replicaGroup: entry.Group,
 		weight:       entry.Weight,
 		isListed:     true,
@@ -230,9 +232,10 @@
 	}
 	e.health, e.removedAt = health, u.now
 	e.isRetired = health == policy.Draining || health == policy.Removed && e.isRetired
-	if e.isRetired {
+	switch {
+	case e.isRetired && !b.retired.has(e.name):
 		b.retired.add(e.name, b.list.index)
-	} else if health == policy.Ready {
+	case health == policy.Ready:
 		b.retired.remove(e.name)
 	}
 	b.updatePolicyEndpoint(u.now, i)
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -42,7 +42,8 @@
 	listedStart               int64 // as given in the list, by the wall clock
 	startedAt                 int64 // listedStart converted to the policy's clock
 	machineType, replicaGroup int
-	zone                      int // -1: not in the settings
+	zone                      int    // -1: not in the settings
+	typeName, zoneName        string // as the list names them, also if the settings do not
 	weight                    float64
 	isListed                  bool  // in the list being applied
 	attempts                  int   // attempts held here, of requests that are not released yet
--- a/routing/savedlist.go
+++ b/routing/savedlist.go
@@ -8,6 +8,8 @@
 	"math"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"hollylever/monotime"
 	"hollylever/protocol"
 	"hollylever/snapshot"
@@ -49,10 +51,7 @@
 		err = b.checkRestorable(saved, parsed, configured)
 	}
 	if err != nil {
-		if !errors.Is(err, errOlderThanConfigured) {
-			b.list.generation++ // What this process is told from now on must count as newer than the refused list.
-		}
-		b.log.Warn().Err(err).Uint64("index", saved.Index).Msg("endpoint list not restored")
+		b.refuseList(saved, err)
 		return
 	}
 	b.list.generation = saved.Generation
@@ -66,6 +65,17 @@
 		Int64("age_ms", saved.Age.Milliseconds()).Msg("endpoint list restored")
 }
 
+// refuseList logs that a saved list is not restored. Unless the configuration is just as new, what this process is told
+// from now on must count as newer than the refused list, whatever its index.
+func (b *Balancer) refuseList(saved *snapshot.EndpointList, err error) {
+	level := zerolog.InfoLevel
+	if !errors.Is(err, errOlderThanConfigured) {
+		level = zerolog.WarnLevel
+		b.list.generation++
+	}
+	b.log.WithLevel(level).Err(err).Uint64("index", saved.Index).Msg("endpoint list not restored")
+}
+
 // newestList returns the newest list of a discovery server, or if there is none the last told one of another server, or
 // nil.
 func newestList(lists []*snapshot.EndpointList, discovery string) (newest *snapshot.EndpointList) {
--- a/routing/savedlist_test.go
+++ b/routing/savedlist_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -225,6 +226,30 @@
 	expect("and its next list", 3, 2, "1", "2")
 }
 
+// The next process has other settings, with a zone and a machine type that this one's do not name. Guards against a saved
+// list that has lost them: discovery is asked for later changes only, so the next process would never learn them.
+func TestSavedListKeepsNamesThatSettingsLack(t *testing.T) {
+	configured := fakes.List(10, true, readyEntry("1"))
+	files := func() *snapshot.EndpointListFiles {
+		return snapshot.NewEndpointListFiles(filepath.Join(t.TempDir(), "list"), 1, 0)
+	}()
+	old := newListBalancer(t, configured, Previous{}, nil)
+	old.applyTestList(t, fakes.List(11, false, fakes.EntryIn("z9", "2", "127.0.0.1:92", "type9", "Ready", 1, 0)))
+	if err := (&listKeeper{balancer: old, files: files}).write(); err != nil {
+		t.Fatal(err)
+	}
+	lists, err := files.ReadChanged(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.NewReplacer(`"hostTypes":["std"]`, `"hostTypes":["std","type9"]`, `"zones":["z"]`, `"zones":["z","z9"]`).Replace(testSettings)
+	young := newListBalancer(t, configured, Previous{Lists: lists}, settings.Flatten(gjson.Parse(changed)))
+	i, isListed := young.endpoints.byName["2"]
+	if !isListed || young.endpoints.all[i].zone != young.catalog.zone("z9") || young.endpoints.all[i].machineType != young.catalog.machineType("type9") {
+		t.Errorf("listed %t, as %+v; want zone %d, type %d", isListed, young.endpoints.all[i], young.catalog.zone("z9"), young.catalog.machineType("type9"))
+	}
+}
+
 // A change may come while the list is being saved, or shortly after that. Guards against a change that no save has: what
 // is saved in the end is the last list, and it names only endpoints that drained as gone.
 func TestLastChangeIsSaved(t *testing.T) {
--- a/routing/snapshot.go
+++ b/routing/snapshot.go
@@ -124,8 +124,8 @@
 			entries = append(entries, snapshotEntry{
 				Name:    e.name,
 				Address: e.address,
-				Zone:    nameAt(b.catalog.zoneNames, e.zone),
-				Type:    nameAt(b.catalog.machineTypeNames, e.machineType),
+				Zone:    e.zoneName,
+				Type:    e.typeName,
 				Group:   e.replicaGroup,
 				Status:  statusByHealth[e.health],
 				Weight:  e.weight,
