Readable code: the stand-in of discovery and the log of a process have the field's names

Tell is UpdateEntries, Whole FullList, Count SetIndex, Cut EndWatches, Say SendLine, Give SendText, Logged WaitForLog, Neighbour RunBusyLoop; no change of behaviour.

--- a/cmd/hollyfleet/deployment_test.go
+++ b/cmd/hollyfleet/deployment_test.go
@@ -51,7 +51,7 @@
 		d.hosts = append(d.hosts, host)
 		entries[host.Name] = d.entry(h, "Ready", 0)
 	}
-	d.discovery.Tell(entries)
+	d.discovery.UpdateEntries(entries)
 	var all []string
 	for _, e := range entries {
 		all = append(all, e)
--- a/cmd/hollyfleet/endpointlists_test.go
+++ b/cmd/hollyfleet/endpointlists_test.go
@@ -32,8 +32,8 @@
 	c := newIdleCluster(t, 8, 3, 3, func(p *process) {
 		list := fakes.NewDiscovery()
 		lists = append(lists, list)
-		list.Count(4)
-		list.Tell(entries)
+		list.SetIndex(4)
+		list.UpdateEntries(entries)
 		text, err := os.ReadFile(p.configFile)
 		if err != nil {
 			t.Fatal(err)
@@ -51,7 +51,7 @@
 		return err == nil && slices.Equal(s.PeerDrains, hosts)
 	}
 	drains := func(n int, host string) {
-		lists[n].Tell(map[string]string{host: strings.Replace(entries[host], "Ready", "Terminating", 1)})
+		lists[n].UpdateEntries(map[string]string{host: strings.Replace(entries[host], "Ready", "Terminating", 1)})
 	}
 	drains(0, "h1") // Index 6; the others have 5.
 	waitFor(t, "a drain of a later list", func() bool { return out(1, "h1") && out(2, "h1") })
@@ -60,8 +60,8 @@
 	waitFor(t, "drains of both lists", func() bool { return out(0, "h2") && out(1, "h1") && out(2, "h1", "h2") })
 	waitFor(t, "saying that they contradict", func() bool { return c.processes[0].hasLogged("endpoint list differs from a peer's of the same index") })
 	drains(2, "h3")
-	lists[0].Count(1) // It starts anew, and knows of no drain.
-	lists[0].Tell(entries)
+	lists[0].SetIndex(1) // It starts anew, and knows of no drain.
+	lists[0].UpdateEntries(entries)
 	waitFor(t, "saying that it went back", func() bool { return c.processes[0].hasLogged("endpoint list index went back") })
 	waitFor(t, "what it had drained staying out", func() bool { s, _ := c.processes[0].status(); return slices.Contains(s.PeerDrains, "h1") })
 }
--- a/cmd/hollyfleet/evacuation_test.go
+++ b/cmd/hollyfleet/evacuation_test.go
@@ -52,7 +52,7 @@
 		}
 		entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
 	}
-	d.discovery.Tell(entries)
+	d.discovery.UpdateEntries(entries)
 }
 
 // All hosts of a zone hang while the list calls them ready, and requests time out there one by one. The fleet has to
--- a/cmd/hollyfleet/measure_test.go
+++ b/cmd/hollyfleet/measure_test.go
@@ -214,7 +214,7 @@
 				}
 				entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
 			}
-			d.discovery.Tell(entries)
+			d.discovery.UpdateEntries(entries)
 			for range 4 {
 				time.Sleep(2 * time.Second)
 				pushed, asked := 0, 0
@@ -287,7 +287,7 @@
 			}
 			entries[d.hosts[h].Name] = d.entry(h, "Ready", d.hosts[h].Figures().Started.UnixMilli())
 		}
-		d.discovery.Tell(entries)
+		d.discovery.UpdateEntries(entries)
 		back := time.Now()
 		for time.Since(back) < 40*time.Second {
 			zone, attempts = share(4 * time.Second)
--- a/cmd/hollyfleet/outliers_test.go
+++ b/cmd/hollyfleet/outliers_test.go
@@ -99,7 +99,7 @@
 		}
 	}
 	list := fakes.NewDiscovery()
-	list.Tell(entries)
+	list.UpdateEntries(entries)
 	d.kill(p)
 	if err := os.WriteFile(p.configFile, []byte(strings.Replace(text, d.discovery.Address, list.Address, 1)), 0o600); err != nil {
 		d.t.Fatal(err)
--- a/cmd/hollyfleet/scale_test.go
+++ b/cmd/hollyfleet/scale_test.go
@@ -46,8 +46,8 @@
 	c = newIdleCluster(t, seed, 4, 3, func(p *process) {
 		list := fakes.NewDiscovery()
 		t.Cleanup(list.Close)
-		list.Count(4)
-		list.Tell(entries)
+		list.SetIndex(4)
+		list.UpdateEntries(entries)
 		lists = append(lists, list)
 		for file, changes := range map[string][2]string{p.configFile: {"127.0.0.1:1", list.Address}, p.settingsFile: {"most = 4\n", fmt.Sprintf("most = %d\n", largeSize)}} {
 			text, err := os.ReadFile(file)
@@ -90,7 +90,7 @@
 	for name, entry := range entries {
 		drained[name] = strings.Replace(entry, "Ready", "Terminating", 1)
 	}
-	lists[0].Tell(drained)
+	lists[0].UpdateEntries(drained)
 	for n, p := range c.processes[1:] {
 		waitFor(t, fmt.Sprintf("all drains counting for process %d", n+1), func() bool {
 			s, err := p.status()
--- a/cmd/hollylab/overhead.go
+++ b/cmd/hollylab/overhead.go
@@ -109,8 +109,8 @@
 		defer h.Close()
 		d := fakes.NewDiscovery()
 		defer d.Close()
-		d.Tell(map[string]string{"s": fakes.Entry("s", h.Address, "Ready")})
-		p, err := fakes.NewPlatform(folder, fakes.Setup{Known: d.Whole(), Discovery: d.Address, Limits: fakes.Limits{Cores: 1, MemoryMB: 192, Sockets: 2048},
+		d.UpdateEntries(map[string]string{"s": fakes.Entry("s", h.Address, "Ready")})
+		p, err := fakes.NewPlatform(folder, fakes.Setup{Known: d.FullList(), Discovery: d.Address, Limits: fakes.Limits{Cores: 1, MemoryMB: 192, Sockets: 2048},
 			Core: core, Program: program})
 		if err != nil {
 			return coded{err, exitMistake}
--- a/cmd/hollylab/town.go
+++ b/cmd/hollylab/town.go
@@ -84,7 +84,7 @@
 		w.hosts, w.kinds = append(w.hosts, h), append(w.kinds, k)
 		entries[h.Name] = w.entry(n, "Ready")
 	}
-	w.discovery.Tell(entries)
+	w.discovery.UpdateEntries(entries)
 	for n := range balancerCount {
 		folder := filepath.Join(w.folder, fmt.Sprint("balancer-", n+1))
 		if err := os.Mkdir(folder, 0o700); err != nil {
@@ -95,7 +95,7 @@
 			variables = []string{"LB_EXTRA=" + w.accord.owns[n]}
 		}
 		settings := strings.Replace(townSettings, `"zones":["z"]`, fmt.Sprintf(`"zones":["z0","z1","z2"],"zone":%q`, w.zone(n)), 1)
-		p, err := fakes.NewPlatform(folder, fakes.Setup{Variables: variables, Name: fmt.Sprint("n", n+1), Settings: settings, Known: w.discovery.Whole(),
+		p, err := fakes.NewPlatform(folder, fakes.Setup{Variables: variables, Name: fmt.Sprint("n", n+1), Settings: settings, Known: w.discovery.FullList(),
 			Discovery: w.discovery.Address, Limits: fakes.Limits{Cores: 1, MemoryMB: 64, Sockets: 512}, Core: -1, Program: program})
 		if err != nil {
 			return w, err
@@ -124,7 +124,7 @@
 func (w *town) zone(n int) string { return fmt.Sprint("z", n%w.zones) }
 
 func (w *town) tell(n int, status string) {
-	w.discovery.Tell(map[string]string{w.hosts[n].Name: w.entry(n, status)})
+	w.discovery.UpdateEntries(map[string]string{w.hosts[n].Name: w.entry(n, status)})
 }
 
 // doors are the figures of each balancer's door; none for one that does not answer now.
--- a/fakes/discovery.go
+++ b/fakes/discovery.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Entry is a host in the list; sinceMS: when it started, 0 for long ago.
+// Entry returns the entry of a host that started at sinceMS; 0 or absent: long ago.
 func Entry(name, address, status string, sinceMS ...int64) string {
 	since := int64(0)
 	if len(sinceMS) > 0 {
@@ -20,68 +20,71 @@
 	return EntryOf(name, address, "std", status, 1, since)
 }
 
-// EntryOf is a host of a kind and a weight.
+// EntryOf is Entry with a machine type and a weight.
 func EntryOf(name, address, kind, status string, weight float64, sinceMS int64) string {
 	return EntryIn("z", name, address, kind, status, weight, sinceMS)
 }
 
-// EntryIn is one in a zone.
+// EntryIn is EntryOf with a zone.
 func EntryIn(zone, name, address, kind, status string, weight float64, sinceMS int64) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":0,"status":%q,"weight":%g,"since_ms":%d}`,
 		name, address, zone, kind, status, weight, sinceMS)
 }
 
-// List is a list, or a change of one.
+// List returns an endpoint list, full or with changes only.
 func List(index int, whole bool, entries ...string) string {
 	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, whole, strings.Join(entries, ","))
 }
 
-// Unavailable in place of a watch's first line has it answered with 503.
+// Unavailable has a watch answered with 503 if it is sent in place of the first line.
 const Unavailable = "503"
 
-// Call is a watch that was asked for: what it is to say.
+// Call is one watch of a scripted discovery service.
 type Call struct {
 	Since string
-	Ended <-chan struct{} // the other side has closed it
-	says  chan string
+	Ended <-chan struct{} // closed once the caller has ended the watch
+	texts chan string     // to send
 }
 
-// Say says a line.
-func (c Call) Say(line string) {
+// SendLine sends a line, or answers with 503 if it is Unavailable.
+func (c Call) SendLine(line string) {
 	if line != Unavailable {
 		line += "\n"
 	}
-	c.says <- line
+	c.texts <- line
 }
 
-// Give gives a piece as it is, cut anywhere; an empty one is the head of the answer alone.
-func (c Call) Give(piece string) { c.says <- piece }
+// SendText sends a part of the response body as it is; an empty one sends the header alone.
+func (c Call) SendText(text string) { c.texts <- text }
 
 // End ends the watch.
-func (c Call) End() { close(c.says) }
+func (c Call) End() { close(c.texts) }
 
-// Discovery is the list of hosts. Scripted it hands over each call; else it tells what it is given by Tell, to all.
+// Discovery stands in for the discovery service. It is scripted, and passes each watch to Calls, or answers by itself with the entries
+// that UpdateEntries has set.
 type Discovery struct {
 	Address string
-	Calls   chan Call // scripted
+	Calls   chan Call // of a scripted service; nil otherwise
 
 	server *httptest.Server
-	mu     sync.Mutex
-	index  int
-	lists  map[string]string // by name: the entry
-	watch  map[chan struct{}]bool
+
+	mu       sync.Mutex // guards the fields below
+	index    int
+	entries  map[string]string      // by name
+	watchers map[chan struct{}]bool // signalled after a change
 }
 
-const keepAlive = 2 * time.Second // a watch says something so often
+// keepAlive is the interval of empty lines while nothing changes.
+const keepAlive = 2 * time.Second
 
-// ScriptedDiscovery hands over each call.
+// ScriptedDiscovery starts a scripted service.
 func ScriptedDiscovery() *Discovery { return newDiscovery(&Discovery{Calls: make(chan Call, 100)}) }
 
-// NewDiscovery answers by itself.
+// NewDiscovery starts a service that answers by itself.
 func NewDiscovery() *Discovery { return newDiscovery(&Discovery{}) }
 
 func newDiscovery(d *Discovery) *Discovery {
-	d.lists, d.watch = map[string]string{}, map[chan struct{}]bool{}
+	d.entries, d.watchers = map[string]string{}, map[chan struct{}]bool{}
 	d.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.Calls != nil {
 			d.scripted(w, r)
@@ -98,14 +101,14 @@
 	d.Calls <- c
 	for {
 		select {
-		case piece, more := <-c.says:
-			if piece == Unavailable {
+		case text, isOpen := <-c.texts:
+			if text == Unavailable {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
-			if piece == Unavailable || !more {
+			if text == Unavailable || !isOpen {
 				return
 			}
-			io.WriteString(w, piece)
+			io.WriteString(w, text)
 			w.(http.Flusher).Flush()
 		case <-r.Context().Done():
 			return
@@ -113,54 +116,54 @@
 	}
 }
 
-// Tell sets hosts' entries, each a name and what Entry gives, and tells all watches.
-func (d *Discovery) Tell(entries map[string]string) {
+// UpdateEntries sets entries, by name, as Entry returns them, and sends the list to all watches.
+func (d *Discovery) UpdateEntries(entries map[string]string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.index++
 	for name, entry := range entries {
-		d.lists[name] = entry
+		d.entries[name] = entry
 	}
-	for w := range d.watch {
+	for watcher := range d.watchers {
 		select {
-		case w <- struct{}{}:
-		default: // It is to look already.
+		case watcher <- struct{}{}:
+		default: // It is signalled already.
 		}
 	}
 }
 
-// Count sets the index of the last list that was told: it may go back, as that of a discovery that begins anew.
-func (d *Discovery) Count(index int) {
+// SetIndex sets the index of the list. It may go back, as that of a service that was rebuilt.
+func (d *Discovery) SetIndex(index int) {
 	d.mu.Lock()
 	d.index = index
 	d.mu.Unlock()
 }
 
-// Whole is the list as it stands.
-func (d *Discovery) Whole() string {
+// FullList returns the list with all entries.
+func (d *Discovery) FullList() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var all []string
-	for _, entry := range d.lists {
+	for _, entry := range d.entries {
 		all = append(all, entry)
 	}
 	return List(d.index, true, all...)
 }
 
-// follow gives the whole list at each change: what a watch may do, and the plainest.
+// follow sends the full list after each change, as a watch may.
 func (d *Discovery) follow(w http.ResponseWriter, r *http.Request) {
-	news := make(chan struct{}, 1)
+	changed := make(chan struct{}, 1)
 	d.mu.Lock()
-	d.watch[news] = true
+	d.watchers[changed] = true
 	index := d.index
 	d.mu.Unlock()
 	defer func() {
 		d.mu.Lock()
-		delete(d.watch, news)
+		delete(d.watchers, changed)
 		d.mu.Unlock()
 	}()
 	if since, _ := strconv.Atoi(r.URL.Query().Get("since")); since != index {
-		news <- struct{}{}
+		changed <- struct{}{}
 	} else {
 		io.WriteString(w, "\n")
 		w.(http.Flusher).Flush()
@@ -168,8 +171,8 @@
 	for alive := time.NewTicker(keepAlive); ; {
 		line := ""
 		select {
-		case <-news:
-			line = d.Whole()
+		case <-changed:
+			line = d.FullList()
 		case <-alive.C:
 		case <-r.Context().Done():
 			alive.Stop()
@@ -182,8 +185,8 @@
 	}
 }
 
-// Cut ends all watches.
-func (d *Discovery) Cut() { d.server.CloseClientConnections() }
+// EndWatches ends all watches.
+func (d *Discovery) EndWatches() { d.server.CloseClientConnections() }
 
-// Close ends it and all watches.
+// Close ends the service and all watches.
 func (d *Discovery) Close() { d.server.CloseClientConnections(); d.server.Close() }
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	line, err := s.Logged(`"message":"serving"`, startFor)
+	line, err := s.WaitForLog(`"message":"serving"`, startFor)
 	if err != nil {
 		s.Cmd.Process.Kill()
 		return nil, err
@@ -153,8 +153,8 @@
 	return s, nil
 }
 
-// Logged waits for a line of the log that holds the text, from the first on.
-func (s *Process) Logged(text string, most time.Duration) (string, error) {
+// WaitForLog returns the first line of the log that holds the text, and waits for it if there is none yet.
+func (s *Process) WaitForLog(text string, most time.Duration) (string, error) {
 	timer := time.AfterFunc(most, s.fresh.Broadcast)
 	defer timer.Stop()
 	s.mu.Lock()
@@ -272,8 +272,8 @@
 	return call()
 }
 
-// Neighbour uses up a core, for a part of each 20 ms, until it is stopped or the time is over.
-func Neighbour(core int, part float64, most time.Duration) (stop func()) {
+// RunBusyLoop uses a core for a part of each 20 ms, until it is stopped or the time is over.
+func RunBusyLoop(core int, part float64, most time.Duration) (stop func()) {
 	ended := make(chan struct{})
 	go func() {
 		_ = onCore(core, func() error {
--- a/fakes/soak/run.go
+++ b/fakes/soak/run.go
@@ -40,10 +40,10 @@
 		r.servers = append(r.servers, s)
 		entries[s.Name] = fakes.Entry(s.Name, s.Address, "Ready")
 	}
-	r.discovery.Tell(entries)
+	r.discovery.UpdateEntries(entries)
 	defer r.endProcesses()
 	for n := range plan.Processes {
-		p, err := newProcess(n, plan, program, folder, r.discovery.Whole(), r.discovery.Address)
+		p, err := newProcess(n, plan, program, folder, r.discovery.FullList(), r.discovery.Address)
 		if p != nil {
 			r.processes = append(r.processes, p)
 		}
@@ -125,7 +125,7 @@
 	case Drain:
 		r.drain(s, e.For)
 	case Discovery:
-		r.discovery.Cut()
+		r.discovery.EndWatches()
 	case AcceptFault, ConnectFault, Interrupts:
 		p.fail(e.Kind, faultChance)
 		time.Sleep(min(e.For, time.Second))
@@ -139,10 +139,10 @@
 		return
 	}
 	s.drain(true)
-	r.discovery.Tell(map[string]string{s.Name: fakes.Entry(s.Name, s.Address, "Terminating")})
+	r.discovery.UpdateEntries(map[string]string{s.Name: fakes.Entry(s.Name, s.Address, "Terminating")})
 	time.Sleep(span)
 	s.drain(false)
-	r.discovery.Tell(map[string]string{s.Name: fakes.Entry(s.Name, s.Address, "Ready")})
+	r.discovery.UpdateEntries(map[string]string{s.Name: fakes.Entry(s.Name, s.Address, "Ready")})
 }
 
 // endProcesses ends all that run still.
--- a/routing/follow_test.go
+++ b/routing/follow_test.go
@@ -70,7 +70,7 @@
 			}
 			for len(text) > 0 {
 				cut := min(len(text), 1+random.IntN(200))
-				w.Give(text[:cut])
+				w.SendText(text[:cut])
 				text = text[cut:]
 			}
 			for n := range lists { // The last one too, although nothing follows it.
@@ -105,7 +105,7 @@
 			for n := range 3 {
 				w := receive(t, d.Calls, fmt.Sprint("watch ", n))
 				for _, piece := range c.gives {
-					w.Give(piece)
+					w.SendText(piece)
 				}
 				receive(t, w.Ended, "the end of a silent watch")
 			}
@@ -118,14 +118,14 @@
 func TestTricklingListCountsAsSilence(t *testing.T) {
 	_, d := followScripted(t, singleWatchTimeouts(100*time.Millisecond), nil)
 	w := receive(t, d.Calls, "a watch")
-	w.Give("{")
+	w.SendText("{")
 	for trickles := time.NewTicker(10 * time.Millisecond); ; {
 		select {
 		case <-w.Ended:
 			trickles.Stop()
 			return
 		case <-trickles.C:
-			w.Give(" ")
+			w.SendText(" ")
 		case <-time.After(slowEventTimeout):
 			t.Fatal("the watch is not closed")
 		}
@@ -179,14 +179,14 @@
 			b, d := followScripted(t, singleWatchTimeouts(time.Hour), nil)
 			first := receive(t, d.Calls, "a watch")
 			for _, piece := range c.first {
-				first.Give(piece)
+				first.SendText(piece)
 				if piece == "\n" {
 					until(t, "the first watch to be established", b.hasEstablishedWatch)
 				}
 			}
 			b.hurryAdditionalCall()
 			calls := []fakes.Call{first, receive(t, d.Calls, "an additional call")}
-			calls[c.kept].Give(list)
+			calls[c.kept].SendText(list)
 			receive(t, calls[1-c.kept].Ended, "the end of the other watch")
 			until(t, "the list", func() bool { return b.isReadyInList("new") })
 			select {
@@ -223,10 +223,10 @@
 	calls := []fakes.Call{receive(t, d.Calls, "a watch"), receive(t, d.Calls, "an additional call")}
 	b.SetDiscovery(moved.Address)
 	for _, call := range calls {
-		call.Give(fakes.List(9, true, fakes.Entry("old", "127.0.0.1:1", "Ready")) + "\n")
+		call.SendText(fakes.List(9, true, fakes.Entry("old", "127.0.0.1:1", "Ready")) + "\n")
 		receive(t, call.Ended, "the end of a watch")
 	}
-	receive(t, moved.Calls, "a watch at the new address").Give(fakes.List(2, true, fakes.Entry("new", "127.0.0.1:1", "Ready")) + "\n")
+	receive(t, moved.Calls, "a watch at the new address").SendText(fakes.List(2, true, fakes.Entry("new", "127.0.0.1:1", "Ready")) + "\n")
 	until(t, "the new list", func() bool { return b.isReadyInList("new") })
 	if b.isReadyInList("old") {
 		t.Fatal("a list from a cancelled watch is applied")
--- a/server/admin_test.go
+++ b/server/admin_test.go
@@ -132,10 +132,10 @@
 	for range 30 {
 		ask(atA)
 	}
-	watch.Say(endpointList(5, false, listEntry("b", b, "Gone")))
+	watch.SendLine(endpointList(5, false, listEntry("b", b, "Gone")))
 	p.waitForMetric("targets", 1)
 	p.waitForMetric("targets_disabled", 0)
-	watch.Say(endpointList(6, true, listEntry("a/1", a, "Ready"), listEntry("b", b, "Ready")))
+	watch.SendLine(endpointList(6, true, listEntry("a/1", a, "Ready"), listEntry("b", b, "Ready")))
 	p.waitForMetric("targets_disabled", 1)
 	if err := os.WriteFile(filepath.Join(place, "hollylever.bans"), []byte(`["b"`), 0o600); err != nil {
 		t.Fatal(err)
--- a/server/crowding_test.go
+++ b/server/crowding_test.go
@@ -292,17 +292,17 @@
 			t.Fatal(err)
 		}
 	}
-	t.Cleanup(p.startNeighbour(t))
+	t.Cleanup(p.startBusyLoop(t))
 }
 
-// startNeighbour starts what keeps the program's core busy, if it shares one.
-func (p *program) startNeighbour(t *testing.T) (stop func()) {
+// startBusyLoop starts what keeps the program's core busy, if it shares one.
+func (p *program) startBusyLoop(t *testing.T) (stop func()) {
 	t.Helper()
 	var core unix.CPUSet
 	if err := unix.SchedGetaffinity(p.cmd.Process.Pid, &core); err != nil {
 		t.Fatal(err)
 	}
-	return fakes.Neighbour(lastCore(core), 1, time.Minute)
+	return fakes.RunBusyLoop(lastCore(core), 1, time.Minute)
 }
 
 // lastCore returns the last core of a set.
--- a/server/descriptors_test.go
+++ b/server/descriptors_test.go
@@ -74,7 +74,7 @@
 				"known":  json.RawMessage(endpointList(1, true, listEntry("s", at, "Ready")))}
 			file := configurationFile(t, changes)
 			p := startWithDescriptors(t, file, bounds.atStart)
-			receive(t, calls, "the first call").Say(unavailable)
+			receive(t, calls, "the first call").SendLine(unavailable)
 			busy := p.connect().send("C.GET", "k", "busy", "c=read,t=acme,d=3000")
 			held := receive(t, came, "the request before the crowd")
 			p.connectIdleClients(150)
@@ -93,7 +93,7 @@
 			}
 			call := receive(t, calls, "a call while the crowd is there")
 			began := time.Now()
-			call.Say(endpointList(2, true, append(after, listEntry("s", at, "Terminating"))...))
+			call.SendLine(endpointList(2, true, append(after, listEntry("s", at, "Terminating"))...))
 			p.waitForLog(`"message":"servers changed"`)
 			c := p.connect()
 			const each = (fewDescriptors-reservedDescriptors)/2 - 1 // One is the busy client's.
@@ -114,7 +114,7 @@
 			}
 			p.cmd.Process.Signal(syscall.SIGHUP)
 			p.waitForLog(`"message":"configuration reloaded"`)
-			receive(t, movedCalls, "a call to the new discovery").Say(endpointList(1, true, after...))
+			receive(t, movedCalls, "a call to the new discovery").SendLine(endpointList(1, true, after...))
 			if code, text := p.adminRequest("GET", "/ready"); code != 200 {
 				t.Errorf("ready: %d %q", code, text)
 			}
@@ -182,7 +182,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(young.Kill)
-		line, err := young.Logged(`"message":"resource limits changed"`, testTimeout)
+		line, err := young.WaitForLog(`"message":"resource limits changed"`, testTimeout)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -193,10 +193,10 @@
 		if json.Unmarshal([]byte(line), &limits); limits.Clients > most || limits.Endpoints > most || limits.Clients < 1 || limits.Endpoints < 1 {
 			t.Errorf("%s; the system allows %d for each", line, most)
 		}
-		receive(t, calls, "a call").Say(unavailable)
+		receive(t, calls, "a call").SendLine(unavailable)
 		(&program{t: t, address: platform.Address}).connectIdleClients(150)
 	}
-	receive(t, calls, "a call while the crowd is there").Say(endpointList(2, true, listEntry("s", at, "Ready")))
+	receive(t, calls, "a call while the crowd is there").SendLine(endpointList(2, true, listEntry("s", at, "Ready")))
 	c := (&program{t: t, address: platform.Address}).connect().send("C.GET", "k", "1", "c=read,t=acme,d=3000")
 	receive(t, came, "the request").Reply(valueReply("v"))
 	c.expectReply("v")
--- a/server/discovery_test.go
+++ b/server/discovery_test.go
@@ -13,7 +13,7 @@
 	b, fromB := startHost(t)
 	d, calls := startDiscovery(t)
 	p := startProgram(t, endpointList(4, true, listEntry("a", a, "Ready")), map[string]any{"discovery": d})
-	receive(t, calls, "the first watch").Say(unavailable) // Down at the start: the known list serves.
+	receive(t, calls, "the first watch").SendLine(unavailable) // Down at the start: the known list serves.
 	p.waitForLog("list lost")
 	c := p.connect().send("C.GET", "k", "1", "c=read,t=acme,d=3000")
 	receive(t, fromA, "the retrieval").Reply(valueReply("v"))
@@ -22,10 +22,10 @@
 	if w.Since != "4" {
 		t.Fatalf("it is asked for since %s", w.Since)
 	}
-	w.Say(endpointList(5, true, listEntry("a", a, "Ready"), listEntry("b", b, "Ready")))
+	w.SendLine(endpointList(5, true, listEntry("a", a, "Ready"), listEntry("b", b, "Ready")))
 	p.waitForLog("list followed again")
-	w.Say("")
-	w.Say(endpointList(6, false, listEntry("a", a, "Terminating")))
+	w.SendLine("")
+	w.SendLine(endpointList(6, false, listEntry("a", a, "Terminating")))
 	p.waitForLog(`"index":6,"changed":1,"ready":[],"draining":["a"],"gone":[]`)
 	drained := func() {
 		t.Helper()
@@ -37,14 +37,14 @@
 		expectNoCommand(t, fromA)
 	}
 	drained()
-	w.Say(endpointList(7, false, listEntry("a", a, "Ready"))[:60]) // A damaged line changes nothing.
+	w.SendLine(endpointList(7, false, listEntry("a", a, "Ready"))[:60]) // A damaged line changes nothing.
 	p.waitForLog("list lost")
 	drained()
 	w = receive(t, calls, "the third watch")
 	if w.Since != "6" {
 		t.Fatalf("it is asked for since %s", w.Since)
 	}
-	w.Say(endpointList(8, false, listEntry("b", b, "Gone"), listEntry("a", a, "Ready")))
+	w.SendLine(endpointList(8, false, listEntry("b", b, "Gone"), listEntry("a", a, "Ready")))
 	p.waitForLog(`"index":8,"changed":2,"ready":["a"],"draining":[],"gone":["b"]`)
 	c.send("C.GET", "k", "1", "c=read,t=acme,d=3000")
 	receive(t, fromA, "the retrieval").Reply(valueReply("v"))
@@ -52,7 +52,7 @@
 	w.End() // It ends.
 	p.waitForLog("list lost")
 	w = receive(t, calls, "the fourth watch") // It falls silent.
-	w.Say("")
+	w.SendLine("")
 	p.waitForLog("list followed again")
 	p.waitForLog("discovery is silent")
 	receive(t, calls, "the fifth watch")
--- a/server/handover_faults_test.go
+++ b/server/handover_faults_test.go
@@ -83,10 +83,10 @@
 			if err := h.Restart(); err != nil {
 				t.Fatal(err)
 			}
-			w.discovery.Tell(map[string]string{h.Name: fakes.Entry(h.Name, h.Address, "Ready", h.Figures().Started.UnixMilli())})
+			w.discovery.UpdateEntries(map[string]string{h.Name: fakes.Entry(h.Name, h.Address, "Ready", h.Figures().Started.UnixMilli())})
 		case fault == 2 && out < 0:
 			out = chance.IntN(len(w.hosts))
-			w.discovery.Tell(map[string]string{w.hosts[out].Name: fakes.Entry(w.hosts[out].Name, w.hosts[out].Address, "Terminating")})
+			w.discovery.UpdateEntries(map[string]string{w.hosts[out].Name: fakes.Entry(w.hosts[out].Name, w.hosts[out].Address, "Terminating")})
 			w.hosts[out].SetEjected(true)
 		case fault == 3:
 			h.Flush()
--- a/server/handover_test.go
+++ b/server/handover_test.go
@@ -35,7 +35,7 @@
 
 func waitForLogLine(t *testing.T, p *fakes.Process, text string) string {
 	t.Helper()
-	line, err := p.Logged(text, testTimeout)
+	line, err := p.WaitForLog(text, testTimeout)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -232,7 +232,7 @@
 			for n := range 3 {
 				w.hosts[n].Restart()
 				h := w.hosts[n].Figures()
-				w.discovery.Tell(map[string]string{w.hosts[n].Name: fakes.Entry(w.hosts[n].Name, w.hosts[n].Address, "Ready", h.Started.UnixMilli())})
+				w.discovery.UpdateEntries(map[string]string{w.hosts[n].Name: fakes.Entry(w.hosts[n].Name, w.hosts[n].Address, "Ready", h.Started.UnixMilli())})
 			}
 			if !with {
 				os.Remove(filepath.Join(w.Place, "hollylever.learnt"))
--- a/server/pipelining_test.go
+++ b/server/pipelining_test.go
@@ -21,7 +21,7 @@
 func TestHundredsOfRequestsAtOnceAreAnsweredOnASharedProcessor(t *testing.T) {
 	p := startCrowded(t, crowd{isShared: true})
 	for range busyProcesses - 1 {
-		t.Cleanup(p.startNeighbour(t))
+		t.Cleanup(p.startBusyLoop(t))
 	}
 	refused := 0
 	for round := range pipelinedRounds {
--- a/server/ready_test.go
+++ b/server/ready_test.go
@@ -44,7 +44,7 @@
 			address, calls := startDiscovery(t)
 			go func() {
 				for one := range calls {
-					one.Say(unavailable)
+					one.SendLine(unavailable)
 				}
 			}()
 			return address
@@ -53,7 +53,7 @@
 			address, calls := startDiscovery(t)
 			go func() {
 				for one := range calls {
-					one.Give(endpointList(8, true)[:5])
+					one.SendText(endpointList(8, true)[:5])
 				}
 			}()
 			return address
@@ -125,7 +125,7 @@
 		c.send("C.GET", "k", strconv.Itoa(n), "c=read,t=acme,d=100").expectReply("-BUSY")
 	}
 	at, came := startHost(t)
-	call.Say(endpointList(8, true, listEntry("there", at, "Ready")))
+	call.SendLine(endpointList(8, true, listEntry("there", at, "Ready")))
 	p.waitForMetric("targets", 1)
 	c.send("C.GET", "k", "served", "c=read,t=acme,d=3000")
 	receive(t, came, "the request").Reply(valueReply("v"))
--- a/server/reload_test.go
+++ b/server/reload_test.go
@@ -19,7 +19,7 @@
 	second, callsThere := startDiscovery(t)
 	p := startProgram(t, endpointList(4, true, listEntry("s", at, "Ready")), nil, "LB_DISCOVERY="+first)
 	old := receive(t, calls, "the first watch")
-	old.Say("")
+	old.SendLine("")
 	c := p.connect().send("C.GET", "k", "1", "c=read,t=acme,d=3000")
 	h := receive(t, came, "the retrieval")
 	good, _ := os.ReadFile(p.file)
@@ -34,16 +34,16 @@
 	os.Remove(p.file)
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.waitForLog("configuration rejected")
-	old.Say(endpointList(5, false, listEntry("s", at, "Ready"))) // It is followed still.
+	old.SendLine(endpointList(5, false, listEntry("s", at, "Ready"))) // It is followed still.
 	os.WriteFile(p.file, []byte(with(second)), 0o600)
 	p.cmd.Process.Signal(syscall.SIGHUP)
-	receive(t, callsThere, "a watch at the new address").Say(unavailable)
+	receive(t, callsThere, "a watch at the new address").SendLine(unavailable)
 	w := receive(t, callsThere, "another watch there")
 	if w.Since != "0" {
 		t.Errorf("it is asked for since %s", w.Since)
 	}
-	old.Say(endpointList(9, true, listEntry("s", at, "Gone"))) // The old one counts no more.
-	w.Say(endpointList(2, true, listEntry("n", moved, "Ready")))
+	old.SendLine(endpointList(9, true, listEntry("s", at, "Gone"))) // The old one counts no more.
+	w.SendLine(endpointList(2, true, listEntry("n", moved, "Ready")))
 	p.waitForLog(`"index":2,"changed":2,"ready":["n"],"draining":[],"gone":["s"]`)
 	h.Reply(valueReply("v"))
 	c.expectReply("v")
--- a/server/savedlist_test.go
+++ b/server/savedlist_test.go
@@ -18,7 +18,7 @@
 // tell has discovery change entries, and waits until a process logs what it has been told.
 func (w *testBed) tell(t *testing.T, p *fakes.Process, entries map[string]string, logged string) {
 	t.Helper()
-	w.discovery.Tell(entries)
+	w.discovery.UpdateEntries(entries)
 	waitForLogLine(t, p, logged)
 }
 
@@ -185,7 +185,7 @@
 	w := &testBed{Platform: platform}
 	old := w.start(t)
 	watch := receive(t, calls, "the old process's watch")
-	watch.Say("")
+	watch.SendLine("")
 	p := &program{t: t, address: platform.Address}
 	open := p.connect().send("C.GET", "k", "1", "c=read,t=acme,d=3000") // Keeps the old process from ending.
 	var held command
@@ -197,7 +197,7 @@
 	receive(t, calls, "the new process's watch")
 	old.Cmd.Process.Signal(syscall.SIGTERM)
 	waitForLogLine(t, old, `"message":"stopping"`)
-	watch.Say(endpointList(5, false, listEntry("a", a, "Terminating")))
+	watch.SendLine(endpointList(5, false, listEntry("a", a, "Terminating")))
 	waitForLogLine(t, young, `"index":5,"changed":1,"ready":[],"draining":["a"],"gone":[]`)
 	c := p.connect()
 	for n := range 20 {
@@ -246,7 +246,7 @@
 		t.Fatal(err)
 	}
 	started := w.hosts[1].Figures().Started.UnixMilli()
-	w.discovery.Tell(w.entry(1, "Ready", started))
+	w.discovery.UpdateEntries(w.entry(1, "Ready", started))
 	waitUntil(t, "the old process is told", func() bool {
 		answer, err := http.Get("http://" + old.Mgmt + "/cache-hosts")
 		if err != nil {
@@ -271,14 +271,14 @@
 func TestRebuiltDiscoveryIsFollowedDespiteSavedList(t *testing.T) {
 	t.Parallel()
 	w := newTestBed(t, 3, -1, testBedLimits)
-	w.discovery.Count(50)
+	w.discovery.SetIndex(50)
 	old := w.start(t)
 	w.tell(t, old, w.entry(1, "Terminating"), `"draining":["s-1"]`)
 	waitUntil(t, "the saved list", func() bool { return isListSaved(w, "Terminating") })
 	old.Kill()
-	w.discovery.Count(2)
-	w.discovery.Tell(w.entry(1, "Ready"))
-	w.discovery.Tell(w.entry(2, "Terminating"))
+	w.discovery.SetIndex(2)
+	w.discovery.UpdateEntries(w.entry(1, "Ready"))
+	w.discovery.UpdateEntries(w.entry(2, "Terminating"))
 	second := w.start(t)
 	waitForLogLine(t, second, `"index":4,"changed":2`)
 	if got := w.ask(t, 100); got[1] == 0 || got[2] > 0 {
--- a/server/shapes_test.go
+++ b/server/shapes_test.go
@@ -78,7 +78,7 @@
 	}
 	say := func(index int, whole bool, rows ...string) {
 		for _, w := range watches {
-			w.Say(endpointList(index, whole, rows...))
+			w.SendLine(endpointList(index, whole, rows...))
 		}
 	}
 	alive := time.NewTicker(time.Second)
@@ -86,7 +86,7 @@
 	go func() {
 		for range alive.C { // As discovery does while nothing changes.
 			for _, w := range watches {
-				w.Say("")
+				w.SendLine("")
 			}
 		}
 	}()
--- a/server/size_test.go
+++ b/server/size_test.go
@@ -247,20 +247,20 @@
 	old, young, last := newFarm(t, "old", 101), newFarm(t, "young", 102), newFarm(t, "last", 103)
 	p, watch := largeBalancer(t, "")
 	start, _ = p.resident()
-	watch.Say(endpointList(1, true, old.entries...))
+	watch.SendLine(endpointList(1, true, old.entries...))
 	p.waitForMetric("targets", large)
 	if refused := p.serves(300); refused > 0 || old.reached() < 100 {
 		t.Errorf("%d of 300 requests are not served", refused)
 	}
-	watch.Say(endpointList(2, false, append(old.as("Terminating"), young.entries...)...))
+	watch.SendLine(endpointList(2, false, append(old.as("Terminating"), young.entries...)...))
 	p.waitForMetric("targets", 2*large)
 	if refused := p.serves(300); refused > 0 || old.reached() > 0 || young.reached() < 100 {
 		t.Errorf("%d of 300 requests are not served after all have drained", refused)
 	}
 	p.logsDrains(large) // None is lost, though nobody but the log's reader writes them all at once.
-	watch.Say(endpointList(3, false, old.as("Gone")...))
+	watch.SendLine(endpointList(3, false, old.as("Gone")...))
 	p.waitForMetric("targets", large)
-	watch.Say(endpointList(4, false, last.entries...))
+	watch.SendLine(endpointList(4, false, last.entries...))
 	p.waitForMetric("targets", 2*large)
 	p.bansAll(t, "young")
 	p.waitForMetric("targets_disabled", large)
@@ -286,9 +286,9 @@
 	t.Parallel()
 	hosts := newFarm(t, "s", 104)
 	p, watch := largeBalancer(t, `"onlyDrainingBinds":true,`)
-	watch.Say(endpointList(1, true, hosts.entries...))
+	watch.SendLine(endpointList(1, true, hosts.entries...))
 	p.waitForMetric("targets", large)
-	watch.Say(endpointList(2, true))
+	watch.SendLine(endpointList(2, true))
 	p.waitForMetric("targets", 0)
 	if refused, reached := p.serves(large), hosts.reached(); refused > 0 || reached < large/2 { // By chance some 650.
 		t.Errorf("%d of %d requests are not served; %d hosts are used", refused, large, reached)
--- a/server/upgrades_test.go
+++ b/server/upgrades_test.go
@@ -44,9 +44,9 @@
 		w.hosts = append(w.hosts, h)
 		entries[h.Name] = fakes.Entry(h.Name, h.Address, "Ready")
 	}
-	w.discovery.Tell(entries)
+	w.discovery.UpdateEntries(entries)
 	var err error
-	if w.Platform, err = fakes.NewPlatform(t.TempDir(), fakes.Setup{Known: w.discovery.Whole(), Discovery: w.discovery.Address,
+	if w.Platform, err = fakes.NewPlatform(t.TempDir(), fakes.Setup{Known: w.discovery.FullList(), Discovery: w.discovery.Address,
 		Limits: limits, Core: core, Program: os.Args[0], Variables: append([]string{programVariable + "=1"}, variables...)}); err != nil {
 		t.Fatal(err)
 	}
@@ -71,7 +71,7 @@
 	core := -1
 	if n, err := strconv.Atoi(os.Getenv("HOLLYLEVER_CORE")); err == nil {
 		core = n // By hand: all processes and a neighbour on it.
-		defer fakes.Neighbour(core, 0.5, time.Hour)()
+		defer fakes.RunBusyLoop(core, 0.5, time.Hour)()
 	}
 	w := newTestBed(t, 6, core, testBedLimits)
 	p := w.start(t)
