fakes: who waits for a process's log is woken under the lock

The end of a process, and of the time to wait, were told without it: a call between its look and its wait would miss them, and wait until the next line of the log. Found by reading, while another lost wake-up was traced; no run has shown it.

--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -129,7 +129,7 @@
 		}
 		s.Err = s.Cmd.Wait()
 		close(s.Ended)
-		s.fresh.Broadcast()
+		s.wakeWaiting()
 	}()
 	return s, nil
 }
@@ -153,13 +153,21 @@
 	return s, nil
 }
 
+// wakeWaiting has WaitForLog look again. It takes the lock, as a call that is about to wait would miss it otherwise.
+func (s *Process) wakeWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fresh.Broadcast()
+}
+
 // WaitForLog returns the first line of the log that holds the text, and waits for it if there is none yet.
 func (s *Process) WaitForLog(text string, most time.Duration) (string, error) {
-	timer := time.AfterFunc(most, s.fresh.Broadcast)
+	end := time.Now().Add(most)
+	timer := time.AfterFunc(most, s.wakeWaiting)
 	defer timer.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for n, end := 0, time.Now().Add(most); ; s.fresh.Wait() {
+	for n := 0; ; s.fresh.Wait() {
 		for ; n < len(s.log); n++ {
 			if strings.Contains(s.log[n], text) {
 				return s.log[n], nil
