A line of the log is written without waiting for the next one

Seen: TestHostThatDrainedAndIsGoneStaysOutAtNextProcess red once, of 8 plays with -race beside six busy loops: the log has no "serving" for 10 s.

Cause: zerolog's diode wakes its reader with a Broadcast that holds no lock; between the reader's look and its wait it is lost, and the line stays until the next one (log.summary, 10 s). By itself, lines one at a time: 7 of 300,000 stay, 102 of 300,000 with -race. That the one red play was this is inferred from its 10.02 s.

--- a/server/settings.go
+++ b/server/settings.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"hollylever/config"
 	"hollylever/fleetconfig"
@@ -55,7 +54,7 @@
 	if settings.Text("log.form") == "console" {
 		output = zerolog.ConsoleWriter{Out: output, NoColor: true, TimeFormat: "15:04:05.000"}
 	}
-	buffered := diode.NewWriter(output, int(settings.Integer("log.lines")), 0, nil)
+	buffered := newLogWriter(output, int(settings.Integer("log.lines")))
 	zerolog.SetGlobalLevel(logLevels[settings.Text("log.level")])
 	return zerolog.New(buffered).With().Timestamp().Str("balancer", name).Logger(), writes, func() { closeWithin(buffered, flushTimeout) }
 }
